feat: library of decisions and codecs for the daemons

Rules, keys, leases, shards, quota, routing, batch queue, claims, poison, gossip and the platform client, each without input or output. Nothing runs yet.

--- /dev/null
+++ b/verbena/batch/bitmap.go
@@ -0,0 +1,37 @@
+package batch
+
+import "verbenaledge.example/verbena/ids"
+
+// Bitmap marks items of a job.
+type Bitmap struct {
+	words []uint64
+	count int
+}
+
+// NewBitmap returns a bitmap for a number of items, none marked.
+func NewBitmap(items int) *Bitmap {
+	return &Bitmap{words: make([]uint64, (items+63)/64)}
+}
+
+// Set marks an item and tells whether it wasn't marked before. An item out of
+// range is never marked.
+func (b *Bitmap) Set(i ids.ItemIndex) (first bool) {
+	w, bit := i/64, uint64(1)<<(i%64)
+	if int(w) >= len(b.words) || b.words[w]&bit != 0 {
+		return false
+	}
+	b.words[w] |= bit
+	b.count++
+	return true
+}
+
+// Has tells whether an item is marked.
+func (b *Bitmap) Has(i ids.ItemIndex) bool {
+	w := i / 64
+	return int(w) < len(b.words) && b.words[w]&(uint64(1)<<(i%64)) != 0
+}
+
+// Count returns how many items are marked.
+func (b *Bitmap) Count() int {
+	return b.count
+}
--- /dev/null
+++ b/verbena/batch/head.go
@@ -0,0 +1,70 @@
+package batch
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"verbenaledge.example/verbena/ids"
+)
+
+// Head makes a shard's committed segments visible. Only the owner under the
+// newest epoch can update it: a successor first writes its epoch into it.
+type Head struct {
+	Epoch    ids.Epoch    `json:"epoch"`
+	Segments []SegmentRef `json:"segments"`
+}
+
+// SegmentRef names a segment and the jobs that have results in it.
+type SegmentRef struct {
+	Epoch ids.Epoch   `json:"epoch"`
+	Seq   uint64      `json:"seq"`
+	Bytes int         `json:"bytes"`
+	Jobs  []ids.JobID `json:"jobs"`
+}
+
+// HeadName returns the name of a shard's head.
+func HeadName(s ids.ShardID) string {
+	return fmt.Sprintf("heads/%d", s)
+}
+
+// SegmentName returns the name of a segment's object.
+func SegmentName(s ids.ShardID, r SegmentRef) string {
+	return fmt.Sprintf("segments/%d/%d-%d", s, r.Epoch, r.Seq)
+}
+
+// ParseHead reads the stored form.
+func ParseHead(data []byte) (h Head, err error) {
+	if err := json.Unmarshal(data, &h); err != nil {
+		return Head{}, fmt.Errorf("parse head: %w", err)
+	}
+	return h, nil
+}
+
+// Marshal returns the stored form.
+func (h Head) Marshal() []byte {
+	data, err := json.Marshal(h)
+	if err != nil {
+		panic(err) // heads hold only strings and numbers
+	}
+	return data
+}
+
+// Without returns a copy that no longer refers to a job, and the segments that
+// no job needs any more.
+func (h Head) Without(j ids.JobID) (next Head, unused []SegmentRef) {
+	next = Head{Epoch: h.Epoch}
+	for _, r := range h.Segments {
+		kept := SegmentRef{Epoch: r.Epoch, Seq: r.Seq, Bytes: r.Bytes}
+		for _, other := range r.Jobs {
+			if other != j {
+				kept.Jobs = append(kept.Jobs, other)
+			}
+		}
+		if len(kept.Jobs) == 0 {
+			unused = append(unused, r)
+			continue
+		}
+		next.Segments = append(next.Segments, kept)
+	}
+	return next, unused
+}
--- /dev/null
+++ b/verbena/keys/keys.go
@@ -0,0 +1,122 @@
+// Package keys issues API keys and finds the workspace that a key belongs to.
+package keys
+
+import (
+	"cmp"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"verbenaledge.example/verbena/ids"
+)
+
+const (
+	prefix      = "vk-"
+	secretBytes = 24
+	idBytes     = 6
+)
+
+// Table finds records by the hash of a key. It is immutable once parsed.
+type Table struct {
+	byHash map[string]Record
+}
+
+// Empty returns a table that knows no key.
+func Empty() *Table {
+	return &Table{byHash: map[string]Record{}}
+}
+
+// Lookup returns the record of a key, if it has been issued and not withdrawn.
+func (t *Table) Lookup(key string) (r Record, ok bool) {
+	r, ok = t.byHash[hash(key)]
+	return r, ok
+}
+
+// Records returns every record, ordered by workspace and id.
+func (t *Table) Records() []Record {
+	list := make([]Record, 0, len(t.byHash))
+	for _, r := range t.byHash {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(x, y Record) int {
+		if x.Workspace != y.Workspace {
+			return cmp.Compare(x.Workspace, y.Workspace)
+		}
+		return cmp.Compare(x.ID, y.ID)
+	})
+	return list
+}
+
+// With returns a copy that also knows r.
+func (t *Table) With(r Record) *Table {
+	c := Empty()
+	for h, old := range t.byHash {
+		c.byHash[h] = old
+	}
+	c.byHash[r.Hash] = r
+	return c
+}
+
+// Without returns a copy that doesn't know the key id, and whether it was known.
+func (t *Table) Without(id ids.KeyID) (c *Table, found bool) {
+	c = Empty()
+	for h, r := range t.byHash {
+		if r.ID == id {
+			found = true
+			continue
+		}
+		c.byHash[h] = r
+	}
+	return c, found
+}
+
+// Marshal returns the stored form.
+func (t *Table) Marshal() []byte {
+	data, err := json.Marshal(t.Records())
+	if err != nil {
+		panic(err) // records hold only strings and times
+	}
+	return data
+}
+
+// Parse reads the stored form; empty data gives an empty table.
+func Parse(data []byte) (t *Table, err error) {
+	t = Empty()
+	if len(data) == 0 {
+		return t, nil
+	}
+	var list []Record
+	if err := json.Unmarshal(data, &list); err != nil {
+		return nil, fmt.Errorf("parse keys: %w", err)
+	}
+	for _, r := range list {
+		t.byHash[r.Hash] = r
+	}
+	return t, nil
+}
+
+// Issue makes a new key for a workspace. The key is shown once and not kept.
+func Issue(w ids.WorkspaceID, now time.Time) (key string, r Record) {
+	secret := make([]byte, secretBytes)
+	id := make([]byte, idBytes)
+	_, _ = rand.Read(secret) // never fails
+	_, _ = rand.Read(id)
+	key = prefix + base64.RawURLEncoding.EncodeToString(secret)
+	r = Record{
+		ID:        ids.KeyID("key-" + hex.EncodeToString(id)),
+		Workspace: w,
+		Hash:      hash(key),
+		Issued:    now.UTC().Truncate(time.Second),
+	}
+	return key, r
+}
+
+func hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/verbena/lease/event.go
@@ -0,0 +1,35 @@
+package lease
+
+import (
+	"time"
+
+	"verbenaledge.example/verbena/ids"
+)
+
+// Event is what happens to a holder.
+type Event interface{ isEvent() }
+
+// Tick says that time has passed.
+type Tick struct{}
+
+// Written says that the platform has stored a lease that was sent at a time.
+type Written struct {
+	Term    ids.Term
+	Version ids.Version
+	Sent    time.Time
+}
+
+// WriteFailed says that a write did not succeed. Lost is true when the platform
+// answered that the lease is no longer there at the version held.
+type WriteFailed struct {
+	Term ids.Term
+	Lost bool
+}
+
+// Release says that the host is stopping.
+type Release struct{}
+
+func (Tick) isEvent()        {}
+func (Written) isEvent()     {}
+func (WriteFailed) isEvent() {}
+func (Release) isEvent()     {}
--- /dev/null
+++ b/verbena/poison/fingerprint.go
@@ -0,0 +1,19 @@
+package poison
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"verbenaledge.example/verbena/ids"
+)
+
+// Fingerprint stands for a workspace's request: the same body gives the same one.
+type Fingerprint string
+
+// Of returns the fingerprint of a request.
+func Of(w ids.WorkspaceID, path string, body []byte) Fingerprint {
+	h := sha256.New()
+	_, _ = h.Write([]byte(string(w) + "\x00" + path + "\x00")) // never fails
+	_, _ = h.Write(body)
+	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:16]))
+}
--- /dev/null
+++ b/verbena/timeline/kind.go
@@ -0,0 +1,38 @@
+package timeline
+
+// Kind names a change of state.
+type Kind string
+
+// The kinds of event.
+const (
+	HostStarted    Kind = "host_started"
+	HostDraining   Kind = "host_draining"
+	HostStopped    Kind = "host_stopped"
+	HostIsolated   Kind = "host_isolated"
+	HostRejoined   Kind = "host_rejoined"
+	LeaseAcquired  Kind = "lease_acquired"
+	LeaseLost      Kind = "lease_lost"
+	LeaseBroken    Kind = "lease_broken"
+	LeaseExtended  Kind = "lease_extended"
+	ShardAcquired  Kind = "shard_acquired"
+	ShardLost      Kind = "shard_lost"
+	ConfigApplied  Kind = "config_applied"
+	PlatformDown   Kind = "platform_down"
+	PlatformUp     Kind = "platform_up"
+	BackendLeaving Kind = "backend_leaving"
+	BackendFailing Kind = "backend_failing"
+	BackendBack    Kind = "backend_back"
+	RequestRetried Kind = "request_retried"
+	RequestPoison  Kind = "request_poisonous"
+	ClaimUnknown   Kind = "claim_unknown"
+	JobAccepted    Kind = "job_accepted"
+	JobResumed     Kind = "job_resumed"
+	JobCancelled   Kind = "job_cancelled"
+	JobCompleted   Kind = "job_completed"
+	SegmentWritten Kind = "segment_written"
+	SegmentRefused Kind = "segment_refused"
+	BatchYielded   Kind = "batch_yielded"
+	OrderSent      Kind = "order_sent"
+	CertificateNew Kind = "certificate_renewed"
+	CertificateBad Kind = "certificate_refused"
+)
