--- a/verbena/batch/job.go
+++ b/verbena/batch/job.go
@@ -12,8 +12,7 @@
 	"verbenaledge.example/verbena/shard"
 )
 
-// JobsPrefix is where job objects stand in the platform, one folder a shard.
-const JobsPrefix = "jobs/"
+const jobsPrefix = "jobs/"
 
 // MaxItems is the most items in one job.
 const MaxItems = 60_000
@@ -83,23 +82,34 @@
 	return ids.JobID("batch_" + hex.EncodeToString(sum[:12]))
 }
 
+// ShardName is the name that places a job's owner.
+func ShardName(j ids.JobID) string {
+	return "job/" + string(j)
+}
+
 // ShardOf returns a job's shard.
 func ShardOf(j ids.JobID, shards int) ids.ShardID {
-	return shard.Of("job/"+string(j), shards)
+	return shard.Of(ShardName(j), shards)
 }
 
-// ShardPrefix is the folder of a shard's open jobs.
-func ShardPrefix(s ids.ShardID) string {
-	return fmt.Sprintf("%s%d/", JobsPrefix, s)
+// MarkerPrefix is the folder of the markers of a shard's open jobs.
+func MarkerPrefix(s ids.ShardID) string {
+	return fmt.Sprintf("open/%d/", s)
 }
 
 // ObjectName returns the name of a job's object.
-func ObjectName(j ids.JobID, shards int) string {
-	return ShardPrefix(ShardOf(j, shards)) + string(j)
+func ObjectName(j ids.JobID) string {
+	return jobsPrefix + string(j)
+}
+
+// MarkerName returns the name of the object by which the owner of a job's shard
+// finds it. It stands while the job is open, and changes when the job is cancelled.
+func MarkerName(j ids.JobID, shards int) string {
+	return MarkerPrefix(ShardOf(j, shards)) + string(j)
 }
 
-// IDFromObjectName reads a job's id from its object's name.
-func IDFromObjectName(name string) ids.JobID {
+// JobOfMarker reads a job's id from its marker's name.
+func JobOfMarker(name string) ids.JobID {
 	return ids.JobID(name[strings.LastIndex(name, "/")+1:])
 }
 
--- a/verbena/batch/queue.go
+++ b/verbena/batch/queue.go
@@ -278,8 +278,10 @@
 }
 
 func (q *Queue) tick(now time.Time) (cmds []Command) {
-	for _, j := range q.jobs {
-		for i, r := range j.running {
+	for _, id := range slices.Sorted(maps.Keys(q.jobs)) {
+		j := q.jobs[id]
+		for _, i := range slices.Sorted(maps.Keys(j.running)) {
+			r := j.running[i]
 			if now.Before(r.expires) {
 				continue
 			}
--- /dev/null
+++ b/verbena/core/batch.go
@@ -0,0 +1,77 @@
+package core
+
+import (
+	"verbenaledge.example/verbena/batch"
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/peer"
+	"verbenaledge.example/verbena/timeline"
+)
+
+// stepBatch steps the queue and carries its commands out. The ask is the one that
+// a dispatch answers.
+func (c *Core) stepBatch(e batch.Event, ask AskID) {
+	if l, ok := e.(batch.Loaded); ok {
+		a, _ := c.rules.Allow(l.Job.Workspace, l.Job.Service)
+		l.Weight = a.BatchWeight
+		e = l
+		c.record(timeline.Event{Kind: timeline.JobResumed, Job: l.Job.ID, Workspace: l.Job.Workspace})
+	}
+	for _, cmd := range c.queue.Step(c.now, e) {
+		c.batchCommand(cmd, ask)
+	}
+}
+
+func (c *Core) batchCommand(cmd batch.Command, ask AskID) {
+	switch cmd := cmd.(type) {
+	case batch.Dispatch:
+		c.emit(SendItems{Ask: ask, Manager: cmd.Manager, Items: cmd.Items})
+	case batch.Keep:
+		c.emit(Store{c.jobShard(cmd.Result.Job), cmd.Result})
+	case batch.GiveUp:
+		c.emit(GiveUpItem{cmd.Item, cmd.Reason})
+	case batch.StopItems:
+		c.stopItems(cmd)
+	case batch.Close:
+		c.emit(CloseJob{c.jobShard(cmd.Job), cmd})
+	}
+}
+
+func (c *Core) jobShard(j ids.JobID) ids.ShardID {
+	return batch.ShardOf(j, c.config.Shards)
+}
+
+func (c *Core) stopItems(cmd batch.StopItems) {
+	if cmd.Manager == c.config.Host {
+		c.emit(StopLocalItems{cmd.Job})
+		return
+	}
+	c.call(cmd.Manager, &peer.StopItems{Job: cmd.Job}, nil)
+}
+
+// giveItems answers a manager's ask, if this host may act and can keep results.
+func (c *Core) giveItems(ask AskID, m *peer.ItemsAsk) {
+	if !c.mayAct() || c.pressure || c.draining {
+		c.emit(Reply{ask, &peer.Items{}})
+		return
+	}
+	before := len(c.out)
+	c.stepBatch(batch.Asked{Manager: m.From, Service: m.Service, Max: m.Max}, ask)
+	if len(c.out) == before {
+		c.emit(Reply{ask, &peer.Items{}})
+	}
+}
+
+// jobChanged reads a job's object again, as its owner.
+func (c *Core) jobChanged(m *peer.JobChanged) peer.Message {
+	s := c.jobShard(m.Job)
+	if _, held := c.owned[s]; !held {
+		return &peer.Refusal{Reason: peer.NotOwner}
+	}
+	c.emit(ReadJob{Job: m.Job, Shard: s})
+	return &peer.Ack{}
+}
+
+func (c *Core) progressOf(m *peer.ProgressAsk) peer.Message {
+	p, known := c.queue.Progress(m.Job)
+	return &peer.Progress{Known: known, Completed: p.Committed - p.Failed, Failed: p.Failed}
+}
--- /dev/null
+++ b/verbena/core/core.go
@@ -0,0 +1,241 @@
+// Package core joins all decisions of a host into one deterministic state
+// machine: events in, commands out, time and the random source passed in.
+package core
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"verbenaledge.example/verbena/backend"
+	"verbenaledge.example/verbena/batch"
+	"verbenaledge.example/verbena/gossip"
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/keys"
+	"verbenaledge.example/verbena/lease"
+	"verbenaledge.example/verbena/peer"
+	"verbenaledge.example/verbena/poison"
+	"verbenaledge.example/verbena/quota"
+	"verbenaledge.example/verbena/retry"
+	"verbenaledge.example/verbena/route"
+	"verbenaledge.example/verbena/rules"
+	"verbenaledge.example/verbena/shard"
+	"verbenaledge.example/verbena/timeline"
+)
+
+// Core is a host's control state. One goroutine owns it.
+type Core struct {
+	config Config
+	random *rand.Rand
+	now    time.Time
+	out    []Command
+
+	docs    *gossip.Set
+	contact *gossip.Contact
+	rules   *rules.Rules
+	keys    *keys.Table
+	peers   map[ids.HostID]string
+	backlog map[CallID]pending
+	lastID  uint64
+
+	holder      *lease.Holder
+	monitor     *lease.Monitor
+	shards      shard.Map
+	owned       map[ids.ShardID]tenure
+	surrendered map[ids.ShardID]ids.Epoch
+	platform    platformView
+	// listing and writing are true while a call to the platform is under way.
+	listing  bool
+	writing  bool
+	nextList time.Time
+
+	ledger  *quota.Ledger
+	spender *quota.Spender
+	admits  map[quota.Ticket]Ticket
+
+	routes  *route.Table
+	budget  *retry.Budget
+	poison  *poison.Registry
+	verdict map[AskID]*spreading
+
+	managers map[ids.BackendID]*managed
+	notices  map[ids.BackendID]*noticing
+	queue    *batch.Queue
+	pressure bool
+
+	draining bool
+	isolated bool
+	// dirty is true when traffic needs a new snapshot.
+	dirty    bool
+	gossiped time.Time
+	swept    time.Time
+}
+
+// tenure is the host's ownership of a shard.
+type tenure struct {
+	epoch ids.Epoch
+	since time.Time
+	// ready is true once the batch state has been taken over.
+	ready bool
+}
+
+// pending is a message to a peer whose reply is awaited.
+type pending struct {
+	to      ids.HostID
+	sent    time.Time
+	message peer.Message
+	// verdict is the ask of a peer, or the ticket of a caller, that waits for this call.
+	verdict *spreading
+}
+
+// New returns the state of a host that has just started.
+func New(c Config, now time.Time) *Core {
+	random := rand.New(rand.NewPCG(c.Seed, c.Seed^0x9e3779b97f4a7c15))
+	r := &Core{
+		config:      c,
+		random:      random,
+		docs:        gossip.NewSet(),
+		contact:     gossip.NewContact(c.Isolation, now),
+		rules:       rules.Empty(),
+		keys:        keys.Empty(),
+		peers:       map[ids.HostID]string{},
+		backlog:     map[CallID]pending{},
+		holder:      lease.NewHolder(c.Lease),
+		monitor:     lease.NewMonitor(c.Lease.Duration),
+		owned:       map[ids.ShardID]tenure{},
+		surrendered: map[ids.ShardID]ids.Epoch{},
+		ledger:      quota.NewLedger(c.Quota),
+		spender:     quota.NewSpender(c.QuotaPatience),
+		admits:      map[quota.Ticket]Ticket{},
+		routes:      route.NewTable(random),
+		budget:      retry.NewBudget(c.RetryShare, c.RetryReserve),
+		poison:      poison.NewRegistry(),
+		managers:    map[ids.BackendID]*managed{},
+		notices:     map[ids.BackendID]*noticing{},
+		queue:       batch.NewQueue(c.ItemAttempts, c.ItemTimeout),
+	}
+	for h, a := range c.Seeds {
+		if h != c.Host {
+			r.peers[h] = a
+		}
+	}
+	r.contact.SetPeers(r.neighbours(), now)
+	return r
+}
+
+// Step applies one event and returns the commands that follow from it. It never
+// blocks and never reads a clock.
+func (c *Core) Step(now time.Time, e Event) []Command {
+	c.now = now
+	c.out = nil
+	switch e := e.(type) {
+	case Tick:
+		c.tick()
+	case Drain:
+		c.drain()
+	case Release:
+		c.release()
+	case AdmitAsked, RouteAsked, CallEnded:
+		c.stepTraffic(e)
+	case CrashSeen, RanWell:
+		c.stepPoison(e)
+	case PeerAsked:
+		c.peerAsked(e)
+	case PeerReplied:
+		c.peerReplied(e)
+	case PeerFailed:
+		c.peerFailed(e)
+	case ConfigRead, PlatformFailed, HostsRead:
+		c.stepPlatform(e)
+	case LeaseWritten, LeaseFailed, LeasesListed, LeaseBreakEnded, ShardsWritten, ShardReady, ShardClosed:
+		c.stepOwnership(e)
+	case Batch:
+		c.stepBatch(e.Event, 0)
+	case Pressure:
+		c.pressure = e.On
+	}
+	c.publish()
+	return c.out
+}
+
+// Progress returns how far the jobs of this host are.
+func (c *Core) Progress() []batch.Progress {
+	return c.queue.Jobs()
+}
+
+// Sizes counts what the state holds, for metrics.
+type Sizes struct {
+	Buckets   int
+	Purses    int
+	Jobs      int
+	Owned     int
+	Managed   int
+	Peers     int
+	Suspects  int
+	CallsOpen int
+}
+
+// Sizes returns the counts of this moment.
+func (c *Core) Sizes() Sizes {
+	return Sizes{
+		Buckets: c.ledger.Len(), Purses: c.spender.Len(), Jobs: len(c.queue.Jobs()),
+		Owned: len(c.owned), Managed: len(c.managers), Peers: len(c.peers),
+		Suspects: c.poison.Len(), CallsOpen: len(c.backlog),
+	}
+}
+
+func (c *Core) tick() {
+	c.tickOwnership()
+	c.tickGossip()
+	c.tickPlatform()
+	c.spend(quota.Tick{})
+	c.tickSlots()
+	c.stepBatch(batch.Tick{}, 0)
+	const sweepEvery = 10 * time.Second
+	if c.now.Sub(c.swept) > sweepEvery {
+		c.swept = c.now
+		c.ledger.Sweep(c.now)
+	}
+}
+
+// drain gives back what others can use at once.
+func (c *Core) drain() {
+	if c.draining {
+		return
+	}
+	c.draining = true
+	c.dirty = true
+	c.record(timeline.Event{Kind: timeline.HostDraining})
+}
+
+// release gives grants, shards and the lease back.
+func (c *Core) release() {
+	for _, cmd := range c.spender.Drain() {
+		c.spent(cmd)
+	}
+	c.releaseLease()
+}
+
+func (c *Core) emit(cmds ...Command) {
+	c.out = append(c.out, cmds...)
+}
+
+func (c *Core) record(e timeline.Event) {
+	c.emit(Record{e})
+}
+
+// call sends a message to a peer, or fails at once when its address isn't known.
+func (c *Core) call(to ids.HostID, m peer.Message, v *spreading) {
+	c.lastID++
+	id := CallID(c.lastID)
+	c.backlog[id] = pending{to: to, sent: c.now, message: m, verdict: v}
+	address, known := c.peers[to]
+	if !known {
+		c.peerFailed(PeerFailed{id})
+		return
+	}
+	c.emit(Call{ID: id, To: to, Address: address, Message: m})
+}
+
+func (c *Core) servers() []backend.Server {
+	return c.routes.Servers(c.now)
+}
--- /dev/null
+++ b/verbena/core/gossip.go
@@ -0,0 +1,170 @@
+package core
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"verbenaledge.example/verbena/backend"
+	"verbenaledge.example/verbena/gossip"
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/keys"
+	"verbenaledge.example/verbena/peer"
+	"verbenaledge.example/verbena/platform"
+	"verbenaledge.example/verbena/route"
+	"verbenaledge.example/verbena/rules"
+	"verbenaledge.example/verbena/shard"
+	"verbenaledge.example/verbena/timeline"
+)
+
+// degree is how many neighbours a host gossips with, whatever the fleet's size.
+const degree = 8
+
+// neighbours are the hosts that this one gossips with: all in a small fleet, in
+// a large one those with the highest score for this host, which form a random graph.
+func (c *Core) neighbours() []ids.HostID {
+	list := slices.Sorted(maps.Keys(c.peers))
+	if len(list) <= degree {
+		return list
+	}
+	name := string(c.config.Host)
+	slices.SortFunc(list, func(x, y ids.HostID) int {
+		return cmp.Compare(shard.Score(name, y), shard.Score(name, x))
+	})
+	return list[:degree]
+}
+
+func (c *Core) tickGossip() {
+	if c.now.Sub(c.gossiped) < c.config.Gossip {
+		return
+	}
+	c.gossiped = c.now
+	for _, h := range c.neighbours() {
+		c.call(h, c.greeting(nil), nil)
+	}
+}
+
+// greeting tells a peer what this host holds, with documents that it may lack.
+func (c *Core) greeting(docs []gossip.Document) *peer.Gossip {
+	return &peer.Gossip{
+		From:        c.config.Host,
+		Digest:      c.docs.Digest(),
+		Age:         c.docs.Age(c.now),
+		PlatformAge: c.now.Sub(c.platform.answered),
+		Documents:   docs,
+		Leaving:     c.routes.Leaving(c.now),
+	}
+}
+
+// heardGossip takes what a peer holds.
+func (c *Core) heardGossip(g *peer.Gossip) {
+	c.contact.HeardPeer(g.From, c.now)
+	for _, b := range g.Leaving {
+		c.apply(c.routes.Step(c.now, route.SaidLeaving{Backend: b}))
+	}
+	c.learn(g.Documents)
+}
+
+// confirm takes over a peer's freshness from its reply. The peer's age counts from
+// when it was asked, so that the way there and back can't make it look fresher.
+func (c *Core) confirm(g *peer.Gossip, asked time.Time) {
+	c.contact.HeardPlatform(asked.Add(-g.Age))
+	if !c.docs.Wants(g.Digest) {
+		c.docs.Confirm(asked.Add(-g.Age))
+	}
+}
+
+// learn takes documents and passes the news on.
+func (c *Core) learn(docs []gossip.Document) {
+	var news []gossip.Document
+	for _, d := range docs {
+		if c.take(d) {
+			news = append(news, d)
+		}
+	}
+	if len(news) == 0 {
+		return
+	}
+	for _, h := range c.neighbours() {
+		c.call(h, c.greeting(news), nil)
+	}
+}
+
+// take puts a newer document into force. One that can't be read is kept for
+// peers but changes nothing here.
+func (c *Core) take(d gossip.Document) (news bool) {
+	if !c.docs.Offer(d) {
+		return false
+	}
+	c.dirty = true
+	c.emit(Spread{d.Name})
+	var err error
+	switch d.Name {
+	case gossip.Rules:
+		err = c.takeRules(d)
+	case gossip.Keys:
+		err = c.takeKeys(d)
+	case gossip.Shards:
+		err = c.takeShards(d)
+	case gossip.Hosts:
+		err = c.takeHosts(d)
+	}
+	detail := string(d.Name)
+	if err != nil {
+		detail += ": " + err.Error()
+	}
+	if d.Name == gossip.Rules || d.Name == gossip.Keys || err != nil {
+		c.record(timeline.Event{Kind: timeline.ConfigApplied, Detail: detail})
+	}
+	return true
+}
+
+func (c *Core) takeRules(d gossip.Document) error {
+	r, err := rules.Parse(string(d.Value))
+	if err != nil {
+		return err
+	}
+	c.rules = r
+	return nil
+}
+
+func (c *Core) takeKeys(d gossip.Document) error {
+	t, err := keys.Parse(d.Value)
+	if err != nil {
+		return err
+	}
+	c.keys = t
+	return nil
+}
+
+func (c *Core) takeHosts(d gossip.Document) error {
+	var servers []backend.Server
+	if err := json.Unmarshal(d.Value, &servers); err != nil {
+		return err
+	}
+	c.routes.Step(c.now, route.Listed{Servers: servers})
+	peers := map[ids.HostID]string{}
+	for h, a := range c.config.Seeds {
+		peers[h] = a
+	}
+	for _, s := range servers {
+		if s.Role == backend.RoleEntry {
+			peers[ids.HostID(s.ID)] = s.Address
+		}
+	}
+	delete(peers, c.config.Host)
+	c.peers = peers
+	c.contact.SetPeers(c.neighbours(), c.now)
+	return nil
+}
+
+// hostsDocument makes the host list a document at its own version.
+func hostsDocument(l platform.HostList) gossip.Document {
+	value, err := json.Marshal(l.Servers)
+	if err != nil {
+		panic(err) // servers hold only strings
+	}
+	return gossip.Document{Name: gossip.Hosts, Version: l.Version, Value: value}
+}
--- /dev/null
+++ b/verbena/core/ownership.go
@@ -0,0 +1,239 @@
+package core
+
+import (
+	"fmt"
+
+	"verbenaledge.example/verbena/batch"
+	"verbenaledge.example/verbena/gossip"
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/lease"
+	"verbenaledge.example/verbena/quota"
+	"verbenaledge.example/verbena/shard"
+	"verbenaledge.example/verbena/timeline"
+)
+
+// tickOwnership renews the host's lease and looks at those of others.
+func (c *Core) tickOwnership() {
+	c.runLease(c.holder.Step(c.now, lease.Tick{}))
+	c.dropLapsed()
+	if c.listing || c.now.Before(c.nextList) || !c.isMonitor() || c.draining {
+		return
+	}
+	c.listing = true
+	c.nextList = c.now.Add(c.config.Lease.Renew)
+	c.emit(ListLeases{})
+}
+
+func (c *Core) runLease(cmds []lease.Command) {
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case lease.Acquired:
+			c.dirty = true
+			c.nextList = c.now
+			c.record(timeline.Event{Kind: timeline.LeaseAcquired, Detail: fmt.Sprintf("term %d", cmd.Term)})
+		case lease.Lost:
+			c.dirty = true
+			c.record(timeline.Event{Kind: timeline.LeaseLost, Detail: fmt.Sprintf("term %d", cmd.Term)})
+			c.dropLapsed()
+		default:
+			c.emit(WriteLease{cmd})
+		}
+	}
+}
+
+func (c *Core) stepOwnership(e Event) {
+	switch e := e.(type) {
+	case LeaseWritten:
+		c.dirty = true
+		c.platformAnswered(e.Written.Sent)
+		c.runLease(c.holder.Step(c.now, e.Written))
+		c.takeOwned()
+	case LeaseFailed:
+		c.runLease(c.holder.Step(c.now, e.Failed))
+	case LeasesListed:
+		c.leasesListed(e)
+	case LeaseBreakEnded:
+		if e.OK {
+			c.nextList = c.now
+			c.record(timeline.Event{Kind: timeline.LeaseBroken, Detail: e.Lease.ID.ObjectName()})
+		}
+	case ShardsWritten:
+		c.shardsWritten(e)
+	case ShardReady:
+		c.shardReady(e)
+	case ShardClosed:
+		c.lose(e.Shard)
+	}
+}
+
+// leasesListed breaks leases that have ended and gives their shards away. A
+// listing older than the map is not used: it may lack a lease that the map names.
+func (c *Core) leasesListed(e LeasesListed) {
+	c.listing = false
+	c.platformAnswered(e.Asked)
+	for _, seen := range c.monitor.Observe(e.Asked, e.Answered, e.Leases) {
+		c.emit(BreakLease{seen})
+	}
+	if e.Revision < c.docs.Version(gossip.Shards) || !c.platform.readOnce || c.writing || c.draining {
+		return
+	}
+	live := c.monitor.Live()
+	if len(live) == 0 {
+		return
+	}
+	if next, changed := shard.Assign(c.shards, c.config.Shards, live); changed {
+		c.writeShards(next)
+		return
+	}
+	c.handOver(live)
+}
+
+// handOver gives away what this host holds above its share. It stops acting on
+// those shards before anybody can learn that they have a new owner.
+func (c *Core) handOver(live map[ids.HostID]ids.Term) {
+	if c.holder.Term() == 0 || live[c.config.Host] != c.holder.Term() {
+		return
+	}
+	next, given := shard.HandOver(c.shards, c.config.Host, live)
+	if len(given) == 0 {
+		c.reclaim(next)
+		return
+	}
+	for _, s := range given {
+		c.surrendered[s] = c.shards[s].Epoch
+		c.lose(s)
+	}
+	c.writeShards(next)
+}
+
+// reclaim takes shards back whose hand-over got no answer, under a new epoch: the
+// write may still be on its way, and a write at the same version fences it.
+func (c *Core) reclaim(next shard.Map) {
+	if len(c.surrendered) == 0 {
+		return
+	}
+	for s, epoch := range c.surrendered {
+		if next[s].Epoch == epoch {
+			next[s].Epoch++
+		}
+	}
+	c.writeShards(next)
+}
+
+func (c *Core) writeShards(m shard.Map) {
+	c.writing = true
+	c.emit(WriteShards{Expected: c.docs.Version(gossip.Shards), Value: m.Marshal()})
+}
+
+func (c *Core) shardsWritten(e ShardsWritten) {
+	c.writing = false
+	if e.OK {
+		c.learn([]gossip.Document{{Name: gossip.Shards, Version: e.Version, Value: e.Value}})
+		return
+	}
+	// Another host has written the map, or the platform is away: read it again.
+	c.platform.nextRead = c.now
+	c.platform.staleMap = true
+}
+
+func (c *Core) takeShards(d gossip.Document) error {
+	m, err := shard.Parse(d.Value)
+	if err != nil {
+		return err
+	}
+	c.shards = m
+	clear(c.surrendered)
+	c.takeOwned()
+	return nil
+}
+
+// takeOwned compares the map with what the host holds.
+func (c *Core) takeOwned() {
+	mine := map[ids.ShardID]ids.Epoch{}
+	for _, s := range c.shards.Owned(c.config.Host, c.holder.Term()) {
+		if c.surrendered[s] != c.shards[s].Epoch {
+			mine[s] = c.shards[s].Epoch
+		}
+	}
+	for _, s := range c.ownedShards() {
+		if mine[s] != c.owned[s].epoch {
+			c.lose(s)
+		}
+	}
+	if c.holder.Term() == 0 {
+		return
+	}
+	for _, s := range c.shards.Owned(c.config.Host, c.holder.Term()) {
+		if _, held := c.owned[s]; held || mine[s] == 0 {
+			continue
+		}
+		c.owned[s] = tenure{epoch: mine[s], since: c.now}
+		c.record(timeline.Event{Kind: timeline.ShardAcquired, Detail: fmt.Sprintf("shard %d epoch %d", s, mine[s])})
+		c.emit(OpenShard{s, mine[s]})
+	}
+}
+
+// dropLapsed lets go of everything once the lease has been lost for good.
+func (c *Core) dropLapsed() {
+	if c.holder.Term() != 0 {
+		return
+	}
+	for _, s := range c.ownedShards() {
+		c.lose(s)
+	}
+}
+
+func (c *Core) lose(s ids.ShardID) {
+	t, held := c.owned[s]
+	if !held {
+		return
+	}
+	delete(c.owned, s)
+	c.record(timeline.Event{Kind: timeline.ShardLost, Detail: fmt.Sprintf("shard %d epoch %d", s, t.epoch)})
+	c.emit(CloseShard{s, t.epoch})
+	c.ledger.Forget(func(b quota.Bucket) bool { return shard.Of(b.ShardName(), c.config.Shards) == s })
+	for _, p := range c.queue.Jobs() {
+		if batch.ShardOf(p.Job.ID, c.config.Shards) == s {
+			c.queue.Step(c.now, batch.Dropped{Job: p.Job.ID})
+		}
+	}
+}
+
+func (c *Core) shardReady(e ShardReady) {
+	t, held := c.owned[e.Shard]
+	if !held || t.epoch != e.Epoch {
+		return
+	}
+	t.ready = true
+	c.owned[e.Shard] = t
+}
+
+// holds tells whether the host may act as a name's owner at this moment.
+func (c *Core) holds(name string) (t tenure, ok bool) {
+	s, known := c.shards.Of(name)
+	if !known {
+		return tenure{}, false
+	}
+	t, held := c.owned[s]
+	return t, held && c.mayAct()
+}
+
+func (c *Core) mayAct() bool {
+	return c.holder.Valid(c.now)
+}
+
+func (c *Core) ownerOf(name string) (h ids.HostID, ok bool) {
+	s, known := c.shards.Of(name)
+	if !known || c.shards[s].Owner == "" {
+		return "", false
+	}
+	return c.shards[s].Owner, true
+}
+
+// releaseLease gives the lease back, for a host whose work is done.
+func (c *Core) releaseLease() {
+	for _, s := range c.ownedShards() {
+		c.lose(s)
+	}
+	c.runLease(c.holder.Step(c.now, lease.Release{}))
+}
--- /dev/null
+++ b/verbena/core/peers.go
@@ -0,0 +1,108 @@
+package core
+
+import (
+	"verbenaledge.example/verbena/peer"
+	"verbenaledge.example/verbena/quota"
+)
+
+// peerAsked answers a message of a peer.
+func (c *Core) peerAsked(e PeerAsked) {
+	switch m := e.Message.(type) {
+	case *peer.Gossip:
+		c.heardGossip(m)
+		c.emit(Reply{e.Ask, c.greeting(c.docs.NewerThan(m.Digest))})
+	case *peer.QuotaAsk:
+		c.quotaAsked(e.Ask, m)
+	case *peer.OnlineNotice:
+		c.heardNotice(m)
+		c.emit(Reply{e.Ask, &peer.Ack{}})
+	case *peer.Crashed:
+		c.crashReported(e.Ask, m)
+	case *peer.Suspects:
+		c.heardSuspects(m)
+		c.emit(Reply{e.Ask, &peer.Ack{}})
+	case *peer.ItemsAsk:
+		c.giveItems(e.Ask, m)
+	case *peer.StopItems:
+		c.emit(StopLocalItems{m.Job}, Reply{e.Ask, &peer.Ack{}})
+	case *peer.JobChanged:
+		c.emit(Reply{e.Ask, c.jobChanged(m)})
+	case *peer.ProgressAsk:
+		c.emit(Reply{e.Ask, c.progressOf(m)})
+	default:
+		c.emit(Reply{e.Ask, &peer.Refusal{Reason: peer.Bad}})
+	}
+}
+
+func (c *Core) quotaAsked(ask AskID, m *peer.QuotaAsk) {
+	answer, ok := c.grant(m.Ask)
+	if !ok {
+		c.emit(Reply{ask, &peer.Refusal{Reason: peer.NotOwner}})
+		return
+	}
+	c.emit(Reply{ask, &peer.QuotaAnswer{Answer: answer}})
+}
+
+func (c *Core) crashReported(ask AskID, m *peer.Crashed) {
+	if _, ok := c.holds(workspaceOwner(m.Workspace)); !ok {
+		c.emit(Reply{ask, &peer.Refusal{Reason: peer.NotOwner}})
+		return
+	}
+	c.poison.Merge(c.now, m.Record)
+	c.spreadCrash(&spreading{record: m.Record, ask: ask, remote: true})
+}
+
+// peerReplied takes the reply to a message of this host.
+func (c *Core) peerReplied(e PeerReplied) {
+	p, known := c.backlog[e.Call]
+	if !known {
+		return
+	}
+	delete(c.backlog, e.Call)
+	c.contact.HeardPeer(p.to, c.now)
+	if _, refused := e.Message.(*peer.Refusal); refused {
+		c.callFailed(p)
+		return
+	}
+	switch sent := p.message.(type) {
+	case *peer.Gossip:
+		if g, ok := e.Message.(*peer.Gossip); ok {
+			c.heardGossip(g)
+			c.confirm(g, p.sent)
+		}
+	case *peer.QuotaAsk:
+		if a, ok := e.Message.(*peer.QuotaAnswer); ok {
+			c.spend(quota.Answered{Ask: sent.Ask, Answer: a.Answer, Sent: p.sent})
+		}
+	case *peer.Crashed:
+		if v, ok := e.Message.(*peer.Verdict); ok {
+			c.emit(Judged{Ticket: p.verdict.ticket, Verdict: v.Verdict, Known: true})
+		}
+	case *peer.Suspects:
+		if p.verdict != nil {
+			c.heardSpread(p.verdict)
+		}
+	}
+}
+
+func (c *Core) peerFailed(e PeerFailed) {
+	p, known := c.backlog[e.Call]
+	if !known {
+		return
+	}
+	delete(c.backlog, e.Call)
+	c.callFailed(p)
+}
+
+func (c *Core) callFailed(p pending) {
+	switch sent := p.message.(type) {
+	case *peer.QuotaAsk:
+		c.spend(quota.AskFailed{Ask: sent.Ask})
+	case *peer.Crashed:
+		c.emit(Judged{Ticket: p.verdict.ticket, Verdict: c.poison.Judge(c.now, sent.Record.Fingerprint)})
+	case *peer.Suspects:
+		if p.verdict != nil {
+			c.heardSpread(p.verdict)
+		}
+	}
+}
--- /dev/null
+++ b/verbena/core/poison.go
@@ -0,0 +1,90 @@
+package core
+
+import (
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/peer"
+	"verbenaledge.example/verbena/poison"
+	"verbenaledge.example/verbena/timeline"
+)
+
+// spreading is a crash report that other hosts are being told of. Its verdict is
+// given once each has heard or failed to answer, so that none of them runs the
+// request after its caller has learned of the failure.
+type spreading struct {
+	record  poison.Record
+	waiting int
+	// ticket is the caller's on this host, or ask the message of a peer.
+	ticket Ticket
+	ask    AskID
+	remote bool
+}
+
+func (c *Core) stepPoison(e Event) {
+	switch e := e.(type) {
+	case CrashSeen:
+		c.crashSeen(e)
+	case RanWell:
+		c.ranWell(e)
+	}
+}
+
+func (c *Core) crashSeen(e CrashSeen) {
+	rec := c.poison.Crashed(c.now, e.Fingerprint, e.Backend)
+	s := &spreading{record: rec, ticket: e.Ticket}
+	owner, known := c.ownerOf(workspaceOwner(e.Workspace))
+	switch {
+	case !known:
+		c.emit(Judged{Ticket: e.Ticket, Verdict: c.poison.Judge(c.now, e.Fingerprint)})
+	case owner == c.config.Host:
+		c.spreadCrash(s)
+	default:
+		c.call(owner, &peer.Crashed{Workspace: e.Workspace, Record: rec}, s)
+	}
+}
+
+// spreadCrash tells every known host, as the workspace's owner.
+func (c *Core) spreadCrash(s *spreading) {
+	s.waiting = 1
+	for _, h := range c.sortedPeers() {
+		s.waiting++
+		c.call(h, &peer.Suspects{Record: s.record}, s)
+	}
+	c.heardSpread(s)
+}
+
+func (c *Core) heardSpread(s *spreading) {
+	s.waiting--
+	if s.waiting > 0 {
+		return
+	}
+	verdict := c.poison.Judge(c.now, s.record.Fingerprint)
+	if verdict == poison.Poisonous {
+		c.record(timeline.Event{Kind: timeline.RequestPoison, Detail: string(s.record.Fingerprint)})
+	}
+	if s.remote {
+		c.emit(Reply{s.ask, &peer.Verdict{Verdict: verdict}})
+		return
+	}
+	c.emit(Judged{Ticket: s.ticket, Verdict: verdict, Known: true})
+}
+
+func (c *Core) ranWell(e RanWell) {
+	if !c.poison.Cleared(e.Fingerprint) {
+		return
+	}
+	for _, h := range c.sortedPeers() {
+		c.call(h, &peer.Suspects{Record: poison.Record{Fingerprint: e.Fingerprint}, Cleared: true}, nil)
+	}
+}
+
+func (c *Core) heardSuspects(m *peer.Suspects) {
+	if m.Cleared {
+		c.poison.Cleared(m.Record.Fingerprint)
+		return
+	}
+	c.poison.Merge(c.now, m.Record)
+}
+
+func (c *Core) sortedPeers() []ids.HostID {
+	return sortedKeys(c.peers)
+}
--- /dev/null
+++ b/verbena/core/publish.go
@@ -0,0 +1,48 @@
+package core
+
+import (
+	"maps"
+
+	"verbenaledge.example/verbena/gossip"
+	"verbenaledge.example/verbena/lease"
+	"verbenaledge.example/verbena/timeline"
+)
+
+// publish gives traffic a new snapshot when anything in it has changed.
+func (c *Core) publish() {
+	c.judgeContact()
+	if !c.dirty {
+		return
+	}
+	c.dirty = false
+	next := Snapshot{
+		Rules:    c.rules,
+		Keys:     c.keys,
+		Versions: c.docs.Digest(),
+		Ready:    c.docs.Version(gossip.Rules) > 0 || c.platform.readOnce,
+		Isolated: c.isolated,
+		Draining: c.draining,
+		Shards:   c.shards,
+		Lease:    lease.ID{Host: c.config.Host, Term: c.holder.Term()},
+		ActUntil: c.holder.Deadline().Add(-c.config.Lease.Margin),
+	}
+	if c.holder.Term() == 0 {
+		next.ActUntil = c.holder.Deadline()
+	}
+	next.Peers = maps.Clone(c.peers)
+	c.emit(Publish{&next})
+}
+
+func (c *Core) judgeContact() {
+	isolated := c.contact.Isolated(c.now)
+	if isolated == c.isolated {
+		return
+	}
+	c.isolated = isolated
+	c.dirty = true
+	kind := timeline.HostRejoined
+	if isolated {
+		kind = timeline.HostIsolated
+	}
+	c.record(timeline.Event{Kind: kind})
+}
--- /dev/null
+++ b/verbena/core/snapshot.go
@@ -0,0 +1,38 @@
+package core
+
+import (
+	"time"
+
+	"verbenaledge.example/verbena/gossip"
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/keys"
+	"verbenaledge.example/verbena/lease"
+	"verbenaledge.example/verbena/rules"
+	"verbenaledge.example/verbena/shard"
+)
+
+// Snapshot is what traffic goroutines may read without asking. It is immutable.
+type Snapshot struct {
+	Rules    *rules.Rules
+	Keys     *keys.Table
+	Versions gossip.Digest
+	// Ready is true once the host has read the rules and keys.
+	Ready    bool
+	Isolated bool
+	Draining bool
+	Shards   shard.Map
+	Peers    map[ids.HostID]string
+	// Lease is the host's own; it may act until ActUntil on the monotonic clock.
+	Lease    lease.ID
+	ActUntil time.Time
+}
+
+// OwnerOf returns the host that owns a name's shard, as far as this host knows.
+func (s *Snapshot) OwnerOf(name string) (h ids.HostID, ok bool) {
+	n, ok := s.Shards.Of(name)
+	if !ok {
+		return "", false
+	}
+	h = s.Shards[n].Owner
+	return h, h != ""
+}
--- /dev/null
+++ b/verbena/core/traffic.go
@@ -0,0 +1,173 @@
+package core
+
+import (
+	"time"
+
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/peer"
+	"verbenaledge.example/verbena/poison"
+	"verbenaledge.example/verbena/quota"
+	"verbenaledge.example/verbena/refusal"
+	"verbenaledge.example/verbena/route"
+	"verbenaledge.example/verbena/rules"
+	"verbenaledge.example/verbena/timeline"
+)
+
+const backendPause = time.Second
+
+func (c *Core) stepTraffic(e Event) {
+	switch e := e.(type) {
+	case AdmitAsked:
+		c.admit(e)
+	case RouteAsked:
+		c.route(e)
+	case CallEnded:
+		c.callEnded(e)
+	}
+}
+
+func (c *Core) admit(e AdmitAsked) {
+	if c.poison.Judge(c.now, e.Fingerprint) == poison.Poisonous {
+		c.refuse(e.Ticket, refusal.New(refusal.Poisonous, 0, "this request has taken down %d backend servers and isn't run again", poison.MaxBackends))
+		return
+	}
+	c.lastID++
+	t := quota.Ticket(c.lastID)
+	c.admits[t] = e.Ticket
+	c.budget.Earn(e.Bucket.Workspace)
+	c.spend(quota.Arrived{Ticket: t, Bucket: e.Bucket})
+}
+
+// spend steps the host's own side of the quota and carries its commands out.
+func (c *Core) spend(e quota.Event) {
+	for _, cmd := range c.spender.Step(c.now, e) {
+		c.spent(cmd)
+	}
+}
+
+func (c *Core) spent(cmd quota.Command) {
+	switch cmd := cmd.(type) {
+	case quota.Admitted:
+		c.emit(Admitted{c.takeAdmit(cmd.Ticket)})
+	case quota.Refused:
+		r := refusal.New(refusal.RateExceeded, cmd.RetryAfter, "the workspace is over its rate and burst")
+		if !cmd.Exceeded {
+			r = refusal.New(refusal.QuotaUnavailable, cmd.RetryAfter, "the owner of the workspace's rate can't be reached")
+		}
+		c.refuse(c.takeAdmit(cmd.Ticket), r)
+	case quota.SendAsk:
+		c.askQuota(cmd.Ask)
+	case quota.Later:
+		// The next tick asks again.
+	}
+}
+
+func (c *Core) takeAdmit(t quota.Ticket) Ticket {
+	ticket := c.admits[t]
+	delete(c.admits, t)
+	return ticket
+}
+
+func (c *Core) refuse(t Ticket, r *refusal.Refusal) {
+	c.emit(Refused{t, r})
+}
+
+func (c *Core) askQuota(a quota.Ask) {
+	owner, known := c.ownerOf(a.Bucket.ShardName())
+	switch {
+	case !known:
+		c.spend(quota.AskFailed{Ask: a})
+	case owner == c.config.Host:
+		answer, ok := c.grant(a)
+		if !ok {
+			c.spend(quota.AskFailed{Ask: a})
+			return
+		}
+		c.spend(quota.Answered{Ask: a, Answer: answer, Sent: c.now})
+	default:
+		c.call(owner, &peer.QuotaAsk{From: c.config.Host, Ask: a}, nil)
+	}
+}
+
+// grant answers an ask as the bucket's owner, if this host is that.
+func (c *Core) grant(a quota.Ask) (answer quota.Answer, ok bool) {
+	t, ok := c.holds(a.Bucket.ShardName())
+	if !ok {
+		return quota.Answer{}, false
+	}
+	limit, ok := c.limitOf(a.Bucket)
+	if !ok {
+		return quota.Answer{RetryAfter: time.Second}, true
+	}
+	return c.ledger.Grant(c.now, quota.Tenure{Epoch: t.epoch, Since: t.since}, limit, a), true
+}
+
+func (c *Core) limitOf(b quota.Bucket) (l rules.Limit, ok bool) {
+	if b.Workspace == "" {
+		o, ok := c.rules.Opens[b.Service]
+		return o.Limit, ok
+	}
+	a, ok := c.rules.Allow(b.Workspace, b.Service)
+	return a.Limit, ok
+}
+
+func (c *Core) route(e RouteAsked) {
+	if e.Retry && !c.budget.Spend(e.Workspace) {
+		c.refuse(e.Ticket, refusal.New(refusal.RetryBudget, backendPause, "the workspace has no retries left"))
+		return
+	}
+	verdict := c.poison.Judge(c.now, e.Fingerprint)
+	if verdict == poison.Poisonous {
+		c.refuse(e.Ticket, refusal.New(refusal.Poisonous, 0, "this request has taken down %d backend servers and isn't run again", poison.MaxBackends))
+		return
+	}
+	e.Request.Suspect = verdict == poison.Suspect
+	s, err := c.routes.Pick(c.now, e.Request)
+	if err != nil {
+		c.refuse(e.Ticket, refusal.New(refusal.NoBackend, backendPause, "%s", err))
+		return
+	}
+	if e.Retry {
+		c.record(timeline.Event{Kind: timeline.RequestRetried, Workspace: e.Workspace, Backend: s.ID})
+	}
+	c.emit(Routed{e.Ticket, s, e.Request.Suspect})
+	if !e.Batch {
+		c.noticeOnline(s.ID, 1)
+	}
+}
+
+func (c *Core) callEnded(e CallEnded) {
+	c.apply(c.routes.Step(c.now, route.Finished{Backend: e.Backend, Outcome: e.Outcome, Suspect: e.Suspect}))
+	if e.Load >= 0 {
+		c.routes.Step(c.now, route.LoadReported{Backend: e.Backend, Running: e.Load})
+	}
+	if e.Leaving {
+		c.apply(c.routes.Step(c.now, route.SaidLeaving{Backend: e.Backend}))
+	}
+	if !e.Batch {
+		c.noticeOnline(e.Backend, -1)
+	}
+}
+
+// apply records the changes of backend servers and tells neighbours of those that leave.
+func (c *Core) apply(changes []route.Change) {
+	left := false
+	for _, ch := range changes {
+		kind := map[route.ChangeKind]timeline.Kind{
+			route.Failing: timeline.BackendFailing, route.Restored: timeline.BackendBack, route.Left: timeline.BackendLeaving,
+		}[ch.Kind]
+		c.record(timeline.Event{Kind: kind, Backend: ch.Backend})
+		left = left || ch.Kind == route.Left
+	}
+	if !left {
+		return
+	}
+	for _, h := range c.neighbours() {
+		c.call(h, c.greeting(nil), nil)
+	}
+}
+
+// workspaceOwner names the shard that keeps a workspace's suspects.
+func workspaceOwner(w ids.WorkspaceID) string {
+	return quota.Bucket{Workspace: w}.ShardName()
+}
--- a/verbena/peer/codec.go
+++ b/verbena/peer/codec.go
@@ -33,6 +33,8 @@
 	kindPromiseReply kind = 14
 	kindAck          kind = 15
 	kindRefusal      kind = 16
+	kindProgressAsk  kind = 17
+	kindProgress     kind = 18
 )
 
 type envelope struct {
@@ -119,6 +121,10 @@
 		return kindAck
 	case *Refusal:
 		return kindRefusal
+	case *ProgressAsk:
+		return kindProgressAsk
+	case *Progress:
+		return kindProgress
 	}
 	return 0
 }
@@ -157,6 +163,10 @@
 		return &Ack{}
 	case kindRefusal:
 		return &Refusal{}
+	case kindProgressAsk:
+		return &ProgressAsk{}
+	case kindProgress:
+		return &Progress{}
 	}
 	return nil
 }
--- a/verbena/peer/message.go
+++ b/verbena/peer/message.go
@@ -127,6 +127,18 @@
 	Given bool `cbor:"1,keyasint"`
 }
 
+// ProgressAsk asks a job's owner how far the job is.
+type ProgressAsk struct {
+	Job ids.JobID `cbor:"1,keyasint"`
+}
+
+// Progress is the owner's reply. Known is false when the job isn't open there.
+type Progress struct {
+	Known     bool `cbor:"1,keyasint"`
+	Completed int  `cbor:"2,keyasint"`
+	Failed    int  `cbor:"3,keyasint"`
+}
+
 // Ack says that a message has been dealt with.
 type Ack struct{}
 
@@ -143,6 +155,7 @@
 	NotOwner Reason = "not_owner"
 	Stopping Reason = "stopping"
 	Bad      Reason = "bad_message"
+	Later    Reason = "later"
 )
 
 // Error makes a refusal an error for the sender.
@@ -164,5 +177,7 @@
 func (*Suspects) isMessage()     {}
 func (*PromiseAsk) isMessage()   {}
 func (*PromiseReply) isMessage() {}
+func (*ProgressAsk) isMessage()  {}
+func (*Progress) isMessage()     {}
 func (*Ack) isMessage()          {}
 func (*Refusal) isMessage()      {}
--- a/verbena/quota/bucket.go
+++ b/verbena/quota/bucket.go
@@ -1,6 +1,10 @@
 package quota
 
-import "verbenaledge.example/verbena/ids"
+import (
+	"cmp"
+
+	"verbenaledge.example/verbena/ids"
+)
 
 // Bucket names one limit: a workspace's use of a service. An empty workspace
 // stands for all callers of an open service.
@@ -16,3 +20,11 @@
 	}
 	return "workspace/" + string(b.Workspace)
 }
+
+// Compare orders buckets as the cmp package does.
+func (b Bucket) Compare(c Bucket) int {
+	if x := cmp.Compare(b.Workspace, c.Workspace); x != 0 {
+		return x
+	}
+	return cmp.Compare(b.Service, c.Service)
+}
--- a/verbena/quota/spender.go
+++ b/verbena/quota/spender.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -130,7 +132,8 @@
 }
 
 func (s *Spender) tick(now time.Time) (cmds []Command) {
-	for b, p := range s.purses {
+	for _, b := range s.sorted() {
+		p := s.purses[b]
 		p.expire(now)
 		cmds = append(cmds, p.giveUp(now, s.patience)...)
 		if now.Sub(p.used) >= idleReturn {
@@ -151,7 +154,8 @@
 
 // Drain closes every grant, for a host that stops.
 func (s *Spender) Drain() (cmds []Command) {
-	for b, p := range s.purses {
+	for _, b := range s.sorted() {
+		p := s.purses[b]
 		p.closeAll()
 		if len(p.closed) > 0 {
 			cmds = append(cmds, SendAsk{Ask{Bucket: b, Closed: p.closed}})
@@ -160,6 +164,11 @@
 	return cmds
 }
 
+// sorted gives the buckets in a stable order, so that a replay gives the same commands.
+func (s *Spender) sorted() []Bucket {
+	return slices.SortedFunc(maps.Keys(s.purses), Bucket.Compare)
+}
+
 func (p *purse) count(now time.Time) {
 	age := now.Sub(p.counted).Seconds() / rateWindow.Seconds()
 	p.rate = p.rate*math.Exp(-age) + 1/rateWindow.Seconds()
--- a/verbena/route/table.go
+++ b/verbena/route/table.go
@@ -73,6 +73,8 @@
 	Affinity string
 	// Tried lists the servers that this request has been sent to.
 	Tried []ids.BackendID
+	// Only, when set, is the one server that will do.
+	Only ids.BackendID
 	// Suspect asks for a server that runs no other suspect.
 	Suspect bool
 }
@@ -196,7 +198,7 @@
 		if !s.takesWork(now) || slices.Contains(r.Tried, s.ID) {
 			continue
 		}
-		if r.Suspect && s.suspects > 0 {
+		if (r.Suspect && s.suspects > 0) || (r.Only != "" && r.Only != s.ID) {
 			continue
 		}
 		list = append(list, s)
--- /dev/null
+++ b/verbenad/cmd/root.go
@@ -0,0 +1,95 @@
+// Package cmd holds the command line of verbenad.
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/apex/log/handlers/text"
+	"github.com/jessevdk/go-flags"
+
+	"verbenaledge.example/verbenad/internal/daemon"
+	"verbenaledge.example/verbenad/internal/settings"
+)
+
+// The exit codes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitSettings = 3
+)
+
+// options is the command line.
+type options struct {
+	Settings string `short:"s" long:"settings" value-name:"FILE" description:"settings file, in JSON"`
+	Check    bool   `long:"check" description:"check the settings file and exit"`
+	Version  bool   `long:"version" description:"show the version and exit"`
+}
+
+// Execute runs the command line and returns the exit code.
+func Execute(args []string) int {
+	var o options
+	parser := flags.NewParser(&o, flags.Default)
+	parser.LongDescription = "verbenad runs on every entry host: it takes callers' requests, keeps workspaces to " +
+		"their rates and runs batch jobs.\n\nExample: verbenad --settings /etc/verbenad.json"
+	if _, err := parser.ParseArgs(args); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return ExitOK
+		}
+		return ExitUsage
+	}
+	if o.Version {
+		fmt.Println(version())
+		return ExitOK
+	}
+	if o.Settings == "" {
+		fmt.Fprintln(os.Stderr, "verbenad: --settings FILE is missing")
+		return ExitUsage
+	}
+	s, err := settings.Load(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "verbenad:", err)
+		return ExitSettings
+	}
+	if o.Check {
+		fmt.Println("the settings are good")
+		return ExitOK
+	}
+	return run(s)
+}
+
+func run(s settings.Settings) int {
+	setLog(s.Log)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := daemon.New(s).Run(ctx); err != nil {
+		log.WithError(err).Error("stopped by a fault")
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+func setLog(l settings.Log) {
+	log.SetLevelFromString(l.Level)
+	log.SetHandler(json.New(os.Stderr))
+	if l.Format == "text" {
+		log.SetHandler(text.New(os.Stderr))
+	}
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/verbenad/internal/caller/answer.go
@@ -0,0 +1,72 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"verbenaledge.example/verbena/platform"
+	"verbenaledge.example/verbena/refusal"
+	"verbenaledge.example/verbenad/internal/metric"
+)
+
+// errorBody is the JSON of a refusal, in the form that client libraries read.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string       `json:"message"`
+	Type    string       `json:"type"`
+	Code    refusal.Code `json:"code"`
+	Run     refusal.Run  `json:"run"`
+	// RetryAfterSeconds is 0 when coming back doesn't help.
+	RetryAfterSeconds int `json:"retry_after_seconds"`
+}
+
+func bodyOf(r *refusal.Refusal) errorBody {
+	return errorBody{errorDetail{
+		Message: r.Message, Type: "refusal", Code: r.Code, Run: r.Run, RetryAfterSeconds: r.RetryAfterSeconds(),
+	}}
+}
+
+func writeRefusal(w http.ResponseWriter, r *refusal.Refusal) {
+	metric.RequestRefused(string(r.Code))
+	if s := r.RetryAfterSeconds(); s > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(s))
+	}
+	w.Header().Set("X-Run", string(r.Run))
+	// Client libraries repeat some statuses by themselves; only what hasn't run may be.
+	w.Header().Set("X-Should-Retry", strconv.FormatBool(r.Run == refusal.NotRun && r.RetryAfter > 0))
+	writeJSON(w, r.Status(), bodyOf(r))
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the caller has gone if this fails
+}
+
+// readBody reads a body within a limit.
+func readBody(w http.ResponseWriter, c *call, limit int) *refusal.Refusal {
+	body, err := io.ReadAll(http.MaxBytesReader(w, c.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refusal.New(refusal.TooLarge, 0, "the body is larger than %d bytes", limit)
+	case err != nil:
+		return refusal.New(refusal.BadRequest, 0, "the body can't be read: %s", err)
+	}
+	c.body = body
+	return nil
+}
+
+// platformRefusal turns a failed read of the platform into an answer.
+func platformRefusal(err error, what string) *refusal.Refusal {
+	if errors.Is(err, platform.ErrNotFound) {
+		return refusal.New(refusal.NotFound, 0, "no such %s", what)
+	}
+	return refusal.New(refusal.PlatformDown, platformPause, "the platform can't be reached; nothing was done")
+}
--- /dev/null
+++ b/verbenad/internal/caller/complete.go
@@ -0,0 +1,93 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/poison"
+	"verbenaledge.example/verbena/refusal"
+	"verbenaledge.example/verbena/rules"
+	"verbenaledge.example/verbenad/internal/backend"
+)
+
+// affinityBytes is how much of a prompt's head groups requests on a server that
+// has it cached.
+const affinityBytes = 1024
+
+// completion is what the daemon reads of a completion request.
+type completion struct {
+	Model    string          `json:"model"`
+	Stream   bool            `json:"stream"`
+	Prompt   json.RawMessage `json:"prompt"`
+	Messages json.RawMessage `json:"messages"`
+}
+
+func (h *Handler) complete(w http.ResponseWriter, c *call) *refusal.Refusal {
+	if refused := readBody(w, c, h.limits.BodyBytes); refused != nil {
+		return refused
+	}
+	q, refused := parseCompletion(c)
+	if refused != nil {
+		return refused
+	}
+	snapshot := h.loop.Snapshot()
+	service := ids.ServiceName(q.Model)
+	owner, refused := bucketOwner(snapshot, c, service)
+	if refused != nil {
+		return refused
+	}
+	if snapshot.Rules.Services[service].Kind != rules.KindModel {
+		return refusal.New(refusal.BadRequest, 0, "%q is not a model; call it under /services/%s/", q.Model, q.Model)
+	}
+	if refused := keyless(snapshot, c); refused != nil {
+		return refused
+	}
+	fingerprint := poison.Of(owner, c.URL.Path, c.body)
+	if refused := h.admit(c, owner, service, fingerprint); refused != nil {
+		return refused
+	}
+	job := backend.Job{
+		Workspace: owner, Service: service, Request: c.id, Affinity: q.affinity(), Fingerprint: fingerprint,
+		Method: http.MethodPost, Path: c.URL.Path, Header: http.Header{"Content-Type": {"application/json"}},
+		Body: c.body, Repeatable: true,
+	}
+	key := c.Header.Get("Idempotency-Key")
+	switch {
+	case key != "" && q.Stream:
+		return refusal.New(refusal.BadRequest, 0, "Idempotency-Key is not possible with stream; leave one of them out")
+	case key != "":
+		return h.claims.run(w, c, job, key)
+	case q.Stream:
+		s := newStream(w)
+		return s.finish(h.runner.Run(c.Context(), job, s.pass))
+	default:
+		return h.runner.Run(c.Context(), job, passWhole(w))
+	}
+}
+
+func parseCompletion(c *call) (q completion, refused *refusal.Refusal) {
+	if err := json.Unmarshal(c.body, &q); err != nil {
+		return completion{}, refusal.New(refusal.BadRequest, 0, "the body is not a JSON object: %s", err)
+	}
+	if q.Model == "" {
+		return completion{}, refusal.New(refusal.BadRequest, 0, "model is missing")
+	}
+	chat := strings.HasPrefix(c.URL.Path, "/v1/chat/")
+	if chat && len(q.Messages) == 0 {
+		return completion{}, refusal.New(refusal.BadRequest, 0, "messages are missing")
+	}
+	if !chat && len(q.Prompt) == 0 {
+		return completion{}, refusal.New(refusal.BadRequest, 0, "prompt is missing")
+	}
+	return q, nil
+}
+
+func (q completion) affinity() string {
+	text := q.Messages
+	if len(text) == 0 {
+		text = q.Prompt
+	}
+	return string(text[:min(len(text), affinityBytes)])
+}
--- /dev/null
+++ b/verbenad/internal/daemon/steps.go
@@ -0,0 +1,213 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"verbenaledge.example/verbena/core"
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/lease"
+	api "verbenaledge.example/verbena/platform"
+	"verbenaledge.example/verbena/quota"
+	"verbenaledge.example/verbena/slots"
+	"verbenaledge.example/verbena/timeline"
+	"verbenaledge.example/verbenad/internal/backend"
+	"verbenaledge.example/verbenad/internal/caller"
+	"verbenaledge.example/verbenad/internal/control"
+	"verbenaledge.example/verbenad/internal/items"
+	"verbenaledge.example/verbenad/internal/jobs"
+	"verbenaledge.example/verbenad/internal/metric"
+	"verbenaledge.example/verbenad/internal/operator"
+	"verbenaledge.example/verbenad/internal/peer"
+	"verbenaledge.example/verbenad/internal/platform"
+	"verbenaledge.example/verbenad/internal/tlsfiles"
+)
+
+const headerTimeout = 10 * time.Second
+
+type openTimeline struct{}
+
+func (openTimeline) String() string { return "open the time line" }
+
+func (openTimeline) Run(_ context.Context, d *Daemon) error {
+	var opts []timeline.Option
+	if name := d.settings.Timeline.File; name != "" {
+		f, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
+		if err != nil {
+			return err
+		}
+		d.cleanup = append(d.cleanup, func() { _ = f.Close() }) // every line has been written
+		opts = append(opts, timeline.WithWriter(f))
+	}
+	d.timeline = timeline.NewRecorder(d.settings.Host.ID, d.stamps, opts...)
+	return nil
+}
+
+type openCertificates struct{}
+
+func (openCertificates) String() string { return "open the certificates" }
+
+func (openCertificates) Run(ctx context.Context, d *Daemon) (err error) {
+	p := d.settings.Peer
+	d.files, err = tlsfiles.Open(p.CertFile, p.KeyFile, p.CAFile)
+	if err != nil {
+		return err
+	}
+	go d.reloadCertificates(ctx)
+	return nil
+}
+
+func (d *Daemon) reloadCertificates(ctx context.Context) {
+	for {
+		sleep(ctx, time.Duration(d.settings.Peer.Reload))
+		if ctx.Err() != nil {
+			return
+		}
+		changed, err := d.files.Reload()
+		switch {
+		case err != nil:
+			log.WithError(err).Error("certificates can't be reloaded, the old ones stay in use")
+		case changed:
+			log.Info("certificates reloaded")
+			d.timeline.Record(timeline.Event{Kind: timeline.CertificateNew})
+		}
+	}
+}
+
+type openPlatform struct{}
+
+func (openPlatform) String() string { return "open the platform" }
+
+func (openPlatform) Run(_ context.Context, d *Daemon) error {
+	d.store = api.NewClient(d.settings.Platform.Address,
+		api.WithTimeout(time.Duration(d.settings.Platform.Timeout)), api.WithCallHook(metric.PlatformCall))
+	return nil
+}
+
+type listenForPeers struct{}
+
+func (listenForPeers) String() string { return "listen for peers" }
+
+func (listenForPeers) Run(_ context.Context, d *Daemon) (err error) {
+	d.transport, err = peer.New(d.settings.Host.ID, d.settings.Peer.Listen, d.files)
+	if err != nil {
+		return err
+	}
+	d.cleanup = append(d.cleanup, func() { _ = d.transport.Close() }) // the process ends
+	return nil
+}
+
+type startDecisions struct{}
+
+func (startDecisions) String() string { return "start the decisions" }
+
+func (startDecisions) Run(ctx context.Context, d *Daemon) error {
+	s := d.settings
+	d.loop = control.NewLoop(core.New(coreConfig(d), d.clock.Now()), d.clock)
+	client := backend.NewClient(time.Duration(s.Backend.ConnectTimeout), time.Duration(s.Backend.StallTimeout))
+	runner := backend.NewRunner(d.loop, client, s.Backend.Attempts)
+	d.jobs = jobs.NewRuntime(jobs.Config{
+		Shards: s.Lease.Shards, Flush: time.Duration(s.Batch.Flush), Poll: time.Duration(s.Batch.Poll),
+		MaxHeldBytes: s.Batch.MaxHeldBytes,
+	}, d.store, d.loop, d.timeline)
+	x := newExecutor(ctx, d)
+	d.items = items.NewRuntime(ctx, runner, x, d.timeline)
+	d.callers = caller.NewHandler(d.loop, runner, d.store, x, s.Lease.Shards,
+		caller.WithTimeline(d.timeline), caller.WithLimits(caller.Limits{
+			BodyBytes: s.Caller.MaxBodyBytes, FileBytes: s.Caller.MaxFileBytes, Concurrent: s.Caller.MaxConcurrent,
+		}))
+	x.platform = platform.NewExecutor(d.store, d.clock, d.loop, platform.Holder{
+		Host: s.Host.ID, Zone: s.Host.Zone, Address: s.Peer.Listen,
+	})
+	d.loop.SetExecutor(x)
+	go d.loop.Run(ctx)
+	return nil
+}
+
+func coreConfig(d *Daemon) core.Config {
+	s := d.settings
+	c := core.DefaultConfig()
+	c.Host, c.Zone = s.Host.ID, s.Host.Zone
+	c.Seed = uint64(d.clock.Now().UnixNano())
+	c.Seeds = map[ids.HostID]string{}
+	for _, seed := range s.Peer.Seeds {
+		c.Seeds[seed.ID] = seed.Address
+	}
+	c.Shards = s.Lease.Shards
+	c.Lease = lease.Timing{
+		Duration: time.Duration(s.Lease.Duration), Margin: time.Duration(s.Lease.Margin), Renew: time.Duration(s.Lease.Renew),
+	}
+	c.Quota = quota.Timing{TTL: time.Duration(s.Quota.GrantTTL), Margin: time.Duration(s.Quota.Margin)}
+	c.QuotaPatience = time.Duration(s.Quota.Patience)
+	c.Slots = slots.Policy{
+		Max: s.Batch.MaxSlots, Shared: s.Batch.SharedSlots,
+		Quiet: time.Duration(s.Batch.Quiet), Growth: time.Duration(s.Batch.Growth),
+	}
+	c.ItemAttempts = s.Batch.Attempts
+	c.ItemTimeout = time.Duration(s.Batch.ItemTimeout)
+	c.RetryShare, c.RetryReserve = s.Backend.RetryShare, s.Backend.RetryReserve
+	return c
+}
+
+type servePeers struct{}
+
+func (servePeers) String() string { return "serve peers" }
+
+func (servePeers) Run(ctx context.Context, d *Daemon) error {
+	x, _ := d.loop.Executor().(*executor)
+	go func() {
+		if err := d.transport.Serve(ctx, x.handlePeer); err != nil {
+			d.failed <- err
+		}
+	}()
+	return nil
+}
+
+type serveOperators struct{}
+
+func (serveOperators) String() string { return "serve operators" }
+
+func (serveOperators) Run(_ context.Context, d *Daemon) error {
+	token, err := os.ReadFile(d.settings.Operator.TokenFile)
+	if err != nil {
+		return err
+	}
+	h := operator.NewHandler(d.loop, d.timeline, strings.TrimSpace(string(token)), d.callers.Running)
+	return d.serveHTTP(d.settings.Operator.Listen, h.Routes())
+}
+
+type serveCallers struct{}
+
+func (serveCallers) String() string { return "serve callers" }
+
+func (serveCallers) Run(_ context.Context, d *Daemon) error {
+	return d.serveHTTP(d.settings.Caller.Listen, d.callers.Routes())
+}
+
+func (d *Daemon) serveHTTP(address string, h http.Handler) (err error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: quietLog()}
+	d.servers = append(d.servers, s)
+	d.cleanup = append(d.cleanup, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = s.Shutdown(ctx) // what is left after the drain's limit is cut
+	})
+	go func() {
+		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			d.failed <- fmt.Errorf("serve %s: %w", address, err)
+		}
+	}()
+	return nil
+}
--- /dev/null
+++ b/verbenad/internal/items/runtime.go
@@ -0,0 +1,147 @@
+// Package items runs batch items on the backend servers whose slots this host
+// manages: it takes them from the jobs' owners and brings the outcomes back.
+package items
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+
+	"verbenaledge.example/verbena/backend"
+	"verbenaledge.example/verbena/batch"
+	"verbenaledge.example/verbena/core"
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/peer"
+	"verbenaledge.example/verbena/poison"
+	"verbenaledge.example/verbena/refusal"
+	"verbenaledge.example/verbena/timeline"
+	client "verbenaledge.example/verbenad/internal/backend"
+	"verbenaledge.example/verbenad/internal/metric"
+)
+
+// Owners speaks to the owners of jobs.
+type Owners interface {
+	// Hosts returns the hosts that own any shard.
+	Hosts() []ids.HostID
+	// Ask takes up to max items of a service from an owner.
+	Ask(ctx context.Context, owner ids.HostID, s ids.ServiceName, max int) ([]peer.Item, error)
+	// Done brings outcomes to the owner of a job.
+	Done(ctx context.Context, j ids.JobID, outcomes []peer.ItemOutcome) error
+}
+
+// Runtime runs items.
+type Runtime struct {
+	runner   *client.Runner
+	owners   Owners
+	timeline *timeline.Recorder
+	pool     pond.Pool
+	reports  *reports
+
+	mu      sync.Mutex
+	servers map[ids.BackendID]*server
+	active  sync.WaitGroup
+}
+
+// NewRuntime returns a runtime that manages no server yet.
+func NewRuntime(ctx context.Context, r *client.Runner, o Owners, t *timeline.Recorder) *Runtime {
+	rt := &Runtime{
+		runner: r, owners: o, timeline: t, pool: pond.NewPool(0),
+		reports: newReports(o), servers: map[ids.BackendID]*server{},
+	}
+	go rt.reports.run(ctx)
+	return rt
+}
+
+// SetSlots sets how many items run on a server.
+func (r *Runtime) SetSlots(ctx context.Context, cmd core.SetSlots) {
+	r.mu.Lock()
+	s := r.servers[cmd.Server.ID]
+	if s == nil {
+		if !cmd.Owned {
+			r.mu.Unlock()
+			return
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		s = &server{runtime: r, server: cmd.Server, running: map[batch.ItemRef]*run{}, wake: make(chan struct{}, 1), stop: cancel}
+		r.servers[cmd.Server.ID] = s
+		go s.pull(ctx)
+	}
+	if !cmd.Owned {
+		delete(r.servers, cmd.Server.ID)
+		s.stop()
+	}
+	r.mu.Unlock()
+	s.set(cmd.Slots, cmd.Finish)
+}
+
+// StopJob cancels a job's items.
+func (r *Runtime) StopJob(j ids.JobID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.servers {
+		s.stopJob(j)
+	}
+}
+
+// Running returns how many items run.
+func (r *Runtime) Running() (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.servers {
+		n += s.count()
+	}
+	return n
+}
+
+// Wait returns when no item runs and every outcome has been brought back.
+func (r *Runtime) Wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		r.active.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		r.reports.wait(ctx)
+	case <-ctx.Done():
+	}
+}
+
+// run is one running item.
+type run struct {
+	started time.Time
+	cancel  context.CancelFunc
+	yielded bool
+}
+
+// execute runs an item on a server and reports the outcome.
+func (r *Runtime) execute(ctx context.Context, s backend.Server, item peer.Item) peer.ItemOutcome {
+	out := peer.ItemOutcome{Ref: item.Ref, Request: requestID(item.Ref)}
+	job := client.Job{
+		Workspace: item.Workspace, Service: s.Service, Request: out.Request,
+		Fingerprint: poison.Of(item.Workspace, item.Endpoint, item.Body),
+		Method:      http.MethodPost, Path: item.Endpoint, Header: http.Header{"Content-Type": {"application/json"}},
+		Body: item.Body, Repeatable: true, Batch: true, Only: s.ID,
+	}
+	refused := r.runner.Run(ctx, job, func(a *client.Answer) (tokens int, fault *client.Fault) {
+		body, err := a.ReadAll()
+		if err != nil {
+			return 0, client.AsFault(err)
+		}
+		out.Status, out.Body = a.Status, body
+		return 0, nil
+	})
+	if refused == nil {
+		return out
+	}
+	metric.ItemsRetried.Inc()
+	out.Status, out.Body = 0, nil
+	out.Reason = refused.Message
+	out.Poisonous = refused.Code == refusal.Poisonous
+	// What no server has taken is no attempt.
+	out.Yielded = refused.Run == refusal.NotRun && !out.Poisonous
+	return out
+}
--- /dev/null
+++ b/verbenad/internal/settings/duration.go
@@ -0,0 +1,29 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Duration is written as a string with a unit, as in "1.5s".
+type Duration time.Duration
+
+// UnmarshalJSON reads the string form.
+func (d *Duration) UnmarshalJSON(data []byte) (err error) {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return fmt.Errorf("want a string with a unit, as in \"1.5s\"")
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("want a duration with a unit, as in \"1.5s\", not %q", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalJSON writes the string form.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
--- /dev/null
+++ b/verbenad/internal/tlsfiles/files.go
@@ -0,0 +1,117 @@
+// Package tlsfiles keeps a host's certificate and its authorities current with
+// their files, without a restart.
+package tlsfiles
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+
+	"verbenaledge.example/verbena/ids"
+)
+
+// Protocol is the name that daemons agree on when they connect.
+const Protocol = "verbenaledge/1"
+
+// ErrNoHost says that a certificate doesn't name exactly one host.
+var ErrNoHost = errors.New("the certificate must name one host in its DNS names")
+
+// ErrWrongHost says that a certificate names another host than the one called.
+var ErrWrongHost = errors.New("the certificate names another host")
+
+// Files are a certificate, its key and the authorities that peers are checked with.
+type Files struct {
+	certFile, keyFile, caFile string
+
+	mu          sync.RWMutex
+	certificate *tls.Certificate
+	authorities *x509.CertPool
+	raw         string
+}
+
+// Open reads the files.
+func Open(certFile, keyFile, caFile string) (f *Files, err error) {
+	f = &Files{certFile: certFile, keyFile: keyFile, caFile: caFile}
+	if _, err := f.Reload(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Reload reads the files again. What is in use stays when they can't be read.
+func (f *Files) Reload() (changed bool, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("load certificates: %w", err)
+		}
+	}()
+	cert, err := os.ReadFile(f.certFile)
+	if err != nil {
+		return false, err
+	}
+	key, err := os.ReadFile(f.keyFile)
+	if err != nil {
+		return false, err
+	}
+	ca, err := os.ReadFile(f.caFile)
+	if err != nil {
+		return false, err
+	}
+	pair, err := tls.X509KeyPair(cert, key)
+	if err != nil {
+		return false, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(ca) {
+		return false, fmt.Errorf("%s holds no certificate", f.caFile)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	raw := string(cert) + string(ca)
+	changed = f.raw != "" && f.raw != raw
+	f.certificate, f.authorities, f.raw = &pair, pool, raw
+	return changed, nil
+}
+
+// Server returns the configuration for accepting daemons.
+func (f *Files) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{Protocol},
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			f.mu.RLock()
+			defer f.mu.RUnlock()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				NextProtos:   []string{Protocol},
+				Certificates: []tls.Certificate{*f.certificate},
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientCAs:    f.authorities,
+			}, nil
+		},
+	}
+}
+
+// Client returns the configuration for calling a host.
+func (f *Files) Client(h ids.HostID) *tls.Config {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{Protocol},
+		Certificates: []tls.Certificate{*f.certificate},
+		RootCAs:      f.authorities,
+		ServerName:   string(h),
+	}
+}
+
+// HostOf returns the host that a peer's certificate names.
+func HostOf(state tls.ConnectionState) (h ids.HostID, err error) {
+	if len(state.PeerCertificates) == 0 || len(state.PeerCertificates[0].DNSNames) != 1 {
+		return "", ErrNoHost
+	}
+	return ids.HostID(state.PeerCertificates[0].DNSNames[0]), nil
+}
--- /dev/null
+++ b/verbenad/main.go
@@ -0,0 +1,12 @@
+// Command verbenad is the daemon on every entry host.
+package main
+
+import (
+	"os"
+
+	"verbenaledge.example/verbenad/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Execute(os.Args[1:]))
+}
