--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# The two commands of a newcomer are `make demo` and `make test`.
+
+GO       ?= go
+BIN      := $(CURDIR)/bin
+MODULES  := verbena verbenad verbenactl verbenalab
+LINT     := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.12.2
+LINTER   := $(BIN)/golangci-lint
+
+.PHONY: build demo test lint format check-red
+
+build:
+	@mkdir -p $(BIN)
+	$(GO) build -o $(BIN)/ ./verbenad ./verbenactl ./verbenalab
+
+demo: build
+	$(BIN)/verbenalab demo
+
+test: build lint
+	./scripts/test.sh
+
+$(LINTER):
+	@mkdir -p $(BIN)
+	GOBIN=$(BIN) GOWORK=off $(GO) install $(LINT)
+
+lint: $(LINTER)
+	@for m in $(MODULES); do (cd $$m && $(LINTER) run ./...) || exit 1; done
+
+format: $(LINTER)
+	@for m in $(MODULES); do (cd $$m && $(LINTER) fmt ./...) || exit 1; done
--- a/verbena/batch/queue.go
+++ b/verbena/batch/queue.go
@@ -203,7 +203,7 @@
 		return nil
 	}
 	delete(j.attempts, e.Result.Index)
-	return []Command{Keep{e.Result}}
+	return []Command{Keep(e)}
 }
 
 func (q *Queue) returned(e Returned) []Command {
--- a/verbena/core/core.go
+++ b/verbena/core/core.go
@@ -52,10 +52,9 @@
 	spender *quota.Spender
 	admits  map[quota.Ticket]Ticket
 
-	routes  *route.Table
-	budget  *retry.Budget
-	poison  *poison.Registry
-	verdict map[AskID]*spreading
+	routes *route.Table
+	budget *retry.Budget
+	poison *poison.Registry
 
 	managers map[ids.BackendID]*managed
 	notices  map[ids.BackendID]*noticing
--- a/verbena/core/event.go
+++ b/verbena/core/event.go
@@ -113,7 +113,7 @@
 	List  platform.HostList
 }
 
-// LeaseWritten, LeaseFailed say how a write of the host's own lease ended.
+// LeaseWritten says that the host's own lease has been written.
 type LeaseWritten struct{ Written lease.Written }
 
 // LeaseFailed says that the host's own lease could not be written.
--- a/verbena/lease/holder.go
+++ b/verbena/lease/holder.go
@@ -37,9 +37,9 @@
 	case Tick:
 		return h.tick(now)
 	case Written:
-		return h.written(now, e)
+		return h.written(e)
 	case WriteFailed:
-		return h.writeFailed(now, e)
+		return h.writeFailed(e)
 	case Release:
 		return h.release()
 	}
@@ -76,7 +76,7 @@
 	return []Command{Renew{Term: h.term, Expected: h.version, Sent: now}}
 }
 
-func (h *Holder) written(now time.Time, e Written) []Command {
+func (h *Holder) written(e Written) []Command {
 	h.inFlight = false
 	first := h.term == 0
 	if !first && e.Term != h.term {
@@ -93,7 +93,7 @@
 	return nil
 }
 
-func (h *Holder) writeFailed(_ time.Time, e WriteFailed) []Command {
+func (h *Holder) writeFailed(e WriteFailed) []Command {
 	h.inFlight = false
 	if !e.Lost || e.Term != h.term || h.term == 0 {
 		return nil
--- a/verbena/peer/codec.go
+++ b/verbena/peer/codec.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"reflect"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -63,7 +64,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode message: %w", err)
 	}
-	return cbor.Marshal(envelope{Kind: kindOf(m), Body: body})
+	return cbor.Marshal(envelope{Kind: kinds[reflect.TypeOf(m)], Body: body})
 }
 
 // Unmarshal decodes a message.
@@ -80,93 +81,43 @@
 	if err := decoding.Unmarshal(data, &e); err != nil {
 		return nil, err
 	}
-	m = empty(e.Kind)
-	if m == nil {
+	empty, known := registry[e.Kind]
+	if !known {
 		return nil, ErrUnknownKind
 	}
+	m = empty()
 	return m, decoding.Unmarshal(e.Body, m)
 }
 
-func kindOf(m Message) kind {
-	switch m.(type) {
-	case *Gossip:
-		return kindGossip
-	case *QuotaAsk:
-		return kindQuotaAsk
-	case *QuotaAnswer:
-		return kindQuotaAnswer
-	case *ItemsAsk:
-		return kindItemsAsk
-	case *Items:
-		return kindItems
-	case *ItemsDone:
-		return kindItemsDone
-	case *StopItems:
-		return kindStopItems
-	case *OnlineNotice:
-		return kindOnlineNotice
-	case *JobChanged:
-		return kindJobChanged
-	case *Crashed:
-		return kindCrashed
-	case *Verdict:
-		return kindVerdict
-	case *Suspects:
-		return kindSuspects
-	case *PromiseAsk:
-		return kindPromiseAsk
-	case *PromiseReply:
-		return kindPromiseReply
-	case *Ack:
-		return kindAck
-	case *Refusal:
-		return kindRefusal
-	case *ProgressAsk:
-		return kindProgressAsk
-	case *Progress:
-		return kindProgress
-	}
-	return 0
+// registry gives an empty message of each kind.
+var registry = map[kind]func() Message{
+	kindGossip:       func() Message { return &Gossip{} },
+	kindQuotaAsk:     func() Message { return &QuotaAsk{} },
+	kindQuotaAnswer:  func() Message { return &QuotaAnswer{} },
+	kindItemsAsk:     func() Message { return &ItemsAsk{} },
+	kindItems:        func() Message { return &Items{} },
+	kindItemsDone:    func() Message { return &ItemsDone{} },
+	kindStopItems:    func() Message { return &StopItems{} },
+	kindOnlineNotice: func() Message { return &OnlineNotice{} },
+	kindJobChanged:   func() Message { return &JobChanged{} },
+	kindCrashed:      func() Message { return &Crashed{} },
+	kindVerdict:      func() Message { return &Verdict{} },
+	kindSuspects:     func() Message { return &Suspects{} },
+	kindPromiseAsk:   func() Message { return &PromiseAsk{} },
+	kindPromiseReply: func() Message { return &PromiseReply{} },
+	kindAck:          func() Message { return &Ack{} },
+	kindRefusal:      func() Message { return &Refusal{} },
+	kindProgressAsk:  func() Message { return &ProgressAsk{} },
+	kindProgress:     func() Message { return &Progress{} },
 }
 
-func empty(k kind) Message {
-	switch k {
-	case kindGossip:
-		return &Gossip{}
-	case kindQuotaAsk:
-		return &QuotaAsk{}
-	case kindQuotaAnswer:
-		return &QuotaAnswer{}
-	case kindItemsAsk:
-		return &ItemsAsk{}
-	case kindItems:
-		return &Items{}
-	case kindItemsDone:
-		return &ItemsDone{}
-	case kindStopItems:
-		return &StopItems{}
-	case kindOnlineNotice:
-		return &OnlineNotice{}
-	case kindJobChanged:
-		return &JobChanged{}
-	case kindCrashed:
-		return &Crashed{}
-	case kindVerdict:
-		return &Verdict{}
-	case kindSuspects:
-		return &Suspects{}
-	case kindPromiseAsk:
-		return &PromiseAsk{}
-	case kindPromiseReply:
-		return &PromiseReply{}
-	case kindAck:
-		return &Ack{}
-	case kindRefusal:
-		return &Refusal{}
-	case kindProgressAsk:
-		return &ProgressAsk{}
-	case kindProgress:
-		return &Progress{}
+// kinds finds the kind of a message by its type.
+var kinds = kindsByType()
+
+func kindsByType() map[reflect.Type]kind {
+	m := make(map[reflect.Type]kind, len(registry))
+	for k, empty := range registry {
+		m[reflect.TypeOf(empty())] = k
 	}
-	return nil
+	return m
 }
--- a/verbena/quota/spender.go
+++ b/verbena/quota/spender.go
@@ -80,8 +80,7 @@
 	}
 	p.count(now)
 	if len(p.waiting) == 0 && p.spend(now) {
-		cmds := []Command{Admitted{e.Ticket}}
-		return append(cmds, p.refresh(now, e.Bucket)...)
+		return append([]Command{Admitted{e.Ticket}}, p.refresh(now, e.Bucket)...)
 	}
 	if len(p.waiting) >= maxWaiting {
 		return []Command{Refused{Ticket: e.Ticket, RetryAfter: s.patience}}
--- /dev/null
+++ b/verbenactl/cmd/exit.go
@@ -0,0 +1,46 @@
+package cmd
+
+import (
+	"errors"
+
+	"verbenaledge.example/verbena/platform"
+)
+
+// The exit codes.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitBadRules    = 3
+	ExitConflict    = 4
+	ExitUnavailable = 5
+	ExitNotInForce  = 6
+	ExitNotFound    = 7
+)
+
+// ErrNotInForce says that a change is recorded and will come into force by itself.
+var ErrNotInForce = errors.New("recorded, but not in force on every host yet; see `verbenactl status`")
+
+var (
+	errUsage    = errors.New("wrong usage")
+	errBadRules = errors.New("the rules file has faults; nothing was changed")
+)
+
+func exitCode(err error) int {
+	for _, known := range []struct {
+		err  error
+		code int
+	}{
+		{errBadRules, ExitBadRules},
+		{platform.ErrConflict, ExitConflict},
+		{platform.ErrUnavailable, ExitUnavailable},
+		{ErrNotInForce, ExitNotInForce},
+		{platform.ErrNotFound, ExitNotFound},
+		{errUsage, ExitUsage},
+	} {
+		if errors.Is(err, known.err) {
+			return known.code
+		}
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/verbenactl/main.go
@@ -0,0 +1,12 @@
+// Command verbenactl is the operators' tool.
+package main
+
+import (
+	"os"
+
+	"verbenaledge.example/verbenactl/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Execute(os.Args[1:]))
+}
--- a/verbenad/internal/backend/client.go
+++ b/verbenad/internal/backend/client.go
@@ -92,7 +92,7 @@
 		cancel()
 		return nil, &Fault{Kind: NotSent, Reason: err.Error()}
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.http.Do(req) //nolint:bodyclose // Answer.Close closes it
 	if err != nil {
 		g.stop()
 		cancel()
--- a/verbenad/internal/caller/batches.go
+++ b/verbenad/internal/caller/batches.go
@@ -5,25 +5,23 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net/http"
 	"strconv"
 	"time"
 
 	"verbenaledge.example/verbena/batch"
 	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/jobstore"
 	"verbenaledge.example/verbena/platform"
 	"verbenaledge.example/verbena/refusal"
 	"verbenaledge.example/verbena/timeline"
 )
 
 const (
-	maxWindow       = 7 * 24 * time.Hour
-	maxListed       = 100
-	defaultListed   = 20
-	maxMetadata     = 16
-	cancelTries     = 5
-	indexTimeLayout = "20060102T150405.000000"
+	maxWindow     = 7 * 24 * time.Hour
+	maxListed     = 100
+	defaultListed = 20
+	maxMetadata   = 16
 )
 
 // batchRequest is the body of a submission.
@@ -77,10 +75,10 @@
 	if j.State.Final() {
 		b.OutputFileID = batch.OutputFile(j.ID)
 	}
-	switch j.State {
-	case batch.Completed:
+	if j.State == batch.Completed {
 		b.CompletedAt = j.Finished.Unix()
-	case batch.Cancelled:
+	}
+	if j.State == batch.Cancelled {
 		b.CancelledAt = j.Finished.Unix()
 	}
 	return b
@@ -121,13 +119,7 @@
 
 // acceptJob creates the job, or finds that a resend has met it.
 func (h *Handler) acceptJob(c *call, j batch.Job) (accepted batch.Job, refused *refusal.Refusal) {
-	// The job counts from its object on; a marker or index entry alone is nothing.
-	for _, name := range []string{indexName(j), batch.MarkerName(j.ID, h.shards)} {
-		if refused := h.createOnce(c, name, nil); refused != nil {
-			return batch.Job{}, refused
-		}
-	}
-	_, err := h.store.Create(c.Context(), batch.ObjectName(j.ID), j.Marshal())
+	err := jobstore.Create(c.Context(), h.store, j, h.shards)
 	if errors.Is(err, platform.ErrConflict) {
 		return h.resentJob(c, j)
 	}
@@ -141,7 +133,7 @@
 }
 
 func (h *Handler) resentJob(c *call, j batch.Job) (found batch.Job, refused *refusal.Refusal) {
-	found, _, refused = h.job(c, j.ID)
+	found, refused = h.job(c, j.ID)
 	if refused != nil {
 		return batch.Job{}, refused
 	}
@@ -201,33 +193,23 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// indexName is an entry in the workspace's list of jobs, newest first by name.
-func indexName(j batch.Job) string {
-	return fmt.Sprintf("%s%s-%s", indexPrefix(j.Workspace), j.Created.Format(indexTimeLayout), j.ID)
-}
-
-func indexPrefix(w ids.WorkspaceID) string {
-	return "jobs_of/" + string(w) + "/"
-}
-
 // job reads a job of the caller's workspace.
-func (h *Handler) job(c *call, id ids.JobID) (j batch.Job, v ids.Version, refused *refusal.Refusal) {
+func (h *Handler) job(c *call, id ids.JobID) (j batch.Job, refused *refusal.Refusal) {
 	if refused := needWorkspace(c); refused != nil {
-		return batch.Job{}, 0, refused
+		return batch.Job{}, refused
 	}
-	o, err := h.store.Get(c.Context(), batch.ObjectName(id))
+	j, _, err := jobstore.Get(c.Context(), h.store, id)
 	if err != nil {
-		return batch.Job{}, 0, platformRefusal(err, "batch")
+		return batch.Job{}, platformRefusal(err, "batch")
 	}
-	j, err = batch.ParseJob(o.Value)
-	if err != nil || j.Workspace != c.workspace {
-		return batch.Job{}, 0, refusal.New(refusal.NotFound, 0, "no such batch")
+	if j.Workspace != c.workspace {
+		return batch.Job{}, refusal.New(refusal.NotFound, 0, "no such batch")
 	}
-	return j, o.Version, nil
+	return j, nil
 }
 
 func (h *Handler) showBatch(w http.ResponseWriter, c *call) *refusal.Refusal {
-	j, _, refused := h.job(c, ids.JobID(c.PathValue("batch")))
+	j, refused := h.job(c, ids.JobID(c.PathValue("batch")))
 	if refused != nil {
 		return refused
 	}
@@ -240,43 +222,22 @@
 	return nil
 }
 
-// cancelBatch asks for the job's end in its object, where every owner finds it.
+// cancelBatch asks for the job's end.
 func (h *Handler) cancelBatch(w http.ResponseWriter, c *call) *refusal.Refusal {
 	id := ids.JobID(c.PathValue("batch"))
-	for range cancelTries {
-		j, version, refused := h.job(c, id)
-		if refused != nil {
-			return refused
-		}
-		if j.State != batch.Open {
-			return h.cancelled(w, c, j)
-		}
-		j.State, j.CancelAsked = batch.Cancelling, time.Now().UTC()
-		_, err := h.store.Update(c.Context(), batch.ObjectName(id), version, j.Marshal())
-		if errors.Is(err, platform.ErrConflict) {
-			continue
-		}
-		if err != nil {
-			return platformRefusal(err, "batch")
-		}
-		h.timeline.Record(timeline.Event{Kind: timeline.JobCancelled, Job: id, Workspace: j.Workspace, Request: c.id})
-		return h.cancelled(w, c, j)
+	if _, refused := h.job(c, id); refused != nil {
+		return refused
+	}
+	j, err := jobstore.Cancel(c.Context(), h.store, id, h.shards, time.Now())
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		return refusal.New(refusal.Overloaded, time.Second, "the batch is changing; try again")
+	case err != nil:
+		return platformRefusal(err, "batch")
 	}
-	return refusal.New(refusal.Overloaded, time.Second, "the batch is changing; try again")
-}
-
-// cancelled tells the owner, by a message and by a change of the job's marker.
-func (h *Handler) cancelled(w http.ResponseWriter, c *call, j batch.Job) *refusal.Refusal {
 	if j.State == batch.Cancelling {
-		name := batch.MarkerName(j.ID, h.shards)
-		o, err := h.store.Get(c.Context(), name)
-		if err == nil {
-			_, err = h.store.Update(c.Context(), name, o.Version, []byte(j.State))
-		}
-		if errors.Is(err, platform.ErrUnavailable) {
-			return platformRefusal(err, "batch")
-		}
-		h.nudger.JobChanged(c.Context(), j.ID)
+		h.timeline.Record(timeline.Event{Kind: timeline.JobCancelled, Job: id, Workspace: j.Workspace, Request: c.id})
+		h.nudger.JobChanged(c.Context(), id)
 	}
 	writeJSON(w, http.StatusOK, batchOf(j))
 	return nil
@@ -294,26 +255,18 @@
 		}
 		limit = n
 	}
-	l, err := h.store.List(c.Context(), indexPrefix(c.workspace), false)
+	jobs, more, err := jobstore.List(c.Context(), h.store, c.workspace, limit)
 	if err != nil {
 		return platformRefusal(err, "batch")
 	}
-	list := []batchBody{}
-	seen := map[ids.JobID]bool{}
-	for i := len(l.Objects) - 1; i >= 0 && len(list) < limit; i-- {
-		name := l.Objects[i].Name
-		id := ids.JobID(name[len(indexPrefix(c.workspace))+len(indexTimeLayout)+1:])
-		j, _, refused := h.job(c, id)
-		if refused != nil || seen[id] {
-			continue
-		}
-		seen[id] = true
+	list := make([]batchBody, 0, len(jobs))
+	for _, j := range jobs {
 		list = append(list, batchOf(j))
 	}
 	writeJSON(w, http.StatusOK, struct {
 		Object  string      `json:"object"`
 		Data    []batchBody `json:"data"`
 		HasMore bool        `json:"has_more"`
-	}{"list", list, len(list) == limit && len(l.Objects) > limit})
+	}{"list", list, more})
 	return nil
 }
--- a/verbenad/internal/caller/claims.go
+++ b/verbenad/internal/caller/claims.go
@@ -84,11 +84,11 @@
 		return nil
 	case refused.Run == refusal.NotRun:
 		// Nothing was sent: the key may be used again.
-		x.settle(func(ctx context.Context) error { return x.store.Delete(ctx, o.name, o.version) })
+		_ = x.settle(func(ctx context.Context) error { return x.store.Delete(ctx, o.name, o.version) }) // tried again later
 		return refused
 	default:
 		o.record.State = claim.Unknown
-		x.settle(o.update(x.store))
+		_ = x.settle(o.update(x.store)) // tried again later
 		return unknownOutcome()
 	}
 }
--- a/verbenad/internal/caller/files.go
+++ b/verbenad/internal/caller/files.go
@@ -147,7 +147,7 @@
 }
 
 func (h *Handler) outputFile(c *call, id ids.JobID) (f batch.File, refused *refusal.Refusal) {
-	j, _, refused := h.job(c, id)
+	j, refused := h.job(c, id)
 	if refused != nil {
 		return batch.File{}, refused
 	}
@@ -171,7 +171,7 @@
 		names = append(names, batch.ChunkName(id, i))
 	}
 	if job, isOutput := batch.JobOfOutputFile(id); isOutput {
-		j, _, refused := h.job(c, job)
+		j, refused := h.job(c, job)
 		if refused != nil {
 			return refused
 		}
--- a/verbenad/internal/caller/stream.go
+++ b/verbenad/internal/caller/stream.go
@@ -50,13 +50,10 @@
 			return s.tokens, backend.AsFault(err)
 		}
 		payload, isData := bytes.CutPrefix(line, dataPrefix)
-		if !isData {
-			continue
-		}
-		if done := s.passEvent(bytes.TrimSpace(payload)); done {
+		if isData && s.passEvent(bytes.TrimSpace(payload)) {
 			return s.tokens, nil
 		}
-		if lines.Buffered() == 0 {
+		if s.started && lines.Buffered() == 0 {
 			s.flusher.Flush()
 		}
 	}
--- a/verbenad/internal/daemon/daemon.go
+++ b/verbenad/internal/daemon/daemon.go
@@ -54,8 +54,14 @@
 	defer cancel()
 	defer d.cleanUp()
 	err = d.start(work, []step{
-		openTimeline{}, openCertificates{}, openPlatform{}, listenForPeers{},
-		startDecisions{}, servePeers{}, serveOperators{}, serveCallers{},
+		openTimeline{},
+		openCertificates{},
+		openPlatform{},
+		listenForPeers{},
+		startDecisions{},
+		servePeers{},
+		serveOperators{},
+		serveCallers{},
 	})
 	if err != nil {
 		return err
--- a/verbenad/internal/items/runtime.go
+++ b/verbenad/internal/items/runtime.go
@@ -26,8 +26,8 @@
 type Owners interface {
 	// Hosts returns the hosts that own any shard.
 	Hosts() []ids.HostID
-	// Ask takes up to max items of a service from an owner.
-	Ask(ctx context.Context, owner ids.HostID, s ids.ServiceName, max int) ([]peer.Item, error)
+	// Ask takes up to a number of items of a service from an owner.
+	Ask(ctx context.Context, owner ids.HostID, s ids.ServiceName, limit int) ([]peer.Item, error)
 	// Done brings outcomes to the owner of a job.
 	Done(ctx context.Context, j ids.JobID, outcomes []peer.ItemOutcome) error
 }
--- a/verbenad/internal/settings/load.go
+++ b/verbenad/internal/settings/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"reflect"
@@ -68,7 +69,8 @@
 }
 
 func reason(err error, k reflect.Kind) string {
-	if _, mismatch := err.(*json.UnmarshalTypeError); mismatch {
+	var mismatch *json.UnmarshalTypeError
+	if errors.As(err, &mismatch) {
 		return "want a " + k.String()
 	}
 	return err.Error()
--- /dev/null
+++ b/verbenalab/cmd/platform.go
@@ -0,0 +1,32 @@
+package cmd
+
+import (
+	"net/http"
+
+	"verbenaledge.example/verbenalab/internal/platform"
+)
+
+type platformCommand struct {
+	Listen string  `long:"listen" default:"127.0.0.1:7000" description:"address to serve on"`
+	Writes float64 `long:"writes" default:"400" description:"writes a second that are served"`
+	Reads  float64 `long:"reads" default:"2000" description:"reads a second that are served, watches counted"`
+}
+
+// Execute serves until it is interrupted.
+func (c *platformCommand) Execute([]string) error {
+	return serve(c.Listen, platform.NewServer(platform.WithLimits(c.Writes, c.Reads)).Handler())
+}
+
+func serve(address string, h http.Handler) error {
+	ctx, stop := interrupted()
+	defer stop()
+	s := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- s.ListenAndServe() }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return s.Close()
+	}
+}
--- /dev/null
+++ b/verbenalab/internal/certs/certs.go
@@ -0,0 +1,109 @@
+// Package certs makes a certificate authority and hosts' certificates for
+// demonstrations and tests.
+package certs
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"verbenaledge.example/verbena/ids"
+)
+
+const (
+	validity   = 24 * time.Hour
+	serialBits = 100
+)
+
+// Authority signs hosts' certificates.
+type Authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// NewAuthority returns an authority with a new key.
+func NewAuthority() (a *Authority, err error) {
+	defer annotate(&err, "make authority")
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template := newTemplate("verbenalab authority")
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, err
+	}
+	certificate, err := x509.ParseCertificate(der)
+	return &Authority{certificate, key}, err
+}
+
+// WriteCA writes the authority's certificate.
+func (a *Authority) WriteCA(path string) (err error) {
+	defer annotate(&err, "write authority")
+	return writePEM(path, "CERTIFICATE", a.certificate.Raw)
+}
+
+// WriteHost writes a host's certificate and key into a folder, as HOST.crt and HOST.key.
+func (a *Authority) WriteHost(dir string, h ids.HostID) (err error) {
+	return a.WriteHostUntil(dir, h, time.Now().Add(validity))
+}
+
+// WriteHostUntil is like WriteHost with an end of validity.
+func (a *Authority) WriteHostUntil(dir string, h ids.HostID, end time.Time) (err error) {
+	defer annotate(&err, "write certificate of "+string(h))
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return err
+	}
+	template := newTemplate(string(h))
+	template.NotAfter = end
+	template.DNSNames = []string{string(h)}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		return err
+	}
+	raw, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return err
+	}
+	if err := writePEM(filepath.Join(dir, string(h)+".key"), "PRIVATE KEY", raw); err != nil {
+		return err
+	}
+	return writePEM(filepath.Join(dir, string(h)+".crt"), "CERTIFICATE", der)
+}
+
+func newTemplate(name string) *x509.Certificate {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		panic(err) // the random source never fails
+	}
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(validity),
+	}
+}
+
+func writePEM(path, kind string, der []byte) error {
+	return os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)
+}
+
+func annotate(err *error, what string) {
+	if *err != nil {
+		*err = fmt.Errorf("%s: %w", what, *err)
+	}
+}
--- /dev/null
+++ b/verbenalab/internal/demo/demo.go
@@ -0,0 +1,147 @@
+// Package demo runs a small fleet through a day in a minute and counts what is
+// lost or doubled while a daemon is killed.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbenalab/internal/fleet"
+	"verbenaledge.example/verbenalab/internal/load"
+)
+
+const (
+	daemons    = 3
+	items      = 2000
+	badEvery   = 400
+	loadFor    = 25 * time.Second
+	killAfter  = 9 * time.Second
+	batchAfter = 3 * time.Second
+	batchLimit = 50 * time.Second
+	model      = "motif-model"
+	plain      = "registry"
+)
+
+// ErrBroken says that the demonstration found something lost or doubled.
+var ErrBroken = errors.New("something was lost or doubled")
+
+var workspaces = []struct {
+	name string
+	rate float64
+}{{"archive", 8}, {"museum-north", 4}, {"museum-south", 4}, {"buying-desk", 6}}
+
+const rulesText = `# The demonstration's rules.
+service motif-model kind=model            # asked by the archive
+service registry kind=plain               # asked by the archive
+allow archive motif-model rate=40/s burst=80 batch=2        # asked by ana
+allow museum-north motif-model rate=20/s burst=40 batch=1   # asked by ioana
+allow museum-south motif-model rate=20/s burst=40 batch=1   # asked by petr
+allow buying-desk motif-model rate=30/s burst=60            # asked by marie
+allow archive registry rate=20/s burst=40                   # asked by ana
+`
+
+// Demo is one run.
+type Demo struct {
+	fleet  *fleet.Fleet
+	dir    string
+	caller *load.Caller
+	keys   map[string]string
+	tally  *load.Tally
+}
+
+// Run runs the demonstration with the built programs in a folder, and keeps its
+// logs in another.
+func Run(ctx context.Context, programs, dir string) (err error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	d := &Demo{dir: dir, keys: map[string]string{}, tally: load.NewTally()}
+	say("starting 1 platform, %d daemons in 3 availability zones, 3 engines and 1 plain service", daemons)
+	d.fleet, err = fleet.Start(fleet.Config{
+		Programs: programs, Dir: dir, Daemons: daemons,
+		Zones:   []ids.ZoneID{"ardeal-1", "ardeal-2", "ardeal-3"},
+		Engines: map[ids.ServiceName]int{model: 3}, Services: map[ids.ServiceName]int{plain: 1},
+	})
+	if err != nil {
+		return err
+	}
+	defer d.fleet.Close()
+	if err := d.configure(ctx); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	balancer := load.NewBalancer(d.targets())
+	go balancer.Run(ctx)
+	d.caller = load.NewCaller(balancer)
+	return d.day(ctx)
+}
+
+func (d *Demo) targets() (list []load.Target) {
+	for _, h := range d.fleet.Hosts {
+		list = append(list, load.Target{Caller: h.Caller, Admin: h.Admin, Weight: 1})
+	}
+	return list
+}
+
+// configure does what operators do: rules, then a key for each workspace.
+func (d *Demo) configure(ctx context.Context) (err error) {
+	file := filepath.Join(d.dir, "town.rules")
+	if err := os.WriteFile(file, []byte(rulesText), 0o644); err != nil {
+		return err
+	}
+	if _, err := d.fleet.Operate(ctx, "rules", "apply", file); err != nil {
+		return err
+	}
+	for _, w := range workspaces {
+		key, err := d.fleet.IssueKey(ctx, w.name)
+		if err != nil {
+			return err
+		}
+		d.keys[w.name] = key
+	}
+	say("rules applied and %d keys issued", len(d.keys))
+	return nil
+}
+
+// day runs online load and a batch side by side and kills a daemon midway.
+func (d *Demo) day(ctx context.Context) (err error) {
+	say("online load for %s; a batch of %d items after %s; host-01 killed after %s", loadFor, items, batchAfter, killAfter)
+	var wg sync.WaitGroup
+	for _, w := range workspaces {
+		wg.Go(func() { d.ask(ctx, w.name, w.rate) })
+	}
+	time.AfterFunc(killAfter, func() {
+		d.fleet.Hosts[1].Signal(syscall.SIGKILL)
+		say("host-01 killed")
+	})
+	result, err := d.batch(ctx)
+	wg.Wait()
+	if err != nil {
+		return err
+	}
+	return d.report(result)
+}
+
+// ask sends questions at a rate, whether or not earlier ones are answered.
+func (d *Demo) ask(ctx context.Context, workspace string, rate float64) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	end := time.Now().Add(loadFor)
+	for n := 0; time.Now().Before(end) && ctx.Err() == nil; n++ {
+		q := load.Request{
+			Workspace: workspace, Key: d.keys[workspace], Model: model, MaxTokens: 24,
+			Prompt: fmt.Sprintf("You name motifs on butter moulds for %s. Question %d: which village carved this sheaf?", workspace, n),
+		}
+		wg.Go(func() { d.tally.Add(d.caller.Ask(ctx, q)) })
+		time.Sleep(time.Duration(rand.ExpFloat64() / rate * float64(time.Second)))
+	}
+}
--- /dev/null
+++ b/verbenalab/internal/fleet/process.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// Process is one program that a fleet has started.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// start runs a program with its output in a log file of its name.
+func start(dir, name, program string, args ...string) (p *Process, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("start %s: %w", name, err)
+		}
+	}()
+	out, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(program, args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	// A fleet leaves no process behind, also when its own process is killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, errors.Join(err, out.Close())
+	}
+	p = &Process{Name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait() // how it ended shows in its log
+		_ = out.Close()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Signal sends a signal; a process that has ended gets none.
+func (p *Process) Signal(s syscall.Signal) {
+	_ = p.cmd.Process.Signal(s) // fails only on a process that has ended
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Freeze stops the process without ending it; Thaw lets it go on.
+func (p *Process) Freeze() { p.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() { p.Signal(syscall.SIGCONT) }
+
+// Stop asks the process to end and waits for it.
+func (p *Process) Stop(limit time.Duration) (ended bool) {
+	p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// Ended tells whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
