feat: shares of a workspace's rate that outlive the loss of their owner

Ruled out: a larger grant (it is lost with an idle host), more patience (the lease alone is 6 s). Changed: a host that uses a bucket holds a share of its rate, sized by its part of the use; a successor adopts the shares that hosts name and takes the rest of what might be lent for being in use; an owner that leaves in order hands its balances over. Waiting requests are served from the share. Found by the property test on the way, each mended: a share counted after the bucket was filled; a share that had ended claimed at a successor; balances that were handed over and never asked for lost at the next hand-over. Mutations that the tests catch: former grants or shares not counted, the grant's life at the owner shorter than at the host, claims of ended shares, a smaller share counted before it is confirmed.

Items on a killed host's backend servers waited for the item time limit of 60 s; owners take them back when the map names the host no more.

--- a/verbena/batch/event.go
+++ b/verbena/batch/event.go
@@ -43,17 +43,22 @@
 // Dropped says that the job has ended or has another owner.
 type Dropped struct{ Job ids.JobID }
 
+// ManagersLive lists the hosts that may manage backend servers; items of others are
+// taken for lost.
+type ManagersLive struct{ Hosts []ids.HostID }
+
 // Tick says that time has passed.
 type Tick struct{}
 
-func (Loaded) isEvent()      {}
-func (Asked) isEvent()       {}
-func (Finished) isEvent()    {}
-func (Returned) isEvent()    {}
-func (Committed) isEvent()   {}
-func (CancelAsked) isEvent() {}
-func (Dropped) isEvent()     {}
-func (Tick) isEvent()        {}
+func (Loaded) isEvent()       {}
+func (Asked) isEvent()        {}
+func (Finished) isEvent()     {}
+func (Returned) isEvent()     {}
+func (Committed) isEvent()    {}
+func (CancelAsked) isEvent()  {}
+func (Dropped) isEvent()      {}
+func (ManagersLive) isEvent() {}
+func (Tick) isEvent()         {}
 
 // ItemRef names an item.
 type ItemRef struct {
--- a/verbena/batch/queue.go
+++ b/verbena/batch/queue.go
@@ -71,8 +71,10 @@
 		return q.committed(e)
 	case CancelAsked:
 		return q.cancel(e)
+	case ManagersLive:
+		return q.takeBack(func(r run) bool { return !slices.Contains(e.Hosts, r.manager) }, Returned{Yielded: true})
 	case Tick:
-		return q.tick(now)
+		return q.takeBack(func(r run) bool { return !now.Before(r.expires) }, Returned{Reason: "no result within the item's time limit"})
 	case Dropped:
 		q.drop(e.Job)
 	}
@@ -277,17 +279,17 @@
 	}
 }
 
-func (q *Queue) tick(now time.Time) (cmds []Command) {
+// takeBack returns the running items that the predicate selects.
+func (q *Queue) takeBack(lost func(run) bool, as Returned) (cmds []Command) {
 	for _, id := range slices.Sorted(maps.Keys(q.jobs)) {
 		j := q.jobs[id]
 		for _, i := range slices.Sorted(maps.Keys(j.running)) {
 			r := j.running[i]
-			if now.Before(r.expires) {
+			if !lost(r) {
 				continue
 			}
-			cmds = append(cmds, q.returned(Returned{
-				Item: ItemRef{j.ID, i}, Manager: r.manager, Reason: "no result within the item's time limit",
-			})...)
+			as.Item, as.Manager = ItemRef{j.ID, i}, r.manager
+			cmds = append(cmds, q.returned(as)...)
 		}
 	}
 	return cmds
--- a/verbena/core/config.go
+++ b/verbena/core/config.go
@@ -48,7 +48,7 @@
 			Margin:   500 * time.Millisecond,
 			Renew:    1500 * time.Millisecond,
 		},
-		Quota:         quota.Timing{TTL: 1500 * time.Millisecond, Margin: 200 * time.Millisecond},
+		Quota:         quota.Timing{TTL: 1500 * time.Millisecond, ShareTTL: 20 * time.Second, Transit: 8 * time.Second, Margin: 200 * time.Millisecond},
 		QuotaPatience: 800 * time.Millisecond,
 		Isolation:     3 * time.Second,
 		Gossip:        time.Second,
--- a/verbena/core/core.go
+++ b/verbena/core/core.go
@@ -42,7 +42,9 @@
 	shards      shard.Map
 	owned       map[ids.ShardID]tenure
 	surrendered map[ids.ShardID]ids.Epoch
-	platform    platformView
+	// handed is what former owners of shards have left behind.
+	handed   map[ids.ShardID]*peer.Handover
+	platform platformView
 	// listing and writing are true while a call to the platform is under way.
 	listing  bool
 	writing  bool
@@ -102,8 +104,9 @@
 		monitor:     lease.NewMonitor(c.Lease.Duration),
 		owned:       map[ids.ShardID]tenure{},
 		surrendered: map[ids.ShardID]ids.Epoch{},
+		handed:      map[ids.ShardID]*peer.Handover{},
 		ledger:      quota.NewLedger(c.Quota),
-		spender:     quota.NewSpender(c.QuotaPatience),
+		spender:     quota.NewSpender(c.Host, c.QuotaPatience),
 		admits:      map[quota.Ticket]Ticket{},
 		routes:      route.NewTable(random),
 		budget:      retry.NewBudget(c.RetryShare, c.RetryReserve),
@@ -208,7 +211,7 @@
 
 // release gives grants, shards and the lease back.
 func (c *Core) release() {
-	for _, cmd := range c.spender.Drain() {
+	for _, cmd := range c.spender.Drain(c.now) {
 		c.spent(cmd)
 	}
 	c.releaseLease()
--- a/verbena/core/ownership.go
+++ b/verbena/core/ownership.go
@@ -7,6 +7,7 @@
 	"verbenaledge.example/verbena/gossip"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/lease"
+	"verbenaledge.example/verbena/peer"
 	"verbenaledge.example/verbena/quota"
 	"verbenaledge.example/verbena/shard"
 	"verbenaledge.example/verbena/timeline"
@@ -101,7 +102,7 @@
 	}
 	for _, s := range given {
 		c.surrendered[s] = c.shards[s].Epoch
-		c.lose(s)
+		c.leave(s)
 	}
 	c.writeShards(next)
 }
@@ -144,6 +145,7 @@
 	c.shards = m
 	clear(c.surrendered)
 	c.takeOwned()
+	c.stepBatch(batch.ManagersLive{Hosts: m.Owners()}, 0)
 	return nil
 }
 
@@ -183,6 +185,25 @@
 	}
 }
 
+// leave lets a shard go in order: it tells all hosts what a successor needs to know.
+func (c *Core) leave(s ids.ShardID) {
+	t, held := c.owned[s]
+	if !held || !c.mayAct() {
+		c.lose(s)
+		return
+	}
+	q := c.shardTenure(s, t)
+	m := &peer.Handover{Shard: s, Epoch: t.epoch, Complete: q.Settled(c.now, c.config.Quota)}
+	m.Balances = c.ledger.Balances(c.now, q, func(b quota.Bucket) bool {
+		return shard.Of(b.ShardName(), c.config.Shards) == s
+	})
+	c.handed[s] = m
+	c.lose(s)
+	for _, h := range c.sortedPeers() {
+		c.call(h, m, nil)
+	}
+}
+
 func (c *Core) lose(s ids.ShardID) {
 	t, held := c.owned[s]
 	if !held {
@@ -233,7 +254,7 @@
 // releaseLease gives the lease back, for a host whose work is done.
 func (c *Core) releaseLease() {
 	for _, s := range c.ownedShards() {
-		c.lose(s)
+		c.leave(s)
 	}
 	c.runLease(c.holder.Step(c.now, lease.Release{}))
 }
--- a/verbena/core/peers.go
+++ b/verbena/core/peers.go
@@ -27,6 +27,9 @@
 		c.emit(StopLocalItems{m.Job}, Reply{e.Ask, &peer.Ack{}})
 	case *peer.JobChanged:
 		c.emit(Reply{e.Ask, c.jobChanged(m)})
+	case *peer.Handover:
+		c.handed[m.Shard] = m
+		c.emit(Reply{e.Ask, &peer.Ack{}})
 	case *peer.ProgressAsk:
 		c.emit(Reply{e.Ask, c.progressOf(m)})
 	default:
--- a/verbena/core/traffic.go
+++ b/verbena/core/traffic.go
@@ -99,7 +99,21 @@
 	if !ok {
 		return quota.Answer{RetryAfter: time.Second}, true
 	}
-	return c.ledger.Grant(c.now, quota.Tenure{Epoch: t.epoch, Since: t.since}, limit, a), true
+	return c.ledger.Grant(c.now, c.quotaTenure(a.Bucket, t), limit, a), true
+}
+
+// quotaTenure adds what the shard's former owner has left behind, if that is known.
+func (c *Core) quotaTenure(b quota.Bucket, t tenure) quota.Tenure {
+	s, _ := c.shards.Of(b.ShardName())
+	return c.shardTenure(s, t)
+}
+
+func (c *Core) shardTenure(s ids.ShardID, t tenure) quota.Tenure {
+	q := quota.Tenure{Epoch: t.epoch, Since: t.since, Complete: t.epoch == 1}
+	if h := c.handed[s]; h != nil && h.Epoch+1 == t.epoch {
+		q.Handed, q.Complete = h.Balances, h.Complete
+	}
+	return q
 }
 
 func (c *Core) limitOf(b quota.Bucket) (l rules.Limit, ok bool) {
--- a/verbena/peer/codec.go
+++ b/verbena/peer/codec.go
@@ -36,6 +36,7 @@
 	kindRefusal      kind = 16
 	kindProgressAsk  kind = 17
 	kindProgress     kind = 18
+	kindHandover     kind = 19
 )
 
 type envelope struct {
@@ -109,6 +110,7 @@
 	kindRefusal:      func() Message { return &Refusal{} },
 	kindProgressAsk:  func() Message { return &ProgressAsk{} },
 	kindProgress:     func() Message { return &Progress{} },
+	kindHandover:     func() Message { return &Handover{} },
 }
 
 // kinds finds the kind of a message by its type.
--- a/verbena/peer/message.go
+++ b/verbena/peer/message.go
@@ -139,6 +139,16 @@
 	Failed    int  `cbor:"3,keyasint"`
 }
 
+// Handover tells a shard's successor, whoever that will be, what the owner under an
+// epoch leaves behind.
+type Handover struct {
+	Shard    ids.ShardID     `cbor:"1,keyasint"`
+	Epoch    ids.Epoch       `cbor:"2,keyasint"`
+	Balances []quota.Balance `cbor:"3,keyasint"`
+	// Complete is true when buckets that are not named are full.
+	Complete bool `cbor:"4,keyasint,omitempty"`
+}
+
 // Ack says that a message has been dealt with.
 type Ack struct{}
 
@@ -179,5 +189,6 @@
 func (*PromiseReply) isMessage() {}
 func (*ProgressAsk) isMessage()  {}
 func (*Progress) isMessage()     {}
+func (*Handover) isMessage()     {}
 func (*Ack) isMessage()          {}
 func (*Refusal) isMessage()      {}
--- a/verbena/quota/grant.go
+++ b/verbena/quota/grant.go
@@ -6,7 +6,7 @@
 	"verbenaledge.example/verbena/ids"
 )
 
-// GrantID is unique among the grants of all owners of a bucket.
+// GrantID is unique among the grants and shares of all owners of a bucket.
 type GrantID struct {
 	Epoch ids.Epoch `cbor:"1,keyasint"`
 	Seq   uint64    `cbor:"2,keyasint"`
@@ -19,17 +19,53 @@
 	TTL    time.Duration `cbor:"3,keyasint"`
 }
 
+// Share lets a host make tokens itself, as a bucket of its own inside the
+// workspace's, until it expires. It outlives the loss of the bucket's owner.
+type Share struct {
+	ID GrantID `cbor:"1,keyasint"`
+	// Rev counts the sizes that the share has had; a host takes only a newer one.
+	Rev uint32 `cbor:"5,keyasint"`
+	// Rate is in tokens a second.
+	Rate  float64       `cbor:"2,keyasint"`
+	Burst float64       `cbor:"3,keyasint"`
+	TTL   time.Duration `cbor:"4,keyasint"`
+}
+
 // Closed reports a grant that the host won't use any more.
 type Closed struct {
 	ID     GrantID `cbor:"1,keyasint"`
 	Unused int     `cbor:"2,keyasint"`
 }
 
-// Ask asks the owner for tokens and closes old grants.
+// ClosedShare reports a share that the host won't use any more.
+type ClosedShare struct {
+	ID     GrantID `cbor:"1,keyasint"`
+	Rate   float64 `cbor:"2,keyasint"`
+	Burst  float64 `cbor:"3,keyasint"`
+	Unused float64 `cbor:"4,keyasint"`
+	// Left is how long the share would have lasted, when the ask was sent.
+	Left time.Duration `cbor:"5,keyasint"`
+}
+
+// HeldShare reports a share that the host uses and wants to keep.
+type HeldShare struct {
+	Share
+	// Left is how long the share lasts, when the ask was sent.
+	Left time.Duration `cbor:"6,keyasint"`
+}
+
+// Ask asks the owner for tokens and closes old grants and shares.
 type Ask struct {
-	Bucket Bucket   `cbor:"1,keyasint"`
-	Want   int      `cbor:"2,keyasint"`
-	Closed []Closed `cbor:"3,keyasint,omitempty"`
+	Bucket Bucket     `cbor:"1,keyasint"`
+	Host   ids.HostID `cbor:"2,keyasint"`
+	Want   int        `cbor:"3,keyasint"`
+	// Use is the host's own rate of requests, in tokens a second.
+	Use float64 `cbor:"4,keyasint,omitempty"`
+	// Share is what the host holds and wants to keep; a successor of the owner that
+	// gave it takes it over.
+	Share        HeldShare     `cbor:"5,keyasint"`
+	Closed       []Closed      `cbor:"6,keyasint,omitempty"`
+	ClosedShares []ClosedShare `cbor:"7,keyasint,omitempty"`
 }
 
 // Answer is the owner's reply. A grant of fewer tokens than wanted comes with
@@ -37,4 +73,6 @@
 type Answer struct {
 	Grant      Grant         `cbor:"1,keyasint"`
 	RetryAfter time.Duration `cbor:"2,keyasint,omitempty"`
+	// Share has a zero id when the host holds none from now on.
+	Share Share `cbor:"3,keyasint"`
 }
--- a/verbena/quota/ledger.go
+++ b/verbena/quota/ledger.go
@@ -1,29 +1,33 @@
 // Package quota decides how much of a workspace's rate each host may spend.
 //
-// A token is made at the bucket's rate and lives in the owner's bucket or in a
-// grant. The owner stops making tokens while those that may exist anywhere fill
-// the burst, so that in any window of length t at most burst + rate*t are spent.
+// A token is made at the bucket's rate, by the owner or, under a share, by a
+// host; it lives in the owner's bucket, in a grant or in a share. The owner stops
+// making tokens while those that may exist anywhere fill the burst, so that in
+// any window of length t at most burst + rate*t are spent.
 package quota
 
 import (
 	"math"
+	"slices"
 	"time"
 
-	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/rules"
 )
 
-// Timing sets how long grants last.
-type Timing struct {
-	// TTL is how long a host may spend a grant, from when it asked.
-	TTL time.Duration
-	// Margin is added by the owner, for hosts whose clocks run slower.
-	Margin time.Duration
-}
-
-// outstandingShare bounds the part of a burst that is granted at any time, and
-// so what a successor must assume to be in use.
-const outstandingShare = 0.5
+const (
+	// grantPart of the burst is granted at any time, sharePart of the rate and
+	// shareBurstPart of the burst is given in shares. They bound what a successor
+	// must take for being in use.
+	grantPart      = 0.5
+	sharePart      = 0.9
+	shareBurstPart = 0.4
+	// headroom is how much larger a share is than its host's use.
+	headroom = 1.25
+	// resizeAt is by what factor a share must be off before it is resized.
+	resizeAt = 1.1
+	// useMemory is how long a host's use counts after it was last told.
+	useMemory = 5 * time.Second
+)
 
 // Ledger is the owner's state of the buckets in its shards.
 type Ledger struct {
@@ -31,57 +35,47 @@
 	buckets map[Bucket]*state
 }
 
-type state struct {
-	level       float64
-	filled      time.Time
-	seq         uint64
-	epoch       ids.Epoch
-	outstanding map[GrantID]debt
-	// inherited is what hosts may still hold of a former owner's grants.
-	inherited      float64
-	inheritedUntil time.Time
-	used           time.Time
-	limit          rules.Limit
-}
-
-type debt struct {
-	tokens  int
-	expires time.Time
-}
-
 // NewLedger returns a ledger without buckets.
 func NewLedger(t Timing) *Ledger {
 	return &Ledger{timing: t, buckets: map[Bucket]*state{}}
 }
 
-// Tenure says since when and under which epoch the host owns a bucket's shard.
-type Tenure struct {
-	Epoch ids.Epoch
-	Since time.Time
-}
-
 // Grant answers an ask. The caller must hold the shard under the tenure at now.
-func (l *Ledger) Grant(now time.Time, t Tenure, limit rules.Limit, a Ask) Answer {
+func (l *Ledger) Grant(now time.Time, t Tenure, limit rules.Limit, a Ask) (answer Answer) {
 	s := l.state(now, t, limit, a.Bucket)
-	s.refill(now, limit)
-	s.settle(a.Closed)
-	s.refill(now, limit)
-	room := max(1, outstandingShare*limit.Burst) - s.held()
-	tokens := int(math.Floor(min(s.level, room, float64(a.Want))))
-	if tokens <= 0 {
-		return Answer{RetryAfter: s.wait(now, limit)}
+	s.refill(now)
+	s.settle(a)
+	s.cap()
+	answer.Share = s.share(now, l.timing, a)
+	tokens := s.grantable(a.Want)
+	if tokens > 0 {
+		answer.Grant = s.grant(now, l.timing, tokens)
 	}
-	s.seq++
-	s.level -= float64(tokens)
-	id := GrantID{Epoch: s.epoch, Seq: s.seq}
-	s.outstanding[id] = debt{tokens, now.Add(l.timing.TTL + l.timing.Margin)}
-	answer := Answer{Grant: Grant{ID: id, Tokens: tokens, TTL: l.timing.TTL}}
 	if tokens < a.Want {
-		answer.RetryAfter = s.wait(now, limit)
+		answer.RetryAfter = s.wait(now)
 	}
 	return answer
 }
 
+// Balances returns what a successor needs to know of the buckets that the predicate
+// selects, for an owner that gives up its tenure of them in order. What was handed
+// to the owner itself and never asked for is passed on.
+func (l *Ledger) Balances(now time.Time, t Tenure, mine func(Bucket) bool) (list []Balance) {
+	for _, x := range t.Handed {
+		if l.buckets[x.Bucket] == nil {
+			list = append(list, x)
+		}
+	}
+	for b, s := range l.buckets {
+		if mine(b) {
+			s.refill(now)
+			list = append(list, s.balance(b))
+		}
+	}
+	slices.SortFunc(list, func(x, y Balance) int { return x.Bucket.Compare(y.Bucket) })
+	return list
+}
+
 // Forget drops the buckets that the predicate selects: their shard has a new owner.
 func (l *Ledger) Forget(gone func(Bucket) bool) {
 	for b := range l.buckets {
@@ -95,7 +89,7 @@
 func (l *Ledger) Sweep(now time.Time) {
 	for b, s := range l.buckets {
 		fill := time.Duration(s.limit.Burst / s.limit.RatePerSecond * float64(time.Second))
-		if now.Sub(s.used) > fill+l.timing.TTL+l.timing.Margin {
+		if now.Sub(s.used) > fill+l.timing.ShareTTL+l.timing.Margin {
 			delete(l.buckets, b)
 		}
 	}
@@ -109,7 +103,7 @@
 func (l *Ledger) state(now time.Time, t Tenure, limit rules.Limit, b Bucket) *state {
 	s := l.buckets[b]
 	if s == nil || s.epoch != t.Epoch {
-		s = l.inherit(t, limit)
+		s = inherit(l.timing, t, limit, b)
 		l.buckets[b] = s
 	}
 	s.used = now
@@ -117,101 +111,92 @@
 	return s
 }
 
-// inherit starts a bucket from what could have been spent: nothing in hand, and
-// all that the former owner may have granted still in use.
-func (l *Ledger) inherit(t Tenure, limit rules.Limit) *state {
-	return &state{
-		epoch:          t.Epoch,
-		filled:         t.Since,
-		outstanding:    map[GrantID]debt{},
-		inherited:      min(limit.Burst, max(1, outstandingShare*limit.Burst)),
-		inheritedUntil: t.Since.Add(l.timing.TTL + l.timing.Margin),
-	}
+// grantable is how many whole tokens may be granted now.
+func (s *state) grantable(want int) int {
+	room := max(1, grantPart*s.limit.Burst) - s.granted()
+	return max(0, int(math.Floor(min(s.level, room, float64(want)))))
 }
 
-func (s *state) settle(closed []Closed) {
-	for _, c := range closed {
-		d, known := s.outstanding[c.ID]
-		if !known {
-			continue
-		}
-		delete(s.outstanding, c.ID)
-		s.level += float64(min(max(c.Unused, 0), d.tokens))
-	}
+func (s *state) grant(now time.Time, t Timing, tokens int) Grant {
+	id := s.nextID()
+	s.level -= float64(tokens)
+	s.grants[id] = debt{tokens, now.Add(t.TTL + t.Margin)}
+	return Grant{ID: id, Tokens: tokens, TTL: t.TTL}
 }
 
-// refill makes the tokens due since the last time. Those due before a grant or
-// inheritance ended are made under the cap that held then.
-func (s *state) refill(now time.Time, limit rules.Limit) {
-	for {
-		end, found := s.nextExpiry(now)
-		if !found {
-			break
-		}
-		s.fillUntil(end, limit)
-		s.expire(end)
+// share renews, makes or resizes the share of a host that uses the bucket.
+func (s *state) share(now time.Time, t Timing, a Ask) Share {
+	held := s.shares[a.Share.ID]
+	if held != nil && a.Share.Rev == held.rev {
+		held.confirm()
 	}
-	s.fillUntil(now, limit)
-}
-
-func (s *state) fillUntil(at time.Time, limit rules.Limit) {
-	if at.After(s.filled) {
-		s.level += limit.RatePerSecond * at.Sub(s.filled).Seconds()
-		s.filled = at
+	s.use(now, a)
+	if a.Use <= 0 {
+		return Share{}
 	}
-	s.level = max(0, min(s.level, limit.Burst-s.held()))
-}
-
-func (s *state) nextExpiry(now time.Time) (at time.Time, found bool) {
-	if s.inherited > 0 && !s.inheritedUntil.After(now) {
-		at, found = s.inheritedUntil, true
+	want := s.fairShare(a.Use)
+	switch {
+	case held == nil:
+		held = s.newShare(want)
+	case want > held.rate*resizeAt || want < held.rate/resizeAt:
+		s.resize(held, want)
 	}
-	for _, d := range s.outstanding {
-		if d.expires.After(now) {
-			continue
-		}
-		if !found || d.expires.Before(at) {
-			at, found = d.expires, true
-		}
+	if held == nil {
+		return Share{}
 	}
-	return at, found
+	held.expires = now.Add(t.ShareTTL + t.Margin)
+	return Share{ID: held.id, Rev: held.rev, Rate: held.rate, Burst: held.burst, TTL: t.ShareTTL}
 }
 
-func (s *state) expire(at time.Time) {
-	if !s.inheritedUntil.After(at) {
-		s.inherited = 0
-	}
-	for id, d := range s.outstanding {
-		if !d.expires.After(at) {
-			delete(s.outstanding, id)
+// use notes a host's rate of requests, and forgets hosts that are silent.
+func (s *state) use(now time.Time, a Ask) {
+	s.uses[a.Host] = usage{a.Use, now}
+	for h, u := range s.uses {
+		if u.rate <= 0 || now.Sub(u.at) > useMemory {
+			delete(s.uses, h)
 		}
 	}
 }
 
-// held is what hosts may still spend.
-func (s *state) held() float64 {
-	sum := s.inherited
-	for _, d := range s.outstanding {
-		sum += float64(d.tokens)
+// fairShare is a host's part of what may be in shares, by its part of the use.
+func (s *state) fairShare(rate float64) float64 {
+	sum := 0.0
+	for _, u := range s.uses {
+		sum += u.rate
 	}
-	return sum
+	return min(headroom*rate, sharePart*s.limit.RatePerSecond*rate/max(sum, rate))
 }
 
-// wait is when one more token can be had.
-func (s *state) wait(now time.Time, limit rules.Limit) time.Duration {
-	missing := max(0, 1-s.level)
-	d := time.Duration(missing / limit.RatePerSecond * float64(time.Second))
-	if s.held() < limit.Burst {
-		return max(d, time.Millisecond)
-	}
-	first := now.Add(time.Hour)
-	for _, o := range s.outstanding {
-		if o.expires.Before(first) {
-			first = o.expires
-		}
+func (s *state) newShare(rate float64) *lent {
+	x := &lent{}
+	s.resize(x, rate)
+	if x.rate <= 0 || x.burst < 1 {
+		return nil
 	}
-	if s.inherited > 0 && s.inheritedUntil.Before(first) {
-		first = s.inheritedUntil
+	x.id = s.nextID()
+	s.shares[x.id] = x
+	s.cap()
+	return x
+}
+
+// resize gives a share another size. A larger one counts at once and is made only
+// as far as there is room; a smaller one counts when the host has confirmed it.
+func (s *state) resize(x *lent, rate float64) {
+	sumRate, sumBurst := s.lent()
+	roomRate := sharePart*s.limit.RatePerSecond - (sumRate - x.countedRate)
+	roomBurst := min(shareBurst(s.limit)-(sumBurst-x.countedBurst), s.limit.Burst-(s.held()-x.countedBurst))
+	rate = min(rate, roomRate)
+	burst := min(max(1, shareBurst(s.limit)*rate/(sharePart*s.limit.RatePerSecond)), roomBurst)
+	if rate <= 0 || burst < 1 {
+		return
 	}
-	return max(d, first.Sub(now))
+	x.rev++
+	x.rate, x.burst = rate, burst
+	x.countedRate, x.countedBurst = max(x.countedRate, rate), max(x.countedBurst, burst)
+	s.cap()
+}
+
+// shareBurst is the most of a burst that is in shares.
+func shareBurst(l rules.Limit) float64 {
+	return max(1, shareBurstPart*l.Burst)
 }
--- a/verbena/quota/spender.go
+++ b/verbena/quota/spender.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"verbenaledge.example/verbena/ids"
 )
 
 const (
@@ -15,6 +17,12 @@
 	// rateWindow smooths the host's own rate of requests.
 	rateWindow = time.Second
 	maxWaiting = 1024
+	// shareRenew is how often a host renews its share, and shareIdle how long it
+	// keeps one that it doesn't use.
+	shareRenew = time.Second
+	shareIdle  = 5 * time.Second
+	// minUse is the rate below which a host asks for no share.
+	minUse = 0.2
 )
 
 // Ticket names a request that waits for a token.
@@ -22,13 +30,18 @@
 
 // Spender is a host's side: it spends grants and asks for more in time.
 type Spender struct {
+	host     ids.HostID
 	patience time.Duration
 	purses   map[Bucket]*purse
 }
 
 type purse struct {
+	host    ids.HostID
 	grants  []holding
 	closed  []Closed
+	share   *ownBucket
+	ended   []endedShare
+	renewed time.Time
 	asking  bool
 	waiting []waiter
 	rate    float64
@@ -42,14 +55,20 @@
 	expires time.Time
 }
 
+// endedShare is a share that the owner hasn't heard the end of.
+type endedShare struct {
+	ClosedShare
+	expires time.Time
+}
+
 type waiter struct {
 	ticket Ticket
 	since  time.Time
 }
 
 // NewSpender returns a spender whose requests wait for a token at most that long.
-func NewSpender(patience time.Duration) *Spender {
-	return &Spender{patience: patience, purses: map[Bucket]*purse{}}
+func NewSpender(h ids.HostID, patience time.Duration) *Spender {
+	return &Spender{host: h, patience: patience, purses: map[Bucket]*purse{}}
 }
 
 // Step applies one event and returns the commands that follow from it.
@@ -75,18 +94,20 @@
 func (s *Spender) arrived(now time.Time, e Arrived) []Command {
 	p := s.purses[e.Bucket]
 	if p == nil {
-		p = &purse{counted: now}
+		p = &purse{host: s.host, counted: now}
 		s.purses[e.Bucket] = p
 	}
 	p.count(now)
+	cmds := p.serve(now)
 	if len(p.waiting) == 0 && p.spend(now) {
-		return append([]Command{Admitted{e.Ticket}}, p.refresh(now, e.Bucket)...)
+		cmds = append(cmds, Admitted{e.Ticket})
+		return append(cmds, p.refresh(now, e.Bucket)...)
 	}
 	if len(p.waiting) >= maxWaiting {
-		return []Command{Refused{Ticket: e.Ticket, RetryAfter: s.patience}}
+		return append(cmds, Refused{Ticket: e.Ticket, RetryAfter: s.patience})
 	}
 	p.waiting = append(p.waiting, waiter{e.Ticket, now})
-	return p.ask(now, e.Bucket)
+	return append(cmds, p.ask(now, e.Bucket)...)
 }
 
 func (s *Spender) answered(now time.Time, e Answered) []Command {
@@ -95,15 +116,12 @@
 		return nil
 	}
 	p.asking = false
-	p.forget(e.Ask.Closed)
+	p.forget(e.Ask)
+	p.takeShare(now, e)
 	if e.Answer.Grant.Tokens > 0 {
 		p.grants = append(p.grants, holding{e.Answer.Grant.ID, e.Answer.Grant.Tokens, e.Sent.Add(e.Answer.Grant.TTL)})
 	}
-	var cmds []Command
-	for len(p.waiting) > 0 && p.spend(now) {
-		cmds = append(cmds, Admitted{p.waiting[0].ticket})
-		p.waiting = p.waiting[1:]
-	}
+	cmds := p.serve(now)
 	if len(p.waiting) == 0 {
 		return cmds
 	}
@@ -134,30 +152,55 @@
 	for _, b := range s.sorted() {
 		p := s.purses[b]
 		p.expire(now)
+		cmds = append(cmds, p.serve(now)...)
 		cmds = append(cmds, p.giveUp(now, s.patience)...)
-		if now.Sub(p.used) >= idleReturn {
-			p.closeAll()
-		}
+		p.closeIdle(now)
 		switch {
-		case len(p.waiting) > 0 && !p.asking:
+		case p.asking:
+		case len(p.waiting) > 0:
 			cmds = append(cmds, p.ask(now, b)...)
-		case len(p.closed) > 0 && !p.asking:
-			p.asking = true
-			cmds = append(cmds, SendAsk{Ask{Bucket: b, Closed: p.closed}})
-		case len(p.grants) == 0 && !p.asking && now.Sub(p.used) > time.Minute:
+		case p.mustReport(now):
+			cmds = append(cmds, p.send(now, b, 0))
+		case p.empty() && now.Sub(p.used) > time.Minute:
 			delete(s.purses, b)
 		}
 	}
 	return cmds
 }
 
+// mustReport tells whether the owner should hear of something though no token is
+// wanted: what was closed, or that the share is still in use.
+func (p *purse) mustReport(now time.Time) bool {
+	if len(p.closed) > 0 || len(p.ended) > 0 {
+		return true
+	}
+	return p.use(now) > 0 && now.Sub(p.renewed) >= shareRenew
+}
+
+func (p *purse) empty() bool {
+	return len(p.grants) == 0 && p.share == nil && len(p.closed) == 0 && len(p.ended) == 0
+}
+
+// closeIdle gives back what hasn't been used for a while.
+func (p *purse) closeIdle(now time.Time) {
+	idle := now.Sub(p.used)
+	if idle >= idleReturn {
+		p.closeGrants()
+	}
+	if idle >= shareIdle {
+		p.closeShare(now)
+	}
+}
+
 // Drain closes every grant, for a host that stops.
-func (s *Spender) Drain() (cmds []Command) {
+func (s *Spender) Drain(now time.Time) (cmds []Command) {
 	for _, b := range s.sorted() {
 		p := s.purses[b]
-		p.closeAll()
-		if len(p.closed) > 0 {
-			cmds = append(cmds, SendAsk{Ask{Bucket: b, Closed: p.closed}})
+		p.closeGrants()
+		p.closeShare(now)
+		if len(p.closed)+len(p.ended) > 0 {
+			p.rate = 0
+			cmds = append(cmds, p.send(now, b, 0))
 		}
 	}
 	return cmds
@@ -177,6 +220,9 @@
 
 func (p *purse) spend(now time.Time) bool {
 	p.expire(now)
+	if p.share != nil && p.share.spend(now) {
+		return true
+	}
 	for i := range p.grants {
 		if p.grants[i].left == 0 {
 			continue
@@ -191,24 +237,80 @@
 	return false
 }
 
+// serve admits the requests that have waited longest as far as tokens go.
+func (p *purse) serve(now time.Time) (cmds []Command) {
+	for len(p.waiting) > 0 && p.spend(now) {
+		cmds = append(cmds, Admitted{p.waiting[0].ticket})
+		p.waiting = p.waiting[1:]
+	}
+	return cmds
+}
+
 // refresh asks for more before the tokens run out.
 func (p *purse) refresh(now time.Time, b Bucket) []Command {
-	if p.asking || p.left() >= p.ahead()/2 {
+	if p.asking || p.left(now) >= p.ahead()/2 {
 		return nil
 	}
 	return p.ask(now, b)
 }
 
-func (p *purse) ask(_ time.Time, b Bucket) []Command {
+func (p *purse) ask(now time.Time, b Bucket) []Command {
 	if p.asking {
 		return nil
 	}
-	want := len(p.waiting) + p.ahead() - p.left()
+	want := len(p.waiting) + p.ahead() - p.left(now)
 	if want <= 0 {
 		return nil
 	}
+	return []Command{p.send(now, b, want)}
+}
+
+func (p *purse) send(now time.Time, b Bucket, want int) Command {
 	p.asking = true
-	return []Command{SendAsk{Ask{Bucket: b, Want: want, Closed: p.closed}}}
+	p.renewed = now
+	a := Ask{Bucket: b, Host: p.host, Want: want, Use: p.use(now), Closed: p.closed}
+	for _, e := range p.ended {
+		e.Left = e.expires.Sub(now)
+		a.ClosedShares = append(a.ClosedShares, e.ClosedShare)
+	}
+	if p.share != nil {
+		a.Share = HeldShare{Share: p.share.Share, Left: p.share.expires.Sub(now)}
+	}
+	return SendAsk{a}
+}
+
+// use is the host's rate of requests at this moment, 0 if it is too small for a share.
+func (p *purse) use(now time.Time) float64 {
+	rate := p.rate * math.Exp(-now.Sub(p.counted).Seconds()/rateWindow.Seconds())
+	if rate < minUse {
+		return 0
+	}
+	return rate
+}
+
+// takeShare puts the owner's answer about the share into force.
+func (p *purse) takeShare(now time.Time, e Answered) {
+	x := e.Answer.Share
+	switch {
+	case x.ID == GrantID{}:
+		return
+	case p.share != nil && p.share.ID == x.ID:
+		p.share.renew(now, x, e.Sent)
+	default:
+		p.closeShare(now)
+		p.share = newOwnBucket(now, x, e.Sent)
+	}
+}
+
+func (p *purse) closeShare(now time.Time) {
+	if p.share == nil {
+		return
+	}
+	p.share.fill(now)
+	p.ended = append(p.ended, endedShare{
+		ClosedShare{ID: p.share.ID, Rate: p.share.Rate, Burst: p.share.Burst, Unused: p.share.level}, p.share.expires,
+	})
+	p.share = nil
 }
 
 // ahead is what the host expects to use before a next ask is answered.
@@ -216,7 +318,11 @@
 	return int(p.rate * foresight.Seconds())
 }
 
-func (p *purse) left() (n int) {
+func (p *purse) left(now time.Time) (n int) {
+	if p.share != nil {
+		p.share.fill(now)
+		n = int(p.share.level)
+	}
 	for _, g := range p.grants {
 		n += g.left
 	}
@@ -231,9 +337,12 @@
 		}
 	}
 	p.grants = kept
+	if p.share != nil && !now.Before(p.share.expires) {
+		p.share = nil
+	}
 }
 
-func (p *purse) closeAll() {
+func (p *purse) closeGrants() {
 	for _, g := range p.grants {
 		p.closed = append(p.closed, Closed{ID: g.id, Unused: g.left})
 	}
@@ -241,18 +350,11 @@
 }
 
 // forget drops the reports that the owner has now heard.
-func (p *purse) forget(reported []Closed) {
-	heard := make(map[GrantID]bool, len(reported))
-	for _, c := range reported {
-		heard[c.ID] = true
-	}
-	kept := p.closed[:0:0]
-	for _, c := range p.closed {
-		if !heard[c.ID] {
-			kept = append(kept, c)
-		}
-	}
-	p.closed = kept
+func (p *purse) forget(a Ask) {
+	p.closed = slices.DeleteFunc(slices.Clone(p.closed), func(c Closed) bool { return slices.Contains(a.Closed, c) })
+	p.ended = slices.DeleteFunc(slices.Clone(p.ended), func(e endedShare) bool {
+		return slices.ContainsFunc(a.ClosedShares, func(c ClosedShare) bool { return c.ID == e.ID })
+	})
 }
 
 func (p *purse) giveUp(now time.Time, patience time.Duration) (cmds []Command) {
--- a/verbena/shard/map.go
+++ b/verbena/shard/map.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,6 +66,17 @@
 	return list
 }
 
+// Owners returns the hosts that own any shard, in order.
+func (m Map) Owners() (hosts []ids.HostID) {
+	for _, e := range m {
+		if e.Owner != "" && !slices.Contains(hosts, e.Owner) {
+			hosts = append(hosts, e.Owner)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
 // Assign gives each shard whose owner's lease is gone to a live host, and
 // returns the new map and whether it differs. Live owners keep what they have.
 func Assign(m Map, shards int, live map[ids.HostID]ids.Term) (next Map, changed bool) {
--- a/verbenactl/cmd/root.go
+++ b/verbenactl/cmd/root.go
@@ -23,7 +23,7 @@
 // globals are the options of every command.
 type globals struct {
 	Platform  string   `long:"platform" env:"VERBENACTL_PLATFORM" value-name:"IP:PORT" description:"the platform's object API"`
-	Admin     []string `long:"admin" env:"VERBENACTL_ADMIN" env-delim:"," value-name:"IP:PORT" description:"a daemon's admin address; default: all in the host list"`
+	Admin     []string `long:"admin" env:"VERBENACTL_ADMIN" env-delim:"," value-name:"IP:PORT" description:"a daemon's admin address; default: all listed"`
 	TokenFile string   `long:"token-file" env:"VERBENACTL_TOKEN_FILE" value-name:"FILE" description:"file with the operators' token"`
 	JSON      bool     `long:"json" description:"write JSON"`
 }
--- a/verbenad/internal/daemon/executor.go
+++ b/verbenad/internal/daemon/executor.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	stdlog "log"
-	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -177,13 +176,8 @@
 }
 
 // Hosts implements items.Owners.
-func (x *executor) Hosts() (hosts []ids.HostID) {
-	for _, e := range x.daemon.loop.Snapshot().Shards {
-		if e.Owner != "" && !slices.Contains(hosts, e.Owner) {
-			hosts = append(hosts, e.Owner)
-		}
-	}
-	return hosts
+func (x *executor) Hosts() []ids.HostID {
+	return x.daemon.loop.Snapshot().Shards.Owners()
 }
 
 // Ask implements items.Owners.
--- a/verbenad/internal/daemon/steps.go
+++ b/verbenad/internal/daemon/steps.go
@@ -145,7 +145,11 @@
 	c.Lease = lease.Timing{
 		Duration: time.Duration(s.Lease.Duration), Margin: time.Duration(s.Lease.Margin), Renew: time.Duration(s.Lease.Renew),
 	}
-	c.Quota = quota.Timing{TTL: time.Duration(s.Quota.GrantTTL), Margin: time.Duration(s.Quota.Margin)}
+	c.Quota = quota.Timing{
+		TTL: time.Duration(s.Quota.GrantTTL), ShareTTL: time.Duration(s.Quota.ShareTTL),
+		// A host that was paused answers nothing once its lease has ended.
+		Transit: time.Duration(s.Lease.Duration) + 2*time.Second, Margin: time.Duration(s.Quota.Margin),
+	}
 	c.QuotaPatience = time.Duration(s.Quota.Patience)
 	c.Slots = slots.Policy{
 		Max: s.Batch.MaxSlots, Shared: s.Batch.SharedSlots,
--- a/verbenad/internal/settings/check.go
+++ b/verbenad/internal/settings/check.go
@@ -39,6 +39,7 @@
 	c.lease(s)
 	c.batch(s)
 	c.length("quota.grant_ttl", s.Quota.GrantTTL, 100*time.Millisecond, time.Minute)
+	c.length("quota.share_ttl", s.Quota.ShareTTL, s.Quota.GrantTTL.std(), 5*time.Minute)
 	c.length("quota.margin", s.Quota.Margin, 10*time.Millisecond, time.Minute)
 	c.length("quota.patience", s.Quota.Patience, 10*time.Millisecond, time.Minute)
 	c.length("backend.connect_timeout", s.Backend.ConnectTimeout, 10*time.Millisecond, time.Minute)
--- a/verbenad/internal/settings/duration.go
+++ b/verbenad/internal/settings/duration.go
@@ -27,3 +27,7 @@
 func (d Duration) MarshalJSON() ([]byte, error) {
 	return json.Marshal(time.Duration(d).String())
 }
+
+func (d Duration) std() time.Duration {
+	return time.Duration(d)
+}
--- a/verbenad/internal/settings/settings.go
+++ b/verbenad/internal/settings/settings.go
@@ -80,6 +80,7 @@
 // Quota sets how grants of a workspace's rate work; all hosts must agree.
 type Quota struct {
 	GrantTTL Duration `json:"grant_ttl"`
+	ShareTTL Duration `json:"share_ttl"`
 	Margin   Duration `json:"margin"`
 	Patience Duration `json:"patience"`
 }
@@ -146,6 +147,7 @@
 		},
 		Quota: Quota{
 			GrantTTL: Duration(1500 * time.Millisecond),
+			ShareTTL: Duration(20 * time.Second),
 			Margin:   Duration(200 * time.Millisecond),
 			Patience: Duration(800 * time.Millisecond),
 		},
