--- a/verbena/core/config.go
+++ b/verbena/core/config.go
@@ -34,6 +34,8 @@
 	ItemAttempts int
 	// ItemTimeout is how long an owner waits for an item's result.
 	ItemTimeout time.Duration
+	// RecordAdmissions writes each admitted request to the time line.
+	RecordAdmissions bool
 	// RetryShare and RetryReserve set each workspace's retry budget.
 	RetryShare   float64
 	RetryReserve float64
--- a/verbena/core/core.go
+++ b/verbena/core/core.go
@@ -52,7 +52,7 @@
 
 	ledger  *quota.Ledger
 	spender *quota.Spender
-	admits  map[quota.Ticket]Ticket
+	admits  map[quota.Ticket]AdmitAsked
 
 	routes *route.Table
 	budget *retry.Budget
@@ -107,7 +107,7 @@
 		handed:      map[ids.ShardID]*peer.Handover{},
 		ledger:      quota.NewLedger(c.Quota),
 		spender:     quota.NewSpender(c.Host, c.QuotaPatience),
-		admits:      map[quota.Ticket]Ticket{},
+		admits:      map[quota.Ticket]AdmitAsked{},
 		routes:      route.NewTable(random),
 		budget:      retry.NewBudget(c.RetryShare, c.RetryReserve),
 		poison:      poison.NewRegistry(),
--- a/verbena/core/traffic.go
+++ b/verbena/core/traffic.go
@@ -33,7 +33,7 @@
 	}
 	c.lastID++
 	t := quota.Ticket(c.lastID)
-	c.admits[t] = e.Ticket
+	c.admits[t] = e
 	c.budget.Earn(e.Bucket.Workspace)
 	c.spend(quota.Arrived{Ticket: t, Bucket: e.Bucket})
 }
@@ -48,13 +48,13 @@
 func (c *Core) spent(cmd quota.Command) {
 	switch cmd := cmd.(type) {
 	case quota.Admitted:
-		c.emit(Admitted{c.takeAdmit(cmd.Ticket)})
+		c.admitted(c.takeAdmit(cmd.Ticket))
 	case quota.Refused:
 		r := refusal.New(refusal.RateExceeded, cmd.RetryAfter, "the workspace is over its rate and burst")
 		if !cmd.Exceeded {
 			r = refusal.New(refusal.QuotaUnavailable, cmd.RetryAfter, "the owner of the workspace's rate can't be reached")
 		}
-		c.refuse(c.takeAdmit(cmd.Ticket), r)
+		c.refuse(c.takeAdmit(cmd.Ticket).Ticket, r)
 	case quota.SendAsk:
 		c.askQuota(cmd.Ask)
 	case quota.Later:
@@ -62,10 +62,17 @@
 	}
 }
 
-func (c *Core) takeAdmit(t quota.Ticket) Ticket {
-	ticket := c.admits[t]
+func (c *Core) admitted(a AdmitAsked) {
+	if c.config.RecordAdmissions {
+		c.record(timeline.Event{Kind: timeline.RequestAdmitted, Workspace: a.Bucket.Workspace, Detail: string(a.Bucket.Service)})
+	}
+	c.emit(Admitted{a.Ticket})
+}
+
+func (c *Core) takeAdmit(t quota.Ticket) AdmitAsked {
+	a := c.admits[t]
 	delete(c.admits, t)
-	return ticket
+	return a
 }
 
 func (c *Core) refuse(t Ticket, r *refusal.Refusal) {
--- a/verbena/quota/adversary_test.go
+++ b/verbena/quota/adversary_test.go
@@ -48,10 +48,10 @@
 	}
 	h.fill(now)
 	if a.Share.ID != h.share.ID {
-		h.share, h.level, h.filled = a.Share, 0, now
+		h.share, h.level, h.filled = a.Share, min(a.Share.Tokens, a.Share.Burst), now
 	} else if a.Share.Rev > h.share.Rev {
 		h.share = a.Share
-		h.level = min(h.level, h.share.Burst)
+		h.level = min(h.level+h.share.Tokens, h.share.Burst)
 	}
 	h.end = sent.Add(a.Share.TTL)
 }
--- a/verbena/quota/grant.go
+++ b/verbena/quota/grant.go
@@ -29,6 +29,8 @@
 	Rate  float64       `cbor:"2,keyasint"`
 	Burst float64       `cbor:"3,keyasint"`
 	TTL   time.Duration `cbor:"4,keyasint"`
+	// Tokens come with a share that is new or larger than before.
+	Tokens float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Closed reports a grant that the host won't use any more.
--- a/verbena/quota/ledger.go
+++ b/verbena/quota/ledger.go
@@ -145,7 +145,9 @@
 		return Share{}
 	}
 	held.expires = now.Add(t.ShareTTL + t.Margin)
-	return Share{ID: held.id, Rev: held.rev, Rate: held.rate, Burst: held.burst, TTL: t.ShareTTL}
+	x := Share{ID: held.id, Rev: held.rev, Rate: held.rate, Burst: held.burst, TTL: t.ShareTTL, Tokens: held.tokens}
+	held.tokens = 0
+	return x
 }
 
 // use notes a host's rate of requests, and forgets hosts that are silent.
@@ -190,6 +192,10 @@
 	if rate <= 0 || burst < 1 {
 		return
 	}
+	// What the owner has in hand goes along, so that a full bucket stays full.
+	moved := min(s.level, max(0, burst-x.countedBurst))
+	s.level -= moved
+	x.tokens += moved
 	x.rev++
 	x.rate, x.burst = rate, burst
 	x.countedRate, x.countedBurst = max(x.countedRate, rate), max(x.countedBurst, burst)
--- a/verbena/quota/own_bucket.go
+++ b/verbena/quota/own_bucket.go
@@ -11,7 +11,7 @@
 }
 
 func newOwnBucket(now time.Time, s Share, sent time.Time) *ownBucket {
-	return &ownBucket{Share: s, filled: now, expires: sent.Add(s.TTL)}
+	return &ownBucket{Share: s, level: min(s.Tokens, s.Burst), filled: now, expires: sent.Add(s.TTL)}
 }
 
 // renew lengthens the share and may resize it. An answer that comes late changes
@@ -20,7 +20,7 @@
 	b.fill(now)
 	if s.Rev > b.Rev {
 		b.Rev, b.Rate, b.Burst = s.Rev, s.Rate, s.Burst
-		b.level = min(b.level, b.Burst)
+		b.level = min(b.level+s.Tokens, b.Burst)
 	}
 	if e := sent.Add(s.TTL); e.After(b.expires) {
 		b.expires = e
--- a/verbena/quota/quota_test.go
+++ b/verbena/quota/quota_test.go
@@ -257,3 +257,18 @@
 	got := float64(len(f.admitted)) / 60
 	c.Assert(got >= 0.95*40, qt.IsTrue, qt.Commentf("admitted %.1f/s of 40/s", got))
 }
+
+// TestWholeBurst checks that a full bucket lets its whole burst through one host.
+func TestWholeBurst(t *testing.T) {
+	for _, burst := range []float64{1, 10, 80} {
+		c := qt.New(t)
+		f := newFleet(9, rules.Limit{RatePerSecond: burst / 2, Burst: burst})
+		for range int(burst) {
+			f.arrive(0)
+			f.advance(5 * time.Millisecond)
+		}
+		f.advance(100 * time.Millisecond)
+		c.Check(f.refused, qt.Equals, 0, qt.Commentf("burst %g", burst))
+		c.Check(len(f.admitted), qt.Equals, int(burst))
+	}
+}
--- a/verbena/quota/state.go
+++ b/verbena/quota/state.go
@@ -41,7 +41,9 @@
 	// countedRate and countedBurst are the largest size that the host may still use.
 	countedRate  float64
 	countedBurst float64
-	expires      time.Time
+	// tokens go to the host with the next answer.
+	tokens  float64
+	expires time.Time
 }
 
 // confirm notes that the host has taken the newest size.
--- a/verbena/route/table.go
+++ b/verbena/route/table.go
@@ -194,18 +194,28 @@
 }
 
 func (t *Table) able(now time.Time, r Request) (list []*server) {
+	var resting []*server
 	for _, s := range t.byName[r.Service] {
-		if !s.takesWork(now) || slices.Contains(r.Tried, s.ID) {
+		if s.leavingOrTried(now, r) || (r.Suspect && s.suspects > 0) || (r.Only != "" && r.Only != s.ID) {
 			continue
 		}
-		if (r.Suspect && s.suspects > 0) || (r.Only != "" && r.Only != s.ID) {
+		if now.Before(s.retryAt) {
+			resting = append(resting, s)
 			continue
 		}
 		list = append(list, s)
 	}
+	if len(list) == 0 && r.Only == "" {
+		// With every server failing, a try at one beats a refusal.
+		list = resting
+	}
 	return otherZones(t, list, r.Tried)
 }
 
+func (s *server) leavingOrTried(now time.Time, r Request) bool {
+	return s.State != backend.Live || s.leaving(now) || slices.Contains(r.Tried, s.ID)
+}
+
 // otherZones drops the zones that a retry has already tried, if any other is left.
 func otherZones(t *Table, list []*server, tried []ids.BackendID) []*server {
 	zones := map[ids.ZoneID]bool{}
--- a/verbenad/internal/daemon/steps.go
+++ b/verbenad/internal/daemon/steps.go
@@ -155,6 +155,7 @@
 		Max: s.Batch.MaxSlots, Shared: s.Batch.SharedSlots,
 		Quiet: time.Duration(s.Batch.Quiet), Growth: time.Duration(s.Batch.Growth),
 	}
+	c.RecordAdmissions = s.Timeline.Admissions
 	c.ItemAttempts = s.Batch.Attempts
 	c.ItemTimeout = time.Duration(s.Batch.ItemTimeout)
 	c.RetryShare, c.RetryReserve = s.Backend.RetryShare, s.Backend.RetryReserve
--- a/verbenad/internal/settings/settings.go
+++ b/verbenad/internal/settings/settings.go
@@ -129,6 +129,8 @@
 // Timeline sets where events are written besides memory.
 type Timeline struct {
 	File string `json:"file"`
+	// Admissions also records each admitted request, for checking rates.
+	Admissions bool `json:"admissions"`
 }
 
 // Defaults returns the settings that a file need not give.
--- /dev/null
+++ b/verbenalab/internal/fleet/address.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync/atomic"
+)
+
+// The ports of fleets lie below those that the system gives to outgoing
+// connections. Each process begins at another one and uses none twice.
+const (
+	firstPort = 20000
+	ports     = 12000
+	stride    = 331
+	portTries = 500
+)
+
+var nextPort atomic.Int64
+
+// freeAddress finds a loopback port that is free for TCP and UDP.
+func freeAddress() (address string, err error) {
+	for range portTries {
+		n := int64(os.Getpid())*stride + nextPort.Add(1)
+		address = fmt.Sprintf("127.0.0.1:%d", firstPort+n%ports)
+		if err = tryPort(address); err == nil {
+			return address, nil
+		}
+	}
+	return "", err
+}
+
+func tryPort(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	p, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return errors.Join(err, l.Close())
+	}
+	return errors.Join(l.Close(), p.Close())
+}
--- a/verbenalab/internal/fleet/fleet.go
+++ b/verbenalab/internal/fleet/fleet.go
@@ -5,11 +5,8 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -43,6 +40,9 @@
 	EngineArgs []string
 	// Settings are laid over each daemon's settings, by section.
 	Settings map[string]any
+	// Relays puts relays between the daemons and before the platform, so that they
+	// can be cut from each other.
+	Relays bool
 	// PlatformArgs are added to the platform's command line.
 	PlatformArgs []string
 }
@@ -56,6 +56,10 @@
 	Admin  string
 	Peer   string
 	file   string
+	// listed is the peer address that others know, platform that of the platform.
+	listed   string
+	platform string
+	links    links
 }
 
 // Backend is a stand-in's process and its line in the host list.
@@ -104,6 +108,9 @@
 			h.Kill()
 		}
 	}
+	for _, h := range f.Hosts {
+		h.links.close()
+	}
 	for _, b := range f.Backends {
 		b.Kill()
 	}
@@ -216,7 +223,7 @@
 
 func (f *Fleet) list(h *Host) error {
 	return f.List(backend.Server{
-		ID: ids.BackendID(h.ID), Role: backend.RoleEntry, Zone: h.Zone, Address: h.Peer, Admin: h.Admin, State: backend.Live,
+		ID: ids.BackendID(h.ID), Role: backend.RoleEntry, Zone: h.Zone, Address: h.listed, Admin: h.Admin, State: backend.Live,
 	})
 }
 
@@ -228,6 +235,12 @@
 		}
 	}
 	h.file = f.path(string(h.ID) + ".json")
+	h.listed, h.platform = h.Peer, f.Platform
+	if f.config.Relays {
+		if err := f.relay(h); err != nil {
+			return nil, err
+		}
+	}
 	return h, f.authority.WriteHost(f.config.Dir, h.ID)
 }
 
@@ -323,33 +336,3 @@
 	}
 	return json.Unmarshal(data, into)
 }
-
-// The ports of a fleet lie below those that the system gives to outgoing connections.
-const (
-	firstPort = 20000
-	ports     = 12000
-	portTries = 200
-)
-
-// freeAddress finds a loopback port that is free for TCP and UDP.
-func freeAddress() (address string, err error) {
-	for range portTries {
-		address = fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
-		if err = tryPort(address); err == nil {
-			return address, nil
-		}
-	}
-	return "", err
-}
-
-func tryPort(address string) error {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	p, err := net.ListenPacket("udp", address)
-	if err != nil {
-		return errors.Join(err, l.Close())
-	}
-	return errors.Join(l.Close(), p.Close())
-}
--- a/verbenalab/internal/fleet/settings.go
+++ b/verbenalab/internal/fleet/settings.go
@@ -16,7 +16,7 @@
 			"listen": h.Peer, "seeds": f.seeds(h), "ca_file": f.path("ca.crt"),
 			"cert_file": f.path(string(h.ID) + ".crt"), "key_file": f.path(string(h.ID) + ".key"),
 		},
-		"platform": map[string]any{"address": f.Platform},
+		"platform": map[string]any{"address": h.platform},
 		"timeline": map[string]any{"file": f.path(string(h.ID) + ".timeline.jsonl")},
 	}
 	for name, extra := range f.config.Settings {
@@ -41,7 +41,7 @@
 	list := []map[string]any{}
 	for _, other := range f.Hosts {
 		if other.ID != h.ID && len(list) < most {
-			list = append(list, map[string]any{"id": other.ID, "address": other.Peer})
+			list = append(list, map[string]any{"id": other.ID, "address": other.listed})
 		}
 	}
 	return list
--- a/verbenalab/internal/load/batch.go
+++ b/verbenalab/internal/load/batch.go
@@ -15,6 +15,7 @@
 const (
 	sendTries = 40
 	sendPause = 250 * time.Millisecond
+	sendLimit = 10 * time.Second
 	pollEvery = 250 * time.Millisecond
 )
 
@@ -153,6 +154,8 @@
 }
 
 func (c *Caller) send(ctx context.Context, x call, into any) (again bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, sendLimit)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, x.method, "http://"+c.balancer.Pick()+x.path, bytes.NewReader(x.body))
 	if err != nil {
 		return false, err
--- a/verbenalab/internal/load/online.go
+++ b/verbenalab/internal/load/online.go
@@ -19,6 +19,8 @@
 	Model     string
 	Prompt    string
 	MaxTokens int
+	// Host, when set, is the caller address of the daemon to be asked.
+	Host string
 }
 
 // Answer is what became of a question.
@@ -34,6 +36,8 @@
 	Gaps   []time.Duration
 	Tokens int
 	Host   string
+	// RequestID is the daemon's, by which ledgers know the request.
+	RequestID string
 }
 
 // CodeBroken is the code of an answer whose connection broke.
@@ -60,7 +64,10 @@
 
 // Ask sends a question and reads the streamed answer.
 func (c *Caller) Ask(ctx context.Context, q Request) (a Answer) {
-	a = Answer{Workspace: q.Workspace, Start: time.Now(), Host: c.balancer.Pick()}
+	a = Answer{Workspace: q.Workspace, Start: time.Now(), Host: q.Host}
+	if a.Host == "" {
+		a.Host = c.balancer.Pick()
+	}
 	body, err := json.Marshal(struct {
 		Model     string              `json:"model"`
 		Stream    bool                `json:"stream"`
@@ -82,6 +89,7 @@
 		return a
 	}
 	defer func() { _ = resp.Body.Close() }() // it has been read
+	a.RequestID = resp.Header.Get("X-Request-Id")
 	if resp.StatusCode != http.StatusOK {
 		a.refused(resp)
 		return a
@@ -131,6 +139,6 @@
 }
 
 // Whole tells whether the answer came to its end.
-func (a *Answer) Whole() bool { return a.Code == "" }
+func (a Answer) Whole() bool { return a.Code == "" }
 
 var errNoID = errors.New("the answer has no id")
