--- a/verbena/batch/event.go
+++ b/verbena/batch/event.go
@@ -40,6 +40,12 @@
 // CancelAsked says that the job's object asks for its end.
 type CancelAsked struct{ Job ids.JobID }
 
+// Held says that no more items of a job are to be given out here, or that they are again.
+type Held struct {
+	Job ids.JobID
+	On  bool
+}
+
 // Dropped says that the job has ended or has another owner.
 type Dropped struct{ Job ids.JobID }
 
@@ -56,6 +62,7 @@
 func (Returned) isEvent()     {}
 func (Committed) isEvent()    {}
 func (CancelAsked) isEvent()  {}
+func (Held) isEvent()         {}
 func (Dropped) isEvent()      {}
 func (ManagersLive) isEvent() {}
 func (Tick) isEvent()         {}
--- a/verbena/batch/queue.go
+++ b/verbena/batch/queue.go
@@ -31,6 +31,8 @@
 	running  map[ids.ItemIndex]run
 	attempts map[ids.ItemIndex]int
 	closing  bool
+	// held is true when the job is about to have another owner.
+	held bool
 }
 
 type run struct {
@@ -75,6 +77,10 @@
 		return q.takeBack(func(r run) bool { return !slices.Contains(e.Hosts, r.manager) }, Returned{Yielded: true})
 	case Tick:
 		return q.takeBack(func(r run) bool { return !now.Before(r.expires) }, Returned{Reason: "no result within the item's time limit"})
+	case Held:
+		if j := q.jobs[e.Job]; j != nil {
+			j.held = e.On
+		}
 	case Dropped:
 		q.drop(e.Job)
 	}
@@ -296,7 +302,7 @@
 }
 
 func (j *job) pending() int {
-	if j.State != Open {
+	if j.State != Open || j.held {
 		return 0
 	}
 	j.skip()
--- a/verbena/core/ownership.go
+++ b/verbena/core/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"verbenaledge.example/verbena/batch"
 	"verbenaledge.example/verbena/gossip"
@@ -96,6 +97,14 @@
 		return
 	}
 	next, given := shard.HandOver(c.shards, c.config.Host, live)
+	c.hold(given)
+	given = slices.DeleteFunc(given, func(s ids.ShardID) bool {
+		if c.quiet(s) {
+			return false
+		}
+		next[s] = c.shards[s]
+		return true
+	})
 	if len(given) == 0 {
 		c.reclaim(next)
 		return
@@ -107,6 +116,21 @@
 	c.writeShards(next)
 }
 
+// hold gives out no more items of the shards that are to be given away, so that
+// they come to rest.
+func (c *Core) hold(given []ids.ShardID) {
+	for _, p := range c.queue.Jobs() {
+		c.queue.Step(c.now, batch.Held{Job: p.Job.ID, On: slices.Contains(given, c.jobShard(p.Job.ID))})
+	}
+}
+
+// quiet tells whether a shard can change its owner without any item running twice.
+func (c *Core) quiet(s ids.ShardID) bool {
+	return !slices.ContainsFunc(c.queue.Jobs(), func(p batch.Progress) bool {
+		return c.jobShard(p.Job.ID) == s && (p.Running > 0 || p.Finished > p.Committed)
+	})
+}
+
 // reclaim takes shards back whose hand-over got no answer, under a new epoch: the
 // write may still be on its way, and a write at the same version fences it.
 func (c *Core) reclaim(next shard.Map) {
--- a/verbena/core/slots.go
+++ b/verbena/core/slots.go
@@ -64,7 +64,7 @@
 	}
 	for _, b := range sortedKeys(c.managers) {
 		if _, keep := mine[b]; !keep {
-			c.emit(SetSlots{Server: c.managers[b].server})
+			c.emit(SetSlots{Server: c.managers[b].server, Finish: true})
 			delete(c.managers, b)
 		}
 	}
--- a/verbenad/internal/backend/client.go
+++ b/verbenad/internal/backend/client.go
@@ -84,9 +84,9 @@
 
 // Send makes a call and returns once the head of the answer has come.
 func (c *Client) Send(ctx context.Context, r Request) (a *Answer, fault *Fault) {
-	ctx, cancel := context.WithCancel(ctx)
+	callCtx, cancel := context.WithCancel(ctx)
 	g := newGuard(c.stall, cancel)
-	req, err := newRequest(ctx, r)
+	req, err := newRequest(callCtx, r)
 	if err != nil {
 		g.stop()
 		cancel()
--- a/verbenad/internal/items/runtime.go
+++ b/verbenad/internal/items/runtime.go
@@ -72,11 +72,16 @@
 	if !cmd.Owned {
 		delete(r.servers, cmd.Server.ID)
 		s.stop()
+		time.AfterFunc(finishLimit, func() { s.set(0, false) })
 	}
 	r.mu.Unlock()
 	s.set(cmd.Slots, cmd.Finish)
 }
 
+// finishLimit is how long items go on at a server that another host manages now,
+// where nobody makes them yield.
+const finishLimit = 5 * time.Second
+
 // StopJob cancels a job's items.
 func (r *Runtime) StopJob(j ids.JobID) {
 	r.mu.Lock()
--- a/verbenad/internal/peer/transport.go
+++ b/verbenad/internal/peer/transport.go
@@ -43,8 +43,9 @@
 	quic    *quic.Transport
 	handler Handler
 
-	mu    sync.Mutex
-	links map[ids.HostID]*link
+	mu       sync.Mutex
+	links    map[ids.HostID]*link
+	accepted map[*quic.Conn]bool
 }
 
 // link is the connection to one host, made when first needed.
@@ -72,8 +73,11 @@
 	}
 	return &Transport{
 		self: self, files: files,
-		quic:  &quic.Transport{Conn: socket},
-		links: map[ids.HostID]*link{},
+		// With a key that outlives the process, a daemon that was killed and started
+		// again tells peers at once that their connections are gone.
+		quic:     &quic.Transport{Conn: socket, StatelessResetKey: files.ResetKey()},
+		links:    map[ids.HostID]*link{},
+		accepted: map[*quic.Conn]bool{},
 	}, nil
 }
 
@@ -99,6 +103,9 @@
 	for _, l := range t.links {
 		l.drop("stopping")
 	}
+	for conn := range t.accepted {
+		_ = conn.CloseWithError(0, "stopping") // the peer learns by timeout otherwise
+	}
 	t.mu.Unlock()
 	err := t.quic.Close()
 	return errors.Join(err, t.quic.Conn.Close())
@@ -199,6 +206,8 @@
 		_ = conn.CloseWithError(1, err.Error()) // the peer learns by timeout otherwise
 		return
 	}
+	t.keep(conn, true)
+	defer t.keep(conn, false)
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
@@ -208,6 +217,16 @@
 	}
 }
 
+func (t *Transport) keep(conn *quic.Conn, open bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if open {
+		t.accepted[conn] = true
+		return
+	}
+	delete(t.accepted, conn)
+}
+
 func (t *Transport) serveStream(ctx context.Context, from ids.HostID, stream *quic.Stream) {
 	defer func() { _ = stream.Close() }() // the peer reads to the end or times out
 	ctx, cancel := context.WithTimeout(ctx, dataTimeout)
--- a/verbenad/internal/tlsfiles/files.go
+++ b/verbenad/internal/tlsfiles/files.go
@@ -3,6 +3,7 @@
 package tlsfiles
 
 import (
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -10,6 +11,8 @@
 	"os"
 	"sync"
 
+	"github.com/quic-go/quic-go"
+
 	"verbenaledge.example/verbena/ids"
 )
 
@@ -30,6 +33,7 @@
 	certificate *tls.Certificate
 	authorities *x509.CertPool
 	raw         string
+	key         string
 }
 
 // Open reads the files.
@@ -72,10 +76,18 @@
 	defer f.mu.Unlock()
 	raw := string(cert) + string(ca)
 	changed = f.raw != "" && f.raw != raw
-	f.certificate, f.authorities, f.raw = &pair, pool, raw
+	f.certificate, f.authorities, f.raw, f.key = &pair, pool, raw, string(key)
 	return changed, nil
 }
 
+// ResetKey returns a secret that stays the same as long as the host's key does.
+func (f *Files) ResetKey() *quic.StatelessResetKey {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	key := quic.StatelessResetKey(sha256.Sum256([]byte("reset\x00" + f.key)))
+	return &key
+}
+
 // Server returns the configuration for accepting daemons.
 func (f *Files) Server() *tls.Config {
 	return &tls.Config{
