--- /dev/null
+++ b/verbena/lease/lease_test.go
@@ -0,0 +1,143 @@
+package lease_test
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/lease"
+)
+
+var (
+	start  = time.UnixMicro(1)
+	timing = lease.Timing{Duration: 6 * time.Second, Margin: 500 * time.Millisecond, Renew: 1500 * time.Millisecond}
+)
+
+// TestScripts runs the files in testdata: a line for each event, then lines that
+// begin with > for the commands that must follow.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	qt.Assert(t, err, qt.IsNil)
+	for _, name := range files {
+		t.Run(filepath.Base(name), func(t *testing.T) { runScript(t, name) })
+	}
+}
+
+func runScript(t *testing.T, name string) {
+	f, err := os.Open(name)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { qt.Check(t, f.Close(), qt.IsNil) }()
+	h := lease.NewHolder(timing)
+	var got []string
+	lines := bufio.NewScanner(f)
+	for n := 1; lines.Scan(); n++ {
+		line := strings.TrimSpace(lines.Text())
+		want, isCommand := strings.CutPrefix(line, "> ")
+		switch {
+		case line == "" || strings.HasPrefix(line, "#"):
+		case isCommand:
+			qt.Assert(t, got, qt.Not(qt.HasLen), 0, qt.Commentf("line %d: nothing follows, want %s", n, want))
+			qt.Assert(t, got[0], qt.Equals, want, qt.Commentf("line %d", n))
+			got = got[1:]
+		default:
+			qt.Assert(t, got, qt.HasLen, 0, qt.Commentf("line %d", n))
+			got = step(t, h, strings.Fields(line))
+		}
+	}
+	qt.Assert(t, got, qt.HasLen, 0)
+}
+
+func step(t *testing.T, h *lease.Holder, words []string) (got []string) {
+	at := moment(t, words[0])
+	var e lease.Event
+	switch words[1] {
+	case "tick":
+		e = lease.Tick{}
+	case "written":
+		e = lease.Written{Term: 1, Version: 7, Sent: moment(t, words[2])}
+	case "failed":
+		e = lease.WriteFailed{Term: 1}
+	case "lost":
+		e = lease.WriteFailed{Term: 1, Lost: true}
+	case "release":
+		e = lease.Release{}
+	case "valid":
+		return []string{fmt.Sprint(h.Valid(at))}
+	}
+	for _, c := range h.Step(at, e) {
+		got = append(got, strings.TrimPrefix(fmt.Sprintf("%T", c), "lease."))
+	}
+	return got
+}
+
+func moment(t *testing.T, text string) time.Time {
+	d, err := time.ParseDuration(text)
+	qt.Assert(t, err, qt.IsNil)
+	return start.Add(d)
+}
+
+// TestOneHolder lets a host and monitors race through a platform that delays and
+// loses: when a monitor has broken the lease, its holder acts no more.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		now := start
+		h := lease.NewHolder(timing)
+		m := lease.NewMonitor(timing.Duration)
+		version := ids.Version(0)
+		term := ids.Term(0)
+		broken := false
+		for range rapid.IntRange(10, 200).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 20, 700, 2500, 9000}).Draw(rt, "pause")) * time.Millisecond)
+			for _, cmd := range h.Step(now, lease.Tick{}) {
+				sent := now
+				now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 50, 4000}).Draw(rt, "way")) * time.Millisecond)
+				h.Step(now, write(rt, cmd, sent, &version, &term, &broken))
+			}
+			if rapid.Bool().Draw(rt, "monitor looks") && version > 0 && !broken {
+				seen := []lease.Seen{{ID: lease.ID{Host: "h", Term: term}, Version: version}}
+				asked := now
+				answered := now.Add(time.Duration(rapid.SampledFrom([]int{0, 300}).Draw(rt, "listing")) * time.Millisecond)
+				for _, x := range m.Observe(asked, answered, seen) {
+					if x.Version == version {
+						broken = true
+					}
+				}
+			}
+			if broken && h.Valid(now) && h.Term() == term {
+				rt.Fatalf("the holder acts at %s though its lease is broken", now.Sub(start))
+			}
+		}
+	})
+}
+
+// write is the platform: it stores at some time between the call and the answer.
+func write(rt *rapid.T, cmd lease.Command, sent time.Time, version *ids.Version, term *ids.Term, broken *bool) lease.Event {
+	lost := rapid.IntRange(0, 3).Draw(rt, "answer lost") == 0
+	switch c := cmd.(type) {
+	case lease.Create:
+		*version++
+		*term, *broken = c.Term, false
+		if lost {
+			return lease.WriteFailed{Term: c.Term}
+		}
+		return lease.Written{Term: c.Term, Version: *version, Sent: sent}
+	case lease.Renew:
+		if *broken || c.Term != *term {
+			return lease.WriteFailed{Term: c.Term, Lost: true}
+		}
+		*version++
+		if lost {
+			return lease.WriteFailed{Term: c.Term}
+		}
+		return lease.Written{Term: c.Term, Version: *version, Sent: sent}
+	}
+	return lease.Tick{}
+}
--- a/verbena/rules/parse.go
+++ b/verbena/rules/parse.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -41,8 +43,8 @@
 	rules  *Rules
 	line   int
 	faults []error
-	// allowLines and openLines remember where a rule stood, for faults found at the end.
-	allowLines []reference
+	// references remember where a service was named, for faults found at the end.
+	references []reference
 }
 
 type reference struct {
@@ -87,7 +89,8 @@
 		return
 	}
 	s := Service{Name: ids.ServiceName(name), AskedBy: asked}
-	for k, v := range opts {
+	for _, k := range slices.Sorted(maps.Keys(opts)) {
+		v := opts[k]
 		switch k {
 		case "kind":
 			s.Kind = Kind(v)
@@ -133,7 +136,7 @@
 		return
 	}
 	p.rules.allows[k] = a
-	p.allowLines = append(p.allowLines, reference{p.line, a.Service})
+	p.references = append(p.references, reference{p.line, a.Service})
 }
 
 func (p *parser) parseOpen(fields []string, asked string) {
@@ -149,7 +152,7 @@
 		return
 	}
 	p.rules.Opens[o.Service] = o
-	p.allowLines = append(p.allowLines, reference{p.line, o.Service})
+	p.references = append(p.references, reference{p.line, o.Service})
 }
 
 // head reads a name and the options that follow it.
@@ -176,17 +179,17 @@
 
 func (p *parser) limit(opts map[string]string) Limit {
 	rate, hasUnit := strings.CutSuffix(opts["rate"], "/s")
+	burst := opts["burst"]
+	delete(opts, "rate")
+	delete(opts, "burst")
 	if !hasUnit {
 		p.fail("rate must be given in requests a second, as in rate=40/s")
 		return Limit{}
 	}
-	l := Limit{
+	return Limit{
 		RatePerSecond: p.number("rate", rate, 0.001, 1e6),
-		Burst:         p.number("burst", opts["burst"], 1, 1e6),
+		Burst:         p.number("burst", burst, 1, 1e6),
 	}
-	delete(opts, "rate")
-	delete(opts, "burst")
-	return l
 }
 
 func (p *parser) number(name, text string, low, high float64) float64 {
@@ -206,13 +209,13 @@
 }
 
 func (p *parser) noMore(opts map[string]string) {
-	for k := range opts {
+	for _, k := range slices.Sorted(maps.Keys(opts)) {
 		p.fail("unknown option %q", k)
 	}
 }
 
 func (p *parser) checkReferences() {
-	for _, ref := range p.allowLines {
+	for _, ref := range p.references {
 		if _, ok := p.rules.Services[ref.service]; !ok {
 			p.line = ref.line
 			p.fail("service %s is not declared", ref.service)
--- a/verbenalab/internal/fleet/batch_test.go
+++ b/verbenalab/internal/fleet/batch_test.go
@@ -25,16 +25,16 @@
 	}{
 		{"accepted", 0}, {"first", 1}, {"half", n / 2}, {"late", n - 40},
 	} {
-		b := r.submit("archive", tc.name, n, 16)
+		b := r.submit(tc.name, n, 16)
 		if tc.at > 0 {
-			r.eventually(jobLimit, "progress", func() bool { return r.progress("archive", b) >= tc.at })
+			r.eventually(jobLimit, "progress", func() bool { return r.progress(b) >= tc.at })
 		}
 		owner := r.Hosts[0]
-		if p := r.progress("archive", b); p < n {
+		if p := r.progress(b); p < n {
 			owner = r.ownerOf(b)
 		}
 		owner.Kill()
-		r.finish("archive", b, tc.name, n, jobLimit)
+		r.finish(b, tc.name, n, jobLimit)
 		r.Assert(r.StartHost(owner), qt.IsNil)
 		r.Assert(r.WaitReady(), qt.IsNil)
 		t.Logf("killed at %s: each of %d items once", tc.name, n)
@@ -67,7 +67,7 @@
 	for _, b := range jobs {
 		r.Assert(b.ID, qt.Equals, first.ID)
 	}
-	r.finish("archive", first, "resent", n, jobLimit)
+	r.finish(first, "resent", n, jobLimit)
 }
 
 // TestBatchOwnerFrozen freezes the owner past its lease, lets a successor finish
@@ -76,16 +76,16 @@
 	t.Parallel()
 	r := newRig(t)
 	const n = 600
-	b := r.submit("archive", "frozen", n, 24)
-	r.eventually(jobLimit, "progress", func() bool { return r.progress("archive", b) >= n/10 })
+	b := r.submit("frozen", n, 24)
+	r.eventually(jobLimit, "progress", func() bool { return r.progress(b) >= n/10 })
 	owner := r.ownerOf(b)
 	owner.Freeze()
-	r.finish("archive", b, "frozen", n, jobLimit)
+	r.finish(b, "frozen", n, jobLimit)
 	owner.Thaw()
 	time.Sleep(3 * time.Second)
 	done, err := r.caller.Show(r.ctx, r.keys["archive"], b.ID)
 	r.Assert(err, qt.IsNil)
-	r.checkOutput("archive", done, "frozen", n)
+	r.checkOutput(done, "frozen", n)
 }
 
 // TestBatchPlatformDown takes the platform away in mid-job for longer than a lease
@@ -95,12 +95,12 @@
 	r := newRig(t)
 	const n = 800
 	r.Assert(r.SetFaults(platform.Faults{LoseAnswers: 5}), qt.IsNil)
-	b := r.submit("archive", "outage", n, 24)
-	r.eventually(jobLimit, "progress", func() bool { return r.progress("archive", b) >= n/10 })
+	b := r.submit("outage", n, 24)
+	r.eventually(jobLimit, "progress", func() bool { return r.progress(b) >= n/10 })
 	r.Assert(r.SetFaults(platform.Faults{Down: true}), qt.IsNil)
 	time.Sleep(6 * time.Second)
 	r.Assert(r.SetFaults(platform.Faults{LoseAnswers: 20}), qt.IsNil)
-	r.finish("archive", b, "outage", n, jobLimit)
+	r.finish(b, "outage", n, jobLimit)
 }
 
 // TestBatchAllDaemonsReplaced reads results back after every daemon has been
@@ -109,8 +109,8 @@
 	t.Parallel()
 	r := newRig(t)
 	const n = 100
-	b := r.submit("archive", "kept", n, 8)
-	r.finish("archive", b, "kept", n, jobLimit)
+	b := r.submit("kept", n, 8)
+	r.finish(b, "kept", n, jobLimit)
 	for _, h := range r.Hosts {
 		h.Kill()
 	}
@@ -120,7 +120,7 @@
 	r.Assert(r.WaitReady(), qt.IsNil)
 	done, err := r.caller.Show(r.ctx, r.keys["archive"], b.ID)
 	r.Assert(err, qt.IsNil)
-	r.checkOutput("archive", done, "kept", n)
+	r.checkOutput(done, "kept", n)
 }
 
 // TestBatchCancelled cancels a job in mid-run, also with its owner cut off from its
@@ -131,8 +131,8 @@
 	r := newRig(t, relays)
 	for _, cut := range []bool{false, true} {
 		name := map[bool]string{false: "plain", true: "cut"}[cut]
-		b := r.submit("archive", name, 3000, 24)
-		r.eventually(jobLimit, "progress", func() bool { return r.progress("archive", b) > 50 })
+		b := r.submit(name, 3000, 24)
+		r.eventually(jobLimit, "progress", func() bool { return r.progress(b) > 50 })
 		owner := r.ownerOf(b)
 		if cut {
 			r.CutPeers(owner, true)
--- a/verbenalab/internal/fleet/change_test.go
+++ b/verbenalab/internal/fleet/change_test.go
@@ -99,9 +99,9 @@
 	t.Parallel()
 	r := newRig(t, shortDrain)
 	const n = 900
-	b := r.submit("archive", "rolling", n, 24)
+	b := r.submit("rolling", n, 24)
 	r.rollingRestart()
-	r.finish("archive", b, "rolling", n, jobLimit)
+	r.finish(b, "rolling", n, jobLimit)
 	again := 0
 	for id, times := range r.itemRuns(b) {
 		if times > 1 {
@@ -254,8 +254,8 @@
 	t.Parallel()
 	r := newRig(t)
 	const n = 1500
-	b := r.submit("archive", "beside", n, 64)
-	r.eventually(jobLimit, "progress", func() bool { return r.progress("archive", b) > 50 })
+	b := r.submit("beside", n, 64)
+	r.eventually(jobLimit, "progress", func() bool { return r.progress(b) > 50 })
 	var c collect
 	for i := range 60 {
 		c.add(func() load.Answer { return r.ask(nil, "museum", fmt.Sprint("fair day ", i)) })
@@ -270,5 +270,5 @@
 	first := tally.Summary().First
 	t.Logf("first token within %s for 95 in 100", first.P95)
 	r.Assert(first.P95 <= 1900*time.Millisecond, qt.IsTrue)
-	r.finish("archive", b, "beside", n, jobLimit)
+	r.finish(b, "beside", n, jobLimit)
 }
--- a/verbenalab/internal/fleet/keys_test.go
+++ b/verbenalab/internal/fleet/keys_test.go
@@ -87,8 +87,8 @@
 	r.Assert(send("GET", "/services/ledger/entries?key="+key, "", nil), qt.Equals, 400)
 	r.Assert(send("POST", "/services/ledger/entries", "sack 1", map[string]string{"Cookie": "key=" + key}), qt.Equals, 400)
 	r.Assert(send("POST", "/services/ledger/entries", "sack 1", map[string]string{"X-Api-Key": key}), qt.Equals, 400)
-	b := r.submit("archive", "keys", 20, 4)
-	r.finish("archive", b, "keys", 20, jobLimit)
+	b := r.submit("keys", 20, 4)
+	r.finish(b, "keys", 20, jobLimit)
 	r.checkTruth(nil)
 	r.noKeyInFiles()
 }
@@ -97,8 +97,8 @@
 func TestWorkspacesApart(t *testing.T) {
 	t.Parallel()
 	r := newRig(t)
-	b := r.submit("archive", "apart", 5, 4)
-	r.finish("archive", b, "apart", 5, jobLimit)
+	b := r.submit("apart", 5, 4)
+	r.finish(b, "apart", 5, jobLimit)
 	get := func(path, key string) int {
 		req, err := http.NewRequest(http.MethodGet, "http://"+r.Hosts[1].Caller+path, nil)
 		r.Assert(err, qt.IsNil)
--- a/verbenalab/internal/fleet/once_test.go
+++ b/verbenalab/internal/fleet/once_test.go
@@ -189,7 +189,7 @@
 		}
 	}
 	r.behave(service.Behaviour{WrongIDs: 1})
-	var answers []load.Answer
+	answers := make([]load.Answer, 0, 12)
 	for i := range 12 {
 		answers = append(answers, r.ask(r.Hosts[i%3], "archive", "crossed?"))
 	}
--- a/verbenalab/internal/fleet/rate_test.go
+++ b/verbenalab/internal/fleet/rate_test.go
@@ -46,8 +46,7 @@
 	r := newRig(t, daemons(5), relays)
 	stop := time.Now().Add(22 * time.Second)
 	var c collect
-	var upset []func()
-	for _, f := range []func(){
+	upset := []func(){
 		func() { r.Hosts[0].Freeze() },
 		func() { r.Hosts[0].Thaw() },
 		func() { r.Hosts[1].Kill() },
@@ -56,8 +55,6 @@
 		func() { r.CutPeers(r.Hosts[2], false) },
 		func() { r.Check(r.SetFaults(platform.Faults{Down: true}), qt.IsNil) },
 		func() { r.Check(r.SetFaults(platform.Faults{}), qt.IsNil) },
-	} {
-		upset = append(upset, f)
 	}
 	next := time.Now().Add(2 * time.Second)
 	for n := 0; time.Now().Before(stop); n++ {
--- a/verbenalab/internal/fleet/rig_test.go
+++ b/verbenalab/internal/fleet/rig_test.go
@@ -22,6 +22,8 @@
 	programs = "../../../bin"
 	model    = "model"
 	plain    = "ledger"
+	// batchSpace is the workspace whose batches the tests run.
+	batchSpace = "archive"
 )
 
 const rulesText = `service model kind=model    # asked by the tests
@@ -164,26 +166,26 @@
 }
 
 // submit uploads a file and makes a job of it.
-func (r *rig) submit(workspace, name string, n, tokens int) load.Batch {
-	file, err := r.caller.Upload(r.ctx, r.keys[workspace], items(name, n, tokens))
+func (r *rig) submit(name string, n, tokens int) load.Batch {
+	file, err := r.caller.Upload(r.ctx, r.keys[batchSpace], items(name, n, tokens))
 	r.Assert(err, qt.IsNil)
-	b, err := r.caller.Submit(r.ctx, r.keys[workspace], file, name, "10m")
+	b, err := r.caller.Submit(r.ctx, r.keys[batchSpace], file, name, "10m")
 	r.Assert(err, qt.IsNil)
 	return b
 }
 
 // finish waits for a job's end and checks that each item is in the results once.
-func (r *rig) finish(workspace string, b load.Batch, name string, n int, within time.Duration) {
+func (r *rig) finish(b load.Batch, name string, n int, within time.Duration) {
 	ctx, cancel := context.WithTimeout(r.ctx, within)
 	defer cancel()
-	done, err := r.caller.Await(ctx, r.keys[workspace], b.ID)
+	done, err := r.caller.Await(ctx, r.keys[batchSpace], b.ID)
 	r.Assert(err, qt.IsNil, qt.Commentf("%d of %d items", done.Counts.Completed, n))
 	r.Assert(done.Status, qt.Equals, "completed")
-	r.checkOutput(workspace, done, name, n)
+	r.checkOutput(done, name, n)
 }
 
-func (r *rig) checkOutput(workspace string, done load.Batch, name string, n int) {
-	lines, err := r.caller.Output(r.ctx, r.keys[workspace], done.OutputFileID)
+func (r *rig) checkOutput(done load.Batch, name string, n int) {
+	lines, err := r.caller.Output(r.ctx, r.keys[batchSpace], done.OutputFileID)
 	r.Assert(err, qt.IsNil)
 	seen := map[string]int{}
 	for _, l := range lines {
@@ -205,8 +207,8 @@
 	r.Assert(doubled, qt.Equals, 0)
 }
 
-func (r *rig) progress(workspace string, b load.Batch) int {
-	now, err := r.caller.Show(r.ctx, r.keys[workspace], b.ID)
+func (r *rig) progress(b load.Batch) int {
+	now, err := r.caller.Show(r.ctx, r.keys[batchSpace], b.ID)
 	r.Assert(err, qt.IsNil)
 	return now.Counts.Completed
 }
