--- a/verbena/lease/lease_test.go
+++ b/verbena/lease/lease_test.go
@@ -96,21 +96,19 @@
 		broken := false
 		for range rapid.IntRange(10, 200).Draw(rt, "steps") {
 			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 20, 700, 2500, 9000}).Draw(rt, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(rt, "holder is paused") {
+				look(rt, m, &now, version, term, &broken)
+				if broken && h.Valid(now) && h.Term() == term {
+					rt.Fatalf("the holder acts at %s though its lease is broken", now.Sub(start))
+				}
+				continue
+			}
 			for _, cmd := range h.Step(now, lease.Tick{}) {
 				sent := now
 				now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 50, 4000}).Draw(rt, "way")) * time.Millisecond)
 				h.Step(now, write(rt, cmd, sent, &version, &term, &broken))
 			}
-			if rapid.Bool().Draw(rt, "monitor looks") && version > 0 && !broken {
-				seen := []lease.Seen{{ID: lease.ID{Host: "h", Term: term}, Version: version}}
-				asked := now
-				answered := now.Add(time.Duration(rapid.SampledFrom([]int{0, 300}).Draw(rt, "listing")) * time.Millisecond)
-				for _, x := range m.Observe(asked, answered, seen) {
-					if x.Version == version {
-						broken = true
-					}
-				}
-			}
+			look(rt, m, &now, version, term, &broken)
 			if broken && h.Valid(now) && h.Term() == term {
 				rt.Fatalf("the holder acts at %s though its lease is broken", now.Sub(start))
 			}
@@ -118,6 +116,17 @@
 	})
 }
 
+// look lets a monitor list the leases and break one that has ended.
+func look(rt *rapid.T, m *lease.Monitor, now *time.Time, version ids.Version, term ids.Term, broken *bool) {
+	if version == 0 || *broken || rapid.Bool().Draw(rt, "monitor is busy") {
+		return
+	}
+	asked := *now
+	*now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 300}).Draw(rt, "listing")) * time.Millisecond)
+	seen := []lease.Seen{{ID: lease.ID{Host: "h", Term: term}, Version: version}}
+	*broken = len(m.Observe(asked, *now, seen)) > 0
+}
+
 // write is the platform: it stores at some time between the call and the answer.
 func write(rt *rapid.T, cmd lease.Command, sent time.Time, version *ids.Version, term *ids.Term, broken *bool) lease.Event {
 	lost := rapid.IntRange(0, 3).Draw(rt, "answer lost") == 0
--- a/verbenalab/internal/fleet/batch_test.go
+++ b/verbenalab/internal/fleet/batch_test.go
@@ -34,7 +34,7 @@
 			owner = r.ownerOf(b)
 		}
 		owner.Kill()
-		r.finish(b, tc.name, n, jobLimit)
+		r.finish(b, tc.name, n)
 		r.Assert(r.StartHost(owner), qt.IsNil)
 		r.Assert(r.WaitReady(), qt.IsNil)
 		t.Logf("killed at %s: each of %d items once", tc.name, n)
@@ -67,7 +67,7 @@
 	for _, b := range jobs {
 		r.Assert(b.ID, qt.Equals, first.ID)
 	}
-	r.finish(first, "resent", n, jobLimit)
+	r.finish(first, "resent", n)
 }
 
 // TestBatchOwnerFrozen freezes the owner past its lease, lets a successor finish
@@ -80,7 +80,7 @@
 	r.eventually(jobLimit, "progress", func() bool { return r.progress(b) >= n/10 })
 	owner := r.ownerOf(b)
 	owner.Freeze()
-	r.finish(b, "frozen", n, jobLimit)
+	r.finish(b, "frozen", n)
 	owner.Thaw()
 	time.Sleep(3 * time.Second)
 	done, err := r.caller.Show(r.ctx, r.keys["archive"], b.ID)
@@ -100,7 +100,7 @@
 	r.Assert(r.SetFaults(platform.Faults{Down: true}), qt.IsNil)
 	time.Sleep(6 * time.Second)
 	r.Assert(r.SetFaults(platform.Faults{LoseAnswers: 20}), qt.IsNil)
-	r.finish(b, "outage", n, jobLimit)
+	r.finish(b, "outage", n)
 }
 
 // TestBatchAllDaemonsReplaced reads results back after every daemon has been
@@ -110,7 +110,7 @@
 	r := newRig(t)
 	const n = 100
 	b := r.submit("kept", n, 8)
-	r.finish(b, "kept", n, jobLimit)
+	r.finish(b, "kept", n)
 	for _, h := range r.Hosts {
 		h.Kill()
 	}
--- a/verbenalab/internal/fleet/change_test.go
+++ b/verbenalab/internal/fleet/change_test.go
@@ -101,7 +101,7 @@
 	const n = 900
 	b := r.submit("rolling", n, 24)
 	r.rollingRestart()
-	r.finish(b, "rolling", n, jobLimit)
+	r.finish(b, "rolling", n)
 	again := 0
 	for id, times := range r.itemRuns(b) {
 		if times > 1 {
@@ -270,5 +270,5 @@
 	first := tally.Summary().First
 	t.Logf("first token within %s for 95 in 100", first.P95)
 	r.Assert(first.P95 <= 1900*time.Millisecond, qt.IsTrue)
-	r.finish(b, "beside", n, jobLimit)
+	r.finish(b, "beside", n)
 }
--- a/verbenalab/internal/fleet/keys_test.go
+++ b/verbenalab/internal/fleet/keys_test.go
@@ -88,7 +88,7 @@
 	r.Assert(send("POST", "/services/ledger/entries", "sack 1", map[string]string{"Cookie": "key=" + key}), qt.Equals, 400)
 	r.Assert(send("POST", "/services/ledger/entries", "sack 1", map[string]string{"X-Api-Key": key}), qt.Equals, 400)
 	b := r.submit("keys", 20, 4)
-	r.finish(b, "keys", 20, jobLimit)
+	r.finish(b, "keys", 20)
 	r.checkTruth(nil)
 	r.noKeyInFiles()
 }
@@ -98,7 +98,7 @@
 	t.Parallel()
 	r := newRig(t)
 	b := r.submit("apart", 5, 4)
-	r.finish(b, "apart", 5, jobLimit)
+	r.finish(b, "apart", 5)
 	get := func(path, key string) int {
 		req, err := http.NewRequest(http.MethodGet, "http://"+r.Hosts[1].Caller+path, nil)
 		r.Assert(err, qt.IsNil)
--- a/verbenalab/internal/fleet/rig_test.go
+++ b/verbenalab/internal/fleet/rig_test.go
@@ -175,8 +175,8 @@
 }
 
 // finish waits for a job's end and checks that each item is in the results once.
-func (r *rig) finish(b load.Batch, name string, n int, within time.Duration) {
-	ctx, cancel := context.WithTimeout(r.ctx, within)
+func (r *rig) finish(b load.Batch, name string, n int) {
+	ctx, cancel := context.WithTimeout(r.ctx, jobLimit)
 	defer cancel()
 	done, err := r.caller.Await(ctx, r.keys[batchSpace], b.ID)
 	r.Assert(err, qt.IsNil, qt.Commentf("%d of %d items", done.Counts.Completed, n))
