feat: owners go on through a platform outage on promises of their guards

Cause: leases lapsed 6 s after the platform had gone, and with them rates and batch on every host. Changed: a lease names two guards in other availability zones; only they may break it, others once no guard has had a lease for longer than a promise lasts. While the platform is away an owner acts on fresh promises of all its guards. A guard promises only while it can't reach the platform either, may act itself and has not broken the lease. A lease that has lapsed is never revived by a promise. Before: owners stop after 6 s (DefaultConfig). After: TestOutageIsBridged holds all shards for 300 s of outage, and a host that alone is cut off is succeeded. Seen to fail without their mechanism: reviving a lapsed lease, taking shards back whose hand-over got no answer.

--- a/verbena/core/command.go
+++ b/verbena/core/command.go
@@ -69,6 +69,9 @@
 // ListLeases lists the leases of all hosts.
 type ListLeases struct{}
 
+// ReadLease reads the guards that a lease names, if it still has the version seen.
+type ReadLease struct{ Lease lease.Seen }
+
 // BreakLease deletes a lease that has ended, if it hasn't been renewed meanwhile.
 type BreakLease struct{ Lease lease.Seen }
 
@@ -154,6 +157,7 @@
 func (WriteLease) isCommand()     {}
 func (ListLeases) isCommand()     {}
 func (BreakLease) isCommand()     {}
+func (ReadLease) isCommand()      {}
 func (WriteShards) isCommand()    {}
 func (Publish) isCommand()        {}
 func (Record) isCommand()         {}
--- a/verbena/core/core.go
+++ b/verbena/core/core.go
@@ -3,6 +3,7 @@
 package core
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -34,8 +35,12 @@
 	rules   *rules.Rules
 	keys    *keys.Table
 	peers   map[ids.HostID]string
-	backlog map[CallID]pending
-	lastID  uint64
+	// near are the hosts to gossip with; watches and monitors are this host's parts.
+	near     []ids.HostID
+	watches  bool
+	monitors bool
+	backlog  map[CallID]pending
+	lastID   uint64
 
 	holder      *lease.Holder
 	monitor     *lease.Monitor
@@ -45,6 +50,9 @@
 	// handed is what former owners of shards have left behind.
 	handed   map[ids.ShardID]*peer.Handover
 	platform platformView
+	guard    guarding
+	// zones are the availability zones of entry hosts.
+	zones map[ids.HostID]ids.ZoneID
 	// listing and writing are true while a call to the platform is under way.
 	listing  bool
 	writing  bool
@@ -98,12 +106,13 @@
 		contact:     gossip.NewContact(c.Isolation, now),
 		rules:       rules.Empty(),
 		keys:        keys.Empty(),
-		peers:       map[ids.HostID]string{},
 		backlog:     map[CallID]pending{},
 		holder:      lease.NewHolder(c.Lease),
 		monitor:     lease.NewMonitor(c.Lease.Duration),
 		owned:       map[ids.ShardID]tenure{},
 		surrendered: map[ids.ShardID]ids.Epoch{},
+		guard:       newGuarding(),
+		zones:       map[ids.HostID]ids.ZoneID{},
 		handed:      map[ids.ShardID]*peer.Handover{},
 		ledger:      quota.NewLedger(c.Quota),
 		spender:     quota.NewSpender(c.Host, c.QuotaPatience),
@@ -115,12 +124,8 @@
 		notices:     map[ids.BackendID]*noticing{},
 		queue:       batch.NewQueue(c.ItemAttempts, c.ItemTimeout),
 	}
-	for h, a := range c.Seeds {
-		if h != c.Host {
-			r.peers[h] = a
-		}
-	}
-	r.contact.SetPeers(r.neighbours(), now)
+	r.now = now
+	r.setPeers(maps.Clone(c.Seeds))
 	return r
 }
 
@@ -148,7 +153,7 @@
 		c.peerFailed(e)
 	case ConfigRead, PlatformFailed, HostsRead:
 		c.stepPlatform(e)
-	case LeaseWritten, LeaseFailed, LeasesListed, LeaseBreakEnded, ShardsWritten, ShardReady, ShardClosed:
+	case LeaseWritten, LeaseFailed, LeasesListed, LeaseRead, LeaseBreakEnded, ShardsWritten, ShardReady, ShardClosed:
 		c.stepOwnership(e)
 	case Batch:
 		c.stepBatch(e.Event, 0)
@@ -164,6 +169,13 @@
 	return c.queue.Jobs()
 }
 
+// Holds tells whether the host may act as the owner of a shard at a time, and
+// under which epoch.
+func (c *Core) Holds(now time.Time, s ids.ShardID) (e ids.Epoch, ok bool) {
+	t, held := c.owned[s]
+	return t.epoch, held && c.holder.Valid(now)
+}
+
 // Sizes counts what the state holds, for metrics.
 type Sizes struct {
 	Buckets   int
--- a/verbena/core/event.go
+++ b/verbena/core/event.go
@@ -131,6 +131,15 @@
 type LeaseBreakEnded struct {
 	Lease lease.Seen
 	OK    bool
+	// Settled is false when the platform gave no answer, so that the deletion may
+	// still take effect.
+	Settled bool
+}
+
+// LeaseRead brings the guards that a lease names at the version seen.
+type LeaseRead struct {
+	Lease  lease.Seen
+	Guards []ids.HostID
 }
 
 // ShardsWritten says how a write of the shard map ended.
@@ -176,6 +185,7 @@
 func (LeaseFailed) isEvent()     {}
 func (LeasesListed) isEvent()    {}
 func (LeaseBreakEnded) isEvent() {}
+func (LeaseRead) isEvent()       {}
 func (ShardsWritten) isEvent()   {}
 func (ShardReady) isEvent()      {}
 func (ShardClosed) isEvent()     {}
--- a/verbena/core/gossip.go
+++ b/verbena/core/gossip.go
@@ -22,6 +22,18 @@
 // degree is how many neighbours a host gossips with, whatever the fleet's size.
 const degree = 8
 
+// setPeers takes the known hosts, and works out what depends on them: the hosts to
+// gossip with, and whether this one watches the platform and the leases for all.
+func (c *Core) setPeers(peers map[ids.HostID]string) {
+	delete(peers, c.config.Host)
+	c.peers = peers
+	c.near = c.neighbours()
+	c.watches = c.rank("watcher") < c.config.Watchers
+	c.monitors = c.rank("monitor") < leaseMonitors
+	c.contact.SetPeers(c.near, c.now)
+	c.dirty = true
+}
+
 // neighbours are the hosts that this one gossips with: all in a small fleet, in
 // a large one those with the highest score for this host, which form a random graph.
 func (c *Core) neighbours() []ids.HostID {
@@ -36,12 +48,23 @@
 	return list[:degree]
 }
 
+// rank is how many known hosts come before this one for a part.
+func (c *Core) rank(part string) (above int) {
+	own := shard.Score(part, c.config.Host)
+	for h := range c.peers {
+		if shard.Score(part, h) > own {
+			above++
+		}
+	}
+	return above
+}
+
 func (c *Core) tickGossip() {
 	if c.now.Sub(c.gossiped) < c.config.Gossip {
 		return
 	}
 	c.gossiped = c.now
-	for _, h := range c.neighbours() {
+	for _, h := range c.near {
 		c.call(h, c.greeting(nil), nil)
 	}
 }
@@ -87,7 +110,7 @@
 	if len(news) == 0 {
 		return
 	}
-	for _, h := range c.neighbours() {
+	for _, h := range c.near {
 		c.call(h, c.greeting(news), nil)
 	}
 }
@@ -152,11 +175,10 @@
 	for _, s := range servers {
 		if s.Role == backend.RoleEntry {
 			peers[ids.HostID(s.ID)] = s.Address
+			c.zones[ids.HostID(s.ID)] = s.Zone
 		}
 	}
-	delete(peers, c.config.Host)
-	c.peers = peers
-	c.contact.SetPeers(c.neighbours(), c.now)
+	c.setPeers(peers)
 	return nil
 }
 
--- a/verbena/core/ownership.go
+++ b/verbena/core/ownership.go
@@ -16,9 +16,10 @@
 
 // tickOwnership renews the host's lease and looks at those of others.
 func (c *Core) tickOwnership() {
-	c.runLease(c.holder.Step(c.now, lease.Tick{}))
+	c.runLease(c.holder.Step(c.now, lease.Tick{Guards: c.chooseGuards()}))
 	c.dropLapsed()
-	if c.listing || c.now.Before(c.nextList) || !c.isMonitor() || c.draining {
+	c.tickGuards()
+	if c.listing || c.now.Before(c.nextList) || (!c.monitors && !c.isGuard()) || c.draining {
 		return
 	}
 	c.listing = true
@@ -54,11 +55,10 @@
 		c.runLease(c.holder.Step(c.now, e.Failed))
 	case LeasesListed:
 		c.leasesListed(e)
+	case LeaseRead:
+		c.leaseRead(e)
 	case LeaseBreakEnded:
-		if e.OK {
-			c.nextList = c.now
-			c.record(timeline.Event{Kind: timeline.LeaseBroken, Detail: e.Lease.ID.ObjectName()})
-		}
+		c.leaseBreakEnded(e)
 	case ShardsWritten:
 		c.shardsWritten(e)
 	case ShardReady:
@@ -74,7 +74,7 @@
 	c.listing = false
 	c.platformAnswered(e.Asked)
 	for _, seen := range c.monitor.Observe(e.Asked, e.Answered, e.Leases) {
-		c.emit(BreakLease{seen})
+		c.emit(ReadLease{seen})
 	}
 	if e.Revision < c.docs.Version(gossip.Shards) || !c.platform.readOnce || c.writing || c.draining {
 		return
--- a/verbena/core/peers.go
+++ b/verbena/core/peers.go
@@ -27,6 +27,8 @@
 		c.emit(StopLocalItems{m.Job}, Reply{e.Ask, &peer.Ack{}})
 	case *peer.JobChanged:
 		c.emit(Reply{e.Ask, c.jobChanged(m)})
+	case *peer.PromiseAsk:
+		c.emit(Reply{e.Ask, c.promiseAsked(m)})
 	case *peer.Handover:
 		c.handed[m.Shard] = m
 		c.emit(Reply{e.Ask, &peer.Ack{}})
@@ -77,6 +79,10 @@
 		if a, ok := e.Message.(*peer.QuotaAnswer); ok {
 			c.spend(quota.Answered{Ask: sent.Ask, Answer: a.Answer, Sent: p.sent})
 		}
+	case *peer.PromiseAsk:
+		if r, ok := e.Message.(*peer.PromiseReply); ok {
+			c.promiseReplied(p, sent, r)
+		}
 	case *peer.Crashed:
 		if v, ok := e.Message.(*peer.Verdict); ok {
 			c.emit(Judged{Ticket: p.verdict.ticket, Verdict: v.Verdict, Known: true})
--- a/verbena/core/platform.go
+++ b/verbena/core/platform.go
@@ -6,7 +6,6 @@
 
 	"verbenaledge.example/verbena/gossip"
 	"verbenaledge.example/verbena/ids"
-	"verbenaledge.example/verbena/shard"
 	"verbenaledge.example/verbena/timeline"
 )
 
@@ -16,6 +15,8 @@
 	stalePatience = 2500 * time.Millisecond
 	// failurePause spaces tries while the platform gives no answer.
 	failurePause = time.Second
+	// leaseMonitors is how many hosts watch over all leases, besides guards.
+	leaseMonitors = 9
 	// readJitter spreads the reads of hosts that have all lost their news at once.
 	readJitter = time.Second
 )
@@ -35,21 +36,9 @@
 	staleMap bool
 }
 
-// watches tells whether this host is one of those that watch for all.
-func (c *Core) watches() bool {
-	own := shard.Score("watcher", c.config.Host)
-	above := 0
-	for h := range c.peers {
-		if shard.Score("watcher", h) > own {
-			above++
-		}
-	}
-	return above < c.config.Watchers
-}
-
 func (c *Core) tickPlatform() {
 	p := &c.platform
-	watcher := c.watches()
+	watcher := c.watches
 	stale := c.docs.Age(c.now) > stalePatience
 	if !p.reading && !c.now.Before(p.nextRead) && (watcher || stale || p.staleMap) {
 		p.reading = true
@@ -85,7 +74,7 @@
 	p.staleMap = false
 	p.revision = max(p.revision, e.Revision)
 	p.nextRead = c.now
-	if !c.watches() {
+	if !c.watches {
 		p.nextRead = c.now.Add(c.jitter(stalePatience))
 	}
 	c.dirty = true
@@ -129,22 +118,6 @@
 	return d + time.Duration(c.random.Int64N(int64(readJitter)))
 }
 
-// isMonitor tells whether this host is one of those that watch over leases.
-func (c *Core) isMonitor() bool {
-	const monitors = 9
-	if len(c.peers) < monitors {
-		return true
-	}
-	own := shard.Score("monitor", c.config.Host)
-	above := 0
-	for h := range c.peers {
-		if shard.Score("monitor", h) > own {
-			above++
-		}
-	}
-	return above < monitors
-}
-
 // ownedShards returns the shards held, in order.
 func (c *Core) ownedShards() []ids.ShardID {
 	list := make([]ids.ShardID, 0, len(c.owned))
--- a/verbena/core/publish.go
+++ b/verbena/core/publish.go
@@ -24,10 +24,7 @@
 		Draining: c.draining,
 		Shards:   c.shards,
 		Lease:    lease.ID{Host: c.config.Host, Term: c.holder.Term()},
-		ActUntil: c.holder.Deadline().Add(-c.config.Lease.Margin),
-	}
-	if c.holder.Term() == 0 {
-		next.ActUntil = c.holder.Deadline()
+		ActUntil: c.holder.ActUntil(),
 	}
 	next.Peers = maps.Clone(c.peers)
 	c.emit(Publish{&next})
--- a/verbena/core/traffic.go
+++ b/verbena/core/traffic.go
@@ -183,7 +183,7 @@
 	if !left {
 		return
 	}
-	for _, h := range c.neighbours() {
+	for _, h := range c.near {
 		c.call(h, c.greeting(nil), nil)
 	}
 }
--- a/verbena/gossip/contact.go
+++ b/verbena/gossip/contact.go
@@ -39,6 +39,12 @@
 	}
 }
 
+// Heard tells whether a peer has answered within a while.
+func (c *Contact) Heard(h ids.HostID, now time.Time, within time.Duration) bool {
+	at, known := c.heard[h]
+	return known && now.Sub(at) <= within
+}
+
 // HeardPlatform notes that the platform was read at the given time, here or at a peer.
 func (c *Contact) HeardPlatform(at time.Time) {
 	if at.After(c.platform) {
--- a/verbena/lease/command.go
+++ b/verbena/lease/command.go
@@ -11,8 +11,9 @@
 
 // Create asks to create the lease object of a new term.
 type Create struct {
-	Term ids.Term
-	Sent time.Time
+	Term   ids.Term
+	Sent   time.Time
+	Guards []ids.HostID
 }
 
 // Renew asks to update the lease object if it still has the expected version.
@@ -20,6 +21,7 @@
 	Term     ids.Term
 	Expected ids.Version
 	Sent     time.Time
+	Guards   []ids.HostID
 }
 
 // Remove asks to delete the lease object, so that successors need not wait.
--- a/verbena/lease/event.go
+++ b/verbena/lease/event.go
@@ -9,14 +9,23 @@
 // Event is what happens to a holder.
 type Event interface{ isEvent() }
 
-// Tick says that time has passed.
-type Tick struct{}
+// Tick says that time has passed, and which hosts the lease is to name as guards.
+type Tick struct{ Guards []ids.HostID }
+
+// Promised says that a guard won't break the lease before a time, counted from
+// before it was asked.
+type Promised struct {
+	Term  ids.Term
+	Guard ids.HostID
+	Until time.Time
+}
 
 // Written says that the platform has stored a lease that was sent at a time.
 type Written struct {
 	Term    ids.Term
 	Version ids.Version
 	Sent    time.Time
+	Guards  []ids.HostID
 }
 
 // WriteFailed says that a write did not succeed. Lost is true when the platform
@@ -30,6 +39,7 @@
 type Release struct{}
 
 func (Tick) isEvent()        {}
+func (Promised) isEvent()    {}
 func (Written) isEvent()     {}
 func (WriteFailed) isEvent() {}
 func (Release) isEvent()     {}
--- a/verbena/lease/holder.go
+++ b/verbena/lease/holder.go
@@ -2,6 +2,8 @@
 package lease
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"verbenaledge.example/verbena/ids"
@@ -24,22 +26,29 @@
 	deadline time.Time
 	inFlight bool
 	released bool
+	// guards are the hosts that the platform's copy of the lease may name: those of
+	// the last write that succeeded and of all that got no answer since.
+	guards map[ids.HostID]bool
+	// promised is until when each guard has promised not to break the lease.
+	promised map[ids.HostID]time.Time
 }
 
 // NewHolder returns a holder without a lease.
 func NewHolder(t Timing) *Holder {
-	return &Holder{timing: t}
+	return &Holder{timing: t, guards: map[ids.HostID]bool{}, promised: map[ids.HostID]time.Time{}}
 }
 
 // Step applies one event and returns the commands that follow from it.
 func (h *Holder) Step(now time.Time, e Event) (cmds []Command) {
 	switch e := e.(type) {
 	case Tick:
-		return h.tick(now)
+		return h.tick(now, e)
 	case Written:
 		return h.written(e)
 	case WriteFailed:
 		return h.writeFailed(e)
+	case Promised:
+		h.promise(now, e)
 	case Release:
 		return h.release()
 	}
@@ -48,7 +57,50 @@
 
 // Valid tells whether the holder may act at this moment.
 func (h *Holder) Valid(now time.Time) bool {
-	return h.term != 0 && !h.released && now.Before(h.deadline.Add(-h.timing.Margin))
+	return h.term != 0 && !h.released && now.Before(h.ActUntil())
+}
+
+// ActUntil returns when the holder must stop: a margin before the lease's end, or
+// before the first of its guards' promises ends if that is later.
+func (h *Holder) ActUntil() time.Time {
+	end := h.deadline
+	if p := h.promisesEnd(); p.After(end) {
+		end = p
+	}
+	return end.Add(-h.timing.Margin)
+}
+
+// Guards returns the hosts whose promises lengthen the lease, in order.
+func (h *Holder) Guards() []ids.HostID {
+	return slices.Sorted(maps.Keys(h.guards))
+}
+
+// Overdue tells whether the platform hasn't stored the lease for longer than a
+// renewal takes in quiet running.
+func (h *Holder) Overdue(now time.Time) bool {
+	return h.term != 0 && !h.released && now.Sub(h.sent) > 2*h.timing.Renew
+}
+
+// promisesEnd is when the first promise ends; without one of each guard there is none.
+func (h *Holder) promisesEnd() (end time.Time) {
+	for g := range h.guards {
+		p := h.promised[g]
+		if end.IsZero() || p.Before(end) {
+			end = p
+		}
+		if p.IsZero() {
+			return time.Time{}
+		}
+	}
+	return end
+}
+
+// promise takes a guard's promise. A lease that has lapsed isn't revived by one:
+// guards may have broken it meanwhile and not know it any more.
+func (h *Holder) promise(now time.Time, e Promised) {
+	if h.Valid(now) && e.Term == h.term && e.Until.After(h.promised[e.Guard]) {
+		h.promised[e.Guard] = e.Until
+	}
 }
 
 // Term returns the term of the lease held, 0 when none is.
@@ -56,24 +108,22 @@
 	return h.term
 }
 
-// Deadline returns the end of the lease as the holder counts it.
-func (h *Holder) Deadline() time.Time {
-	return h.deadline
-}
-
-func (h *Holder) tick(now time.Time) []Command {
+func (h *Holder) tick(now time.Time, e Tick) []Command {
 	if h.released || h.inFlight {
 		return nil
 	}
 	if h.term == 0 {
 		h.inFlight = true
-		return []Command{Create{Term: ids.Term(now.UnixMicro()), Sent: now}}
+		return []Command{Create{Term: ids.Term(now.UnixMicro()), Sent: now, Guards: e.Guards}}
 	}
 	if now.Sub(h.sent) < h.timing.Renew {
 		return nil
 	}
 	h.inFlight = true
-	return []Command{Renew{Term: h.term, Expected: h.version, Sent: now}}
+	for _, g := range e.Guards {
+		h.guards[g] = true
+	}
+	return []Command{Renew{Term: h.term, Expected: h.version, Sent: now, Guards: e.Guards}}
 }
 
 func (h *Holder) written(e Written) []Command {
@@ -85,6 +135,10 @@
 	h.term = e.Term
 	h.version = e.Version
 	h.sent = e.Sent
+	clear(h.guards)
+	for _, g := range e.Guards {
+		h.guards[g] = true
+	}
 	// The platform may have stored it at any time since it was sent.
 	h.deadline = e.Sent.Add(h.timing.Duration)
 	if first {
@@ -100,6 +154,8 @@
 	}
 	term := h.term
 	h.term, h.version, h.deadline = 0, 0, time.Time{}
+	clear(h.guards)
+	clear(h.promised)
 	return []Command{Lost{Term: term}}
 }
 
--- a/verbena/lease/monitor.go
+++ b/verbena/lease/monitor.go
@@ -19,6 +19,10 @@
 type Monitor struct {
 	duration time.Duration
 	first    map[ID]sighting
+	// present is when a listing last showed a lease of each host, began when the
+	// first listing was answered.
+	present map[ids.HostID]time.Time
+	began   time.Time
 }
 
 type sighting struct {
@@ -28,14 +32,18 @@
 
 // NewMonitor returns a monitor that has seen nothing.
 func NewMonitor(duration time.Duration) *Monitor {
-	return &Monitor{duration: duration, first: map[ID]sighting{}}
+	return &Monitor{duration: duration, first: map[ID]sighting{}, present: map[ids.HostID]time.Time{}}
 }
 
 // Observe takes a listing that was asked for and answered at the given times,
 // and returns the leases that may be broken: deleted at the version seen.
 func (m *Monitor) Observe(asked, answered time.Time, listing []Seen) (expired []Seen) {
 	next := make(map[ID]sighting, len(listing))
+	if m.began.IsZero() {
+		m.began = answered
+	}
 	for _, s := range listing {
+		m.present[s.ID.Host] = answered
 		old, known := m.first[s.ID]
 		if !known || old.version != s.Version {
 			next[s.ID] = sighting{s.Version, answered}
@@ -51,6 +59,18 @@
 	return expired
 }
 
+// Absent returns for how long no listing has shown a lease of a host.
+func (m *Monitor) Absent(now time.Time, h ids.HostID) time.Duration {
+	if m.began.IsZero() {
+		return 0
+	}
+	last := m.present[h]
+	if last.Before(m.began) {
+		last = m.began
+	}
+	return now.Sub(last)
+}
+
 // Live returns the leases of the newest listing, the newest term of each host.
 func (m *Monitor) Live() map[ids.HostID]ids.Term {
 	live := make(map[ids.HostID]ids.Term, len(m.first))
--- a/verbenad/internal/platform/executor.go
+++ b/verbenad/internal/platform/executor.go
@@ -32,6 +32,8 @@
 	Host    ids.HostID `json:"host"`
 	Zone    ids.ZoneID `json:"zone"`
 	Address string     `json:"address"`
+	// Guards may break the lease; others only when all guards' own are gone.
+	Guards []ids.HostID `json:"guards,omitempty"`
 }
 
 // Executor speaks to the platform for the control goroutine.
@@ -101,11 +103,11 @@
 	switch cmd := cmd.(type) {
 	case lease.Create:
 		name := lease.ID{Host: x.self.Host, Term: cmd.Term}.ObjectName()
-		v, err := x.store.Create(ctx, name, x.value())
-		x.leaseDone(cmd.Term, cmd.Sent, v, err)
+		v, err := x.store.Create(ctx, name, x.value(cmd.Guards))
+		x.leaseDone(lease.Written{Term: cmd.Term, Version: v, Sent: cmd.Sent, Guards: cmd.Guards}, err)
 	case lease.Renew:
 		v, err := x.renew(ctx, cmd)
-		x.leaseDone(cmd.Term, cmd.Sent, v, err)
+		x.leaseDone(lease.Written{Term: cmd.Term, Version: v, Sent: cmd.Sent, Guards: cmd.Guards}, err)
 	case lease.Remove:
 		name := lease.ID{Host: x.self.Host, Term: cmd.Term}.ObjectName()
 		x.remove(ctx, name, cmd.Expected)
@@ -116,7 +118,7 @@
 // version is that of a renewal whose answer was lost.
 func (x *Executor) renew(ctx context.Context, cmd lease.Renew) (v ids.Version, err error) {
 	name := lease.ID{Host: x.self.Host, Term: cmd.Term}.ObjectName()
-	v, err = x.store.Update(ctx, name, cmd.Expected, x.value())
+	v, err = x.store.Update(ctx, name, cmd.Expected, x.value(cmd.Guards))
 	if !errors.Is(err, api.ErrConflict) {
 		return v, err
 	}
@@ -124,16 +126,16 @@
 	if err != nil {
 		return 0, err
 	}
-	return x.store.Update(ctx, name, o.Version, x.value())
+	return x.store.Update(ctx, name, o.Version, x.value(cmd.Guards))
 }
 
-func (x *Executor) leaseDone(t ids.Term, sent time.Time, v ids.Version, err error) {
+func (x *Executor) leaseDone(w lease.Written, err error) {
 	if err == nil {
-		x.post.Post(core.LeaseWritten{Written: lease.Written{Term: t, Version: v, Sent: sent}})
+		x.post.Post(core.LeaseWritten{Written: w})
 		return
 	}
 	lost := errors.Is(err, api.ErrNotFound)
-	x.post.Post(core.LeaseFailed{Failed: lease.WriteFailed{Term: t, Lost: lost}})
+	x.post.Post(core.LeaseFailed{Failed: lease.WriteFailed{Term: w.Term, Lost: lost}})
 }
 
 func (x *Executor) remove(ctx context.Context, name string, expected ids.Version) {
@@ -166,7 +168,21 @@
 // BreakLease deletes another host's lease at the version seen.
 func (x *Executor) BreakLease(ctx context.Context, cmd core.BreakLease) {
 	err := x.store.Delete(ctx, cmd.Lease.ID.ObjectName(), cmd.Lease.Version)
-	x.post.Post(core.LeaseBreakEnded{Lease: cmd.Lease, OK: err == nil})
+	settled := err == nil || errors.Is(err, api.ErrConflict) || errors.Is(err, api.ErrNotFound)
+	x.post.Post(core.LeaseBreakEnded{Lease: cmd.Lease, OK: err == nil, Settled: settled})
+}
+
+// ReadLease reads the guards of another host's lease.
+func (x *Executor) ReadLease(ctx context.Context, cmd core.ReadLease) {
+	o, err := x.store.Get(ctx, cmd.Lease.ID.ObjectName())
+	if err != nil || o.Version != cmd.Lease.Version {
+		return // it has been renewed or is gone
+	}
+	var h Holder
+	if err := json.Unmarshal(o.Value, &h); err != nil {
+		return // a newer form, which its own guards can read
+	}
+	x.post.Post(core.LeaseRead{Lease: cmd.Lease, Guards: h.Guards})
 }
 
 // WriteShards writes the shard map.
@@ -183,8 +199,10 @@
 	x.post.Post(core.ShardsWritten{Version: v, Value: cmd.Value, OK: err == nil})
 }
 
-func (x *Executor) value() []byte {
-	data, err := json.Marshal(x.self)
+func (x *Executor) value(guards []ids.HostID) []byte {
+	h := x.self
+	h.Guards = guards
+	data, err := json.Marshal(h)
 	if err != nil {
 		panic(fmt.Sprintf("marshal lease: %v", err)) // it holds only strings
 	}
--- a/verbenalab/internal/fleet/fleet.go
+++ b/verbenalab/internal/fleet/fleet.go
@@ -77,6 +77,7 @@
 	Hosts     []*Host
 	Backends  []*Backend
 	http      *http.Client
+	cuts      cuts
 }
 
 // Start starts everything and waits until each daemon is ready.
