--- a/verbenalab/internal/fleet/address.go
+++ b/verbenalab/internal/fleet/address.go
@@ -31,6 +31,20 @@
 	return "", err
 }
 
+// onFreeAddress listens on a free address, on another if it has been taken meanwhile.
+func onFreeAddress(address *string, listen func() error) (err error) {
+	const tries = 5
+	for range tries {
+		if *address, err = freeAddress(); err != nil {
+			return err
+		}
+		if err = listen(); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 func tryPort(address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/verbenalab/internal/fleet/links.go
+++ b/verbenalab/internal/fleet/links.go
@@ -45,21 +45,20 @@
 
 // relay puts relays before a host.
 func (f *Fleet) relay(h *Host) (err error) {
-	if h.listed, err = freeAddress(); err != nil {
-		return err
-	}
 	peer := h.Peer
-	h.links.peers, err = relay.NewUDP(h.listed, peer, func(from netip.AddrPort) bool {
-		return !f.cuts.has(peer) && !f.cuts.has(from.String())
+	err = onFreeAddress(&h.listed, func() (err error) {
+		h.links.peers, err = relay.NewUDP(h.listed, peer, func(from netip.AddrPort) bool {
+			return !f.cuts.has(peer) && !f.cuts.has(from.String())
+		})
+		return err
 	})
 	if err != nil {
 		return err
 	}
-	if h.platform, err = freeAddress(); err != nil {
+	return onFreeAddress(&h.platform, func() (err error) {
+		h.links.platform, err = relay.NewTCP(h.platform, f.Platform)
 		return err
-	}
-	h.links.platform, err = relay.NewTCP(h.platform, f.Platform)
-	return err
+	})
 }
 
 // CutPeers cuts a host from all its peers, or mends that.
