--- /dev/null
+++ b/verbenad/internal/backend/client_test.go
@@ -0,0 +1,104 @@
+package backend_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/backend"
+	"verbenaledge.example/verbena/refusal"
+	client "verbenaledge.example/verbenad/internal/backend"
+)
+
+// TestFaults tells faults of backend servers apart, and states what is known of the run.
+func TestFaults(t *testing.T) {
+	own := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	}
+	for _, tc := range []struct {
+		name  string
+		serve http.HandlerFunc
+		kind  client.Kind
+		run   refusal.Run
+	}{
+		{"leaving", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Backend-State", "leaving")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, client.Leaving, refusal.NotRun},
+		{"busy", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) }, client.Busy, refusal.NotRun},
+		{"crashed", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, client.Crashed, refusal.Unknown},
+		{"wrong id", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Request-Id", "another")
+		}, client.WrongAnswer, refusal.Unknown},
+		{"no id", func(http.ResponseWriter, *http.Request) {}, client.WrongAnswer, refusal.Unknown},
+		{"failed", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, client.ServerError, refusal.Ran},
+		{"stalled", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, client.Stalled, refusal.Unknown},
+		{"stalled in the body", func(w http.ResponseWriter, r *http.Request) {
+			own(w, r)
+			_, _ = io.WriteString(w, "half")
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}, client.Stalled, refusal.Unknown},
+		{"cut short", func(w http.ResponseWriter, r *http.Request) {
+			own(w, r)
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "half")
+		}, client.Crashed, refusal.Unknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body) // a server sees its caller leave only once it has read the body
+				tc.serve(w, r)
+			}))
+			defer server.Close()
+			fault := call(client.NewClient(time.Second, 300*time.Millisecond), server.Listener.Addr().String())
+			c.Assert(fault, qt.IsNotNil)
+			c.Assert(fault.Kind, qt.Equals, tc.kind, qt.Commentf("%s", fault.Reason))
+			c.Assert(fault.Run(), qt.Equals, tc.run)
+		})
+	}
+	fault := call(client.NewClient(time.Second, time.Second), "127.0.0.1:1")
+	qt.Assert(t, fault.Kind, qt.Equals, client.NotSent)
+	qt.Assert(t, fault.Run(), qt.Equals, refusal.NotRun)
+}
+
+func call(c *client.Client, address string) *client.Fault {
+	a, fault := c.Send(context.Background(), client.Request{
+		Server: backend.Server{ID: "b", Address: address}, ID: "r.1", Method: http.MethodPost, Path: "/x",
+		Header: http.Header{}, Body: []byte("body"),
+	})
+	if fault != nil {
+		return fault
+	}
+	defer a.Close()
+	if _, err := a.ReadAll(); err != nil {
+		return client.AsFault(err)
+	}
+	return nil
+}
+
+// TestNotRepeated checks that the HTTP library doesn't send a request again by itself
+// on a connection that turns out to be closed.
+func TestNotRepeated(t *testing.T) {
+	c := qt.New(t)
+	runs := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs++
+		if strings.HasSuffix(r.URL.Path, "x") && runs > 1 {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	}))
+	defer server.Close()
+	cl := client.NewClient(time.Second, time.Second)
+	c.Assert(call(cl, server.Listener.Addr().String()) == nil, qt.IsTrue)
+	c.Assert(call(cl, server.Listener.Addr().String()).Kind, qt.Equals, client.Crashed)
+	c.Assert(runs, qt.Equals, 2)
+}
--- /dev/null
+++ b/verbenad/internal/settings/settings_test.go
@@ -0,0 +1,39 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbenad/internal/settings"
+)
+
+// TestScripts checks each file in testdata and compares with what stands below it.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	qt.Assert(t, err, qt.IsNil)
+	for _, name := range files {
+		t.Run(filepath.Base(name), func(t *testing.T) {
+			data, err := os.ReadFile(name)
+			qt.Assert(t, err, qt.IsNil)
+			text, want, _ := strings.Cut(string(data), "-- want --\n")
+			got := "good\n"
+			if _, err := settings.Parse([]byte(text)); err != nil {
+				got = err.Error() + "\n"
+			}
+			qt.Assert(t, got, qt.Equals, want)
+		})
+	}
+}
+
+// FuzzParse checks that no text makes the reader panic.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"host":{"id":"a"},"lease":{"duration":"1s"}}`))
+	f.Add([]byte(`[]`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = settings.Parse(data)
+	})
+}
--- a/verbenalab/internal/fleet/rig_test.go
+++ b/verbenalab/internal/fleet/rig_test.go
@@ -47,12 +47,12 @@
 	keyIDs map[string]string
 }
 
-// option changes a rig's fleet before it starts.
-type option func(*fleet.Config)
+// rigOption changes a rig's fleet before it starts.
+type rigOption func(*fleet.Config)
 
-func daemons(n int) option { return func(c *fleet.Config) { c.Daemons = n } }
+func daemons(n int) rigOption { return func(c *fleet.Config) { c.Daemons = n } }
 
-func engines(n int, args ...string) option {
+func engines(n int, args ...string) rigOption {
 	return func(c *fleet.Config) {
 		c.Engines = map[ids.ServiceName]int{model: n}
 		c.EngineArgs = args
@@ -61,7 +61,7 @@
 
 func relays(c *fleet.Config) { c.Relays = true }
 
-func setting(section string, fields map[string]any) option {
+func setting(section string, fields map[string]any) rigOption {
 	return func(c *fleet.Config) {
 		merged, _ := c.Settings[section].(map[string]any)
 		if merged == nil {
@@ -72,7 +72,7 @@
 	}
 }
 
-func newRig(t *testing.T, opts ...option) *rig {
+func newRig(t *testing.T, opts ...rigOption) *rig {
 	c := qt.New(t)
 	config := fleet.Config{
 		Programs: programs, Dir: t.TempDir(), Daemons: 3,
