--- a/verbena/core/core.go
+++ b/verbena/core/core.go
@@ -66,7 +66,10 @@
 	budget *retry.Budget
 	poison *poison.Registry
 
-	managers map[ids.BackendID]*managed
+	managers  map[ids.BackendID]*managed
+	managedAt time.Time
+	// remanage is true when the servers to be managed may have changed.
+	remanage bool
 	notices  map[ids.BackendID]*noticing
 	queue    *batch.Queue
 	pressure bool
--- a/verbena/core/gossip.go
+++ b/verbena/core/gossip.go
@@ -121,7 +121,7 @@
 	if !c.docs.Offer(d) {
 		return false
 	}
-	c.dirty = true
+	c.dirty, c.remanage = true, true
 	c.emit(Spread{d.Name})
 	var err error
 	switch d.Name {
--- a/verbena/core/ownership.go
+++ b/verbena/core/ownership.go
@@ -194,6 +194,7 @@
 			continue
 		}
 		c.owned[s] = tenure{epoch: mine[s], since: c.now}
+		c.remanage = true
 		c.record(timeline.Event{Kind: timeline.ShardAcquired, Detail: fmt.Sprintf("shard %d epoch %d", s, mine[s])})
 		c.emit(OpenShard{s, mine[s]})
 	}
@@ -234,6 +235,7 @@
 		return
 	}
 	delete(c.owned, s)
+	c.remanage = true
 	c.record(timeline.Event{Kind: timeline.ShardLost, Detail: fmt.Sprintf("shard %d epoch %d", s, t.epoch)})
 	c.emit(CloseShard{s, t.epoch})
 	c.ledger.Forget(func(b quota.Bucket) bool { return shard.Of(b.ShardName(), c.config.Shards) == s })
--- /dev/null
+++ b/verbena/core/size_test.go
@@ -0,0 +1,145 @@
+package core_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"verbenaledge.example/verbena/backend"
+	"verbenaledge.example/verbena/batch"
+	"verbenaledge.example/verbena/core"
+	"verbenaledge.example/verbena/gossip"
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/platform"
+	"verbenaledge.example/verbena/quota"
+	"verbenaledge.example/verbena/route"
+)
+
+// size is how large a fleet a core is fed.
+type size struct{ hosts, replicas, workspaces int }
+
+// newSized returns a core that knows a fleet of the size and owns every shard.
+func newSized(z size) (*core.Core, time.Time) {
+	w := newTown(1)
+	w.run(10 * time.Second)
+	c := w.hosts[0].core
+	var servers []backend.Server
+	for i := range z.hosts {
+		servers = append(servers, backend.Server{
+			ID: ids.BackendID(fmt.Sprint("host-", i)), Role: backend.RoleEntry,
+			Zone: ids.ZoneID(fmt.Sprint("z", i%6)), Address: "10.0.0.1:9000", State: backend.Live,
+		})
+	}
+	for i := range z.replicas {
+		servers = append(servers, backend.Server{
+			ID: ids.BackendID(fmt.Sprint("replica-", i)), Role: backend.RoleBackend, Service: ids.ServiceName(fmt.Sprint("model-", i%8)),
+			Zone: ids.ZoneID(fmt.Sprint("z", i%6)), Address: "10.0.1.1:9000", State: backend.Live,
+		})
+	}
+	c.Step(w.now, core.HostsRead{Asked: w.now, List: platform.HostList{Version: 1, Servers: servers}})
+	c.Step(w.now, core.ConfigRead{Asked: w.now, Documents: []gossip.Document{{Name: gossip.Rules, Version: 1 << 40, Value: rulesOf(z)}}})
+	return c, w.now
+}
+
+func rulesOf(z size) []byte {
+	text := ""
+	for i := range 8 {
+		text += fmt.Sprintf("service model-%d kind=model # asked by ana\n", i)
+	}
+	for i := range z.workspaces {
+		text += fmt.Sprintf("allow workspace-%d model-%d rate=1000000/s burst=1000000 batch=1 # asked by ana\n", i, i%8)
+	}
+	return []byte(text)
+}
+
+var sizes = []size{{9, 9, 8}, {98, 150, 158}, {195, 300, 315}, {390, 600, 630}}
+
+// BenchmarkRequest is the control cost of one request: admission, routing and end.
+func BenchmarkRequest(b *testing.B) {
+	for _, z := range sizes {
+		b.Run(fmt.Sprintf("hosts=%d", z.hosts), func(b *testing.B) {
+			c, now := newSized(z)
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(100 * time.Microsecond)
+				w := i % z.workspaces
+				bucket := quota.Bucket{Workspace: ids.WorkspaceID(fmt.Sprint("workspace-", w)), Service: ids.ServiceName(fmt.Sprint("model-", w%8))}
+				c.Step(now, core.AdmitAsked{Ticket: 1, Bucket: bucket})
+				for _, cmd := range c.Step(now, core.RouteAsked{Ticket: 1, Request: route.Request{Service: bucket.Service, Affinity: "p"}}) {
+					if r, ok := cmd.(core.Routed); ok {
+						c.Step(now, core.CallEnded{Backend: r.Server.ID, Load: 3})
+					}
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkTick is the control cost of a tick, 40 of which come a second.
+func BenchmarkTick(b *testing.B) {
+	for _, z := range sizes {
+		b.Run(fmt.Sprintf("hosts=%d", z.hosts), func(b *testing.B) {
+			c, now := newSized(z)
+			b.ResetTimer()
+			for range b.N {
+				now = now.Add(25 * time.Millisecond)
+				c.Step(now, core.Tick{})
+			}
+		})
+	}
+}
+
+// BenchmarkItem is the control cost of a batch item in a job of 60,000 items, among
+// as many open jobs of the owner as the size gives a host.
+func BenchmarkItem(b *testing.B) {
+	for _, jobs := range []int{1, 8, 64, 512} {
+		b.Run(fmt.Sprintf("jobs=%d", jobs), func(b *testing.B) {
+			q := batch.NewQueue(3, time.Minute)
+			for j := range jobs {
+				q.Step(start, batch.Loaded{Weight: 1, Job: batch.Job{
+					ID: ids.JobID(fmt.Sprint("job-", j)), Workspace: ids.WorkspaceID(fmt.Sprint("w-", j%630)), Service: "m", Items: 60_000, State: batch.Open,
+				}})
+			}
+			b.ResetTimer()
+			for range b.N {
+				for _, cmd := range q.Step(start, batch.Asked{Manager: "h", Service: "m", Max: 1}) {
+					if d, ok := cmd.(batch.Dispatch); ok {
+						for _, i := range d.Items {
+							r := batch.Result{Job: i.Job, Index: i.Index}
+							q.Step(start, batch.Finished{Result: r})
+							q.Step(start, batch.Committed{Results: []batch.Result{r}})
+						}
+					}
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkState measures the memory that the control state takes, and the size of
+// the documents that are spread.
+func BenchmarkState(b *testing.B) {
+	for _, z := range sizes {
+		b.Run(fmt.Sprintf("hosts=%d", z.hosts), func(b *testing.B) {
+			for range b.N {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				c, now := newSized(z)
+				for i := range z.workspaces {
+					bucket := quota.Bucket{Workspace: ids.WorkspaceID(fmt.Sprint("workspace-", i)), Service: ids.ServiceName(fmt.Sprint("model-", i%8))}
+					c.Step(now, core.AdmitAsked{Ticket: 1, Bucket: bucket})
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "state_bytes")
+				b.ReportMetric(float64(len(rulesOf(z))), "rules_bytes")
+				hosts, _ := json.Marshal(make([]backend.Server, z.hosts+z.replicas))
+				b.ReportMetric(float64(len(hosts)), "hosts_bytes_least")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
--- a/verbena/core/slots.go
+++ b/verbena/core/slots.go
@@ -16,6 +16,10 @@
 // noticeEvery is how often a host repeats its count of online requests.
 const noticeEvery = time.Second
 
+// manageEvery is how often a host looks whether it manages other servers than
+// before, unless the map, the list or the rules have changed.
+const manageEvery = 500 * time.Millisecond
+
 // managed is a backend server whose batch slots this host decides.
 type managed struct {
 	server  backend.Server
@@ -37,7 +41,10 @@
 
 // tickSlots takes over and lets go of backend servers, and sets their slots.
 func (c *Core) tickSlots() {
-	c.manageServers()
+	if c.remanage || c.now.Sub(c.managedAt) >= manageEvery {
+		c.remanage, c.managedAt = false, c.now
+		c.manageServers()
+	}
 	for _, b := range sortedKeys(c.managers) {
 		c.setSlots(c.managers[b])
 	}
--- a/verbena/quota/spender.go
+++ b/verbena/quota/spender.go
@@ -149,7 +149,7 @@
 }
 
 func (s *Spender) tick(now time.Time) (cmds []Command) {
-	for _, b := range s.sorted() {
+	for _, b := range s.restless(now) {
 		p := s.purses[b]
 		p.expire(now)
 		cmds = append(cmds, p.serve(now)...)
@@ -206,6 +206,18 @@
 	return cmds
 }
 
+// restless returns the buckets for which time may change something.
+func (s *Spender) restless(now time.Time) (list []Bucket) {
+	for b, p := range s.purses {
+		quiet := len(p.waiting) == 0 && !p.asking && p.empty() && now.Sub(p.used) <= time.Minute && p.use(now) == 0
+		if !quiet {
+			list = append(list, b)
+		}
+	}
+	slices.SortFunc(list, Bucket.Compare)
+	return list
+}
+
 // sorted gives the buckets in a stable order, so that a replay gives the same commands.
 func (s *Spender) sorted() []Bucket {
 	return slices.SortedFunc(maps.Keys(s.purses), Bucket.Compare)
--- a/verbena/route/table_test.go
+++ b/verbena/route/table_test.go
@@ -17,7 +17,7 @@
 
 func newTable(servers int) *route.Table {
 	t := route.NewTable(rand.New(rand.NewPCG(1, 2)))
-	var list []backend.Server
+	list := make([]backend.Server, 0, servers)
 	for i := range servers {
 		list = append(list, backend.Server{
 			ID: ids.BackendID(fmt.Sprint("b", i)), Role: backend.RoleBackend, Service: "m",
@@ -53,7 +53,8 @@
 func TestRetryGoesElsewhere(t *testing.T) {
 	c := qt.New(t)
 	table := newTable(6)
-	tried := []ids.BackendID{"b0"}
+	tried := make([]ids.BackendID, 1, 6)
+	tried[0] = "b0"
 	for range 5 {
 		s, err := table.Pick(start, route.Request{Service: "m", Tried: tried})
 		c.Assert(err, qt.IsNil)
