--- a/verbena/core/size_test.go
+++ b/verbena/core/size_test.go
@@ -25,7 +25,7 @@
 	w := newTown(1)
 	w.run(10 * time.Second)
 	c := w.hosts[0].core
-	var servers []backend.Server
+	servers := make([]backend.Server, 0, z.hosts+z.replicas)
 	for i := range z.hosts {
 		servers = append(servers, backend.Server{
 			ID: ids.BackendID(fmt.Sprint("host-", i)), Role: backend.RoleEntry,
--- a/verbenad/internal/settings/check.go
+++ b/verbenad/internal/settings/check.go
@@ -64,6 +64,7 @@
 func (c checker) batch(s *Settings) {
 	c.between("batch.max_slots", s.Batch.MaxSlots, 0, 4096)
 	c.between("batch.shared_slots", s.Batch.SharedSlots, 0, s.Batch.MaxSlots)
+	c.between("batch.fixed_slots", s.Batch.FixedSlots, 0, 4096)
 	c.length("batch.quiet", s.Batch.Quiet, 0, time.Minute)
 	c.length("batch.growth", s.Batch.Growth, time.Millisecond, time.Minute)
 	c.between("batch.attempts", s.Batch.Attempts, 1, 100)
--- a/verbenad/internal/settings/settings.go
+++ b/verbenad/internal/settings/settings.go
@@ -89,8 +89,11 @@
 type Batch struct {
 	// MaxSlots and SharedSlots bound the items on a backend server without and
 	// beside online requests.
-	MaxSlots    int      `json:"max_slots"`
-	SharedSlots int      `json:"shared_slots"`
+	MaxSlots    int `json:"max_slots"`
+	SharedSlots int `json:"shared_slots"`
+	// FixedSlots, when above 0, runs that many items whatever online work there is.
+	// It is the naive version, for comparison.
+	FixedSlots  int      `json:"fixed_slots"`
 	Quiet       Duration `json:"quiet"`
 	Growth      Duration `json:"growth"`
 	Attempts    int      `json:"attempts"`
--- a/verbenalab/cmd/root.go
+++ b/verbenalab/cmd/root.go
@@ -40,6 +40,8 @@
 		{"platform", "Serve a stand-in for the platform's object API", &platformCommand{}},
 		{"engine", "Serve a stand-in for a model engine", &engineCommand{}},
 		{"service", "Serve a stand-in for a plain service", &serviceCommand{}},
+		{"scale", "Measure what control costs a number of daemons", &scaleCommand{}},
+		{"harm", "Measure online delay without and with a batch beside it", &harmCommand{}},
 		{"demo", "Run a small fleet through a day in a minute", &demoCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.short+".", c.command); err != nil {
--- /dev/null
+++ b/verbenalab/internal/measure/harm.go
@@ -0,0 +1,157 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbenalab/internal/fleet"
+	"verbenaledge.example/verbenalab/internal/load"
+)
+
+const harmRules = `service model kind=model # asked by the lab
+allow archive model rate=1000/s burst=2000 batch=1 # asked by the lab
+allow desk model rate=1000/s burst=2000 # asked by the lab
+`
+
+const (
+	harmItems   = 60_000
+	harmTokens  = 24
+	burstEvery  = 6 * time.Second
+	burstLength = 2 * time.Second
+	quietRate   = 20.0
+	burstRate   = 150.0
+)
+
+// Policies are the ways of giving way that are compared, as daemon settings.
+var Policies = map[string]map[string]any{
+	// The naive version: a fixed number of slots, whatever online work there is.
+	"fixed": {"fixed_slots": 16},
+	"yield": {},
+}
+
+// Harm runs the same online trace without and with a batch beside it, at the size
+// of a deployment, and prints the delay of online answers and the batch's rate.
+func Harm(ctx context.Context, programs string, d time.Duration, seed uint64, policies []string) (err error) {
+	quiet, _, err := harmRun(ctx, programs, d, seed, nil, false)
+	if err != nil {
+		return err
+	}
+	show("no batch", quiet, quiet, 0)
+	for _, p := range policies {
+		s, items, err := harmRun(ctx, programs, d, seed, Policies[p], true)
+		if err != nil {
+			return err
+		}
+		show(p, s, quiet, items)
+	}
+	return nil
+}
+
+func show(name string, s, quiet load.Summary, items float64) {
+	ratio := func(a, b time.Duration) float64 { return float64(a) / float64(b) }
+	fmt.Printf("%-9s answered %d, refused %v, first token p95 %s p99 %s (%.2f of quiet), between tokens p95 %s p99 %s (%.2f), batch %.1f items/s\n",
+		name, s.Whole, s.Refused, round(s.First.P95), round(s.First.P99), ratio(s.First.P99, quiet.First.P99),
+		round(s.Gaps.P95), round(s.Gaps.P99), ratio(s.Gaps.P99, quiet.Gaps.P99), items)
+}
+
+func round(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
+
+func harmRun(ctx context.Context, programs string, d time.Duration, seed uint64, batch map[string]any, with bool) (s load.Summary, itemsPerSecond float64, err error) {
+	dir, err := os.MkdirTemp("", "verbenaledge-harm-")
+	if err != nil {
+		return s, 0, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }() // only logs are left behind
+	f, err := fleet.Start(fleet.Config{
+		Programs: programs, Dir: dir, Daemons: 9, Engines: map[ids.ServiceName]int{model: 9},
+		Services: map[ids.ServiceName]int{"registry": 3}, Zones: []ids.ZoneID{"z1", "z2", "z3"},
+		Settings: map[string]any{"batch": batch},
+	})
+	if err != nil {
+		return s, 0, err
+	}
+	defer f.Close()
+	rules := filepath.Join(dir, "harm.rules")
+	if err := os.WriteFile(rules, []byte(harmRules), 0o600); err != nil {
+		return s, 0, err
+	}
+	if _, err := f.Operate(ctx, "rules", "apply", rules); err != nil {
+		return s, 0, err
+	}
+	keys := map[string]string{}
+	for _, w := range []string{"archive", "desk"} {
+		if keys[w], err = f.IssueKey(ctx, w); err != nil {
+			return s, 0, err
+		}
+	}
+	targets := make([]load.Target, 0, len(f.Hosts))
+	for _, h := range f.Hosts {
+		targets = append(targets, load.Target{Caller: h.Caller, Admin: h.Admin, Weight: 1})
+	}
+	b := load.NewBalancer(targets)
+	go b.Run(ctx)
+	caller := load.NewCaller(b)
+	job := load.Batch{}
+	if with {
+		if job, err = submit(ctx, caller, keys["archive"]); err != nil {
+			return s, 0, err
+		}
+	}
+	pause(ctx, 4*time.Second)
+	before := done(ctx, caller, keys["archive"], job)
+	start := time.Now()
+	s = trace(ctx, caller, keys["desk"], d, seed)
+	after := done(ctx, caller, keys["archive"], job)
+	return s, float64(after-before) / time.Since(start).Seconds(), nil
+}
+
+func submit(ctx context.Context, c *load.Caller, key string) (b load.Batch, err error) {
+	var text strings.Builder
+	for i := range harmItems {
+		fmt.Fprintf(&text, `{"custom_id":"i-%d","method":"POST","url":"/v1/chat/completions","body":{"model":"model","max_tokens":%d,`+
+			`"messages":[{"role":"user","content":"Entry %d."}]}}`+"\n", i, harmTokens, i)
+	}
+	file, err := c.Upload(ctx, key, []byte(text.String()))
+	if err != nil {
+		return b, err
+	}
+	return c.Submit(ctx, key, file, "harm", "1h")
+}
+
+func done(ctx context.Context, c *load.Caller, key string, b load.Batch) int {
+	if b.ID == "" {
+		return 0
+	}
+	now, err := c.Show(ctx, key, b.ID)
+	if err != nil {
+		return 0
+	}
+	return now.Counts.Completed
+}
+
+// trace sends a seeded open-loop load: a low rate with bursts of a few seconds.
+func trace(ctx context.Context, c *load.Caller, key string, d time.Duration, seed uint64) load.Summary {
+	random := rand.New(rand.NewPCG(seed, seed))
+	tally := load.NewTally()
+	var wg sync.WaitGroup
+	start := time.Now()
+	for at, n := time.Duration(0), 0; at < d; n++ {
+		rate := quietRate
+		if at%burstEvery < burstLength {
+			rate = burstRate
+		}
+		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+		pause(ctx, time.Until(start.Add(at)))
+		q := load.Request{Workspace: "desk", Key: key, Model: model, MaxTokens: 16 + random.IntN(32), Prompt: fmt.Sprint("price of grade ", n)}
+		wg.Go(func() { tally.Add(c.Ask(ctx, q)) })
+	}
+	wg.Wait()
+	return tally.Summary()
+}
