--- a/verbenalab/internal/fleet/client_test.go
+++ b/verbenalab/internal/fleet/client_test.go
@@ -73,6 +73,7 @@
 	r.Assert(err, qt.IsNil)
 	data, err := io.ReadAll(content.Body)
 	r.Assert(err, qt.IsNil)
+	r.Assert(content.Body.Close(), qt.IsNil)
 	r.Assert(bytes.Count(data, []byte("\n")), qt.Equals, 30)
 	list, err := client.Batches.List(r.ctx, openai.BatchListParams{})
 	r.Assert(err, qt.IsNil)
--- a/verbenalab/internal/measure/harm.go
+++ b/verbenalab/internal/measure/harm.go
@@ -39,56 +39,74 @@
 // Harm runs the same online trace without and with a batch beside it, at the size
 // of a deployment, and prints the delay of online answers and the batch's rate.
 func Harm(ctx context.Context, programs string, d time.Duration, seed uint64, policies []string) (err error) {
-	quiet, _, err := harmRun(ctx, programs, d, seed, nil, false)
+	run := harm{programs: programs, length: d, seed: seed}
+	quiet, err := run.do(ctx)
 	if err != nil {
 		return err
 	}
-	show("no batch", quiet, quiet, 0)
+	show("no batch", quiet, quiet)
+	run.withBatch = true
 	for _, p := range policies {
-		s, items, err := harmRun(ctx, programs, d, seed, Policies[p], true)
+		run.settings = Policies[p]
+		r, err := run.do(ctx)
 		if err != nil {
 			return err
 		}
-		show(p, s, quiet, items)
+		show(p, r, quiet)
 	}
 	return nil
 }
 
-func show(name string, s, quiet load.Summary, items float64) {
+// harm is one run of the trace.
+type harm struct {
+	programs  string
+	length    time.Duration
+	seed      uint64
+	settings  map[string]any
+	withBatch bool
+}
+
+// result is what a run has measured.
+type result struct {
+	load.Summary
+	itemsPerSecond float64
+}
+
+func show(name string, s, quiet result) {
 	ratio := func(a, b time.Duration) float64 { return float64(a) / float64(b) }
 	fmt.Printf("%-9s answered %d, refused %v, first token p95 %s p99 %s (%.2f of quiet), between tokens p95 %s p99 %s (%.2f), batch %.1f items/s\n",
 		name, s.Whole, s.Refused, round(s.First.P95), round(s.First.P99), ratio(s.First.P99, quiet.First.P99),
-		round(s.Gaps.P95), round(s.Gaps.P99), ratio(s.Gaps.P99, quiet.Gaps.P99), items)
+		round(s.Gaps.P95), round(s.Gaps.P99), ratio(s.Gaps.P99, quiet.Gaps.P99), s.itemsPerSecond)
 }
 
 func round(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
 
-func harmRun(ctx context.Context, programs string, d time.Duration, seed uint64, batch map[string]any, with bool) (s load.Summary, itemsPerSecond float64, err error) {
+func (x harm) do(ctx context.Context) (r result, err error) {
 	dir, err := os.MkdirTemp("", "verbenaledge-harm-")
 	if err != nil {
-		return s, 0, err
+		return r, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }() // only logs are left behind
 	f, err := fleet.Start(fleet.Config{
-		Programs: programs, Dir: dir, Daemons: 9, Engines: map[ids.ServiceName]int{model: 9},
+		Programs: x.programs, Dir: dir, Daemons: 9, Engines: map[ids.ServiceName]int{model: 9},
 		Services: map[ids.ServiceName]int{"registry": 3}, Zones: []ids.ZoneID{"z1", "z2", "z3"},
-		Settings: map[string]any{"batch": batch},
+		Settings: map[string]any{"batch": x.settings},
 	})
 	if err != nil {
-		return s, 0, err
+		return r, err
 	}
 	defer f.Close()
 	rules := filepath.Join(dir, "harm.rules")
 	if err := os.WriteFile(rules, []byte(harmRules), 0o600); err != nil {
-		return s, 0, err
+		return r, err
 	}
 	if _, err := f.Operate(ctx, "rules", "apply", rules); err != nil {
-		return s, 0, err
+		return r, err
 	}
 	keys := map[string]string{}
 	for _, w := range []string{"archive", "desk"} {
 		if keys[w], err = f.IssueKey(ctx, w); err != nil {
-			return s, 0, err
+			return r, err
 		}
 	}
 	targets := make([]load.Target, 0, len(f.Hosts))
@@ -99,17 +117,18 @@
 	go b.Run(ctx)
 	caller := load.NewCaller(b)
 	job := load.Batch{}
-	if with {
+	if x.withBatch {
 		if job, err = submit(ctx, caller, keys["archive"]); err != nil {
-			return s, 0, err
+			return r, err
 		}
 	}
 	pause(ctx, 4*time.Second)
 	before := done(ctx, caller, keys["archive"], job)
 	start := time.Now()
-	s = trace(ctx, caller, keys["desk"], d, seed)
+	r.Summary = trace(ctx, caller, keys["desk"], x.length, x.seed)
 	after := done(ctx, caller, keys["archive"], job)
-	return s, float64(after-before) / time.Since(start).Seconds(), nil
+	r.itemsPerSecond = float64(after-before) / time.Since(start).Seconds()
+	return r, nil
 }
 
 func submit(ctx context.Context, c *load.Caller, key string) (b load.Batch, err error) {
