perf: large documents are fetched once in place of pushed by every neighbour

Changed: what is larger than 2 KiB is announced and fetched, and compressed. Ruled out: deltas (a second form of the file to keep right).

--- a/verbena/core/core.go
+++ b/verbena/core/core.go
@@ -79,6 +79,8 @@
 	// dirty is true when traffic needs a new snapshot.
 	dirty    bool
 	gossiped time.Time
+	// fetching is when a peer was last asked for documents that it holds.
+	fetching time.Time
 	swept    time.Time
 }
 
--- a/verbena/core/gossip.go
+++ b/verbena/core/gossip.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"verbenaledge.example/verbena/backend"
+	"verbenaledge.example/verbena/batch"
 	"verbenaledge.example/verbena/gossip"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/keys"
@@ -22,6 +23,15 @@
 // degree is how many neighbours a host gossips with, whatever the fleet's size.
 const degree = 8
 
+const (
+	// pushBytes is the most that is sent to neighbours unasked.
+	pushBytes = 2 << 10
+	// packBytes is the size from which documents are compressed.
+	packBytes = 1 << 10
+	// fetchLimit is when another peer is asked for a document that didn't come.
+	fetchLimit = 500 * time.Millisecond
+)
+
 // setPeers takes the known hosts, and works out what depends on them: the hosts to
 // gossip with, and whether this one watches the platform and the leases for all.
 func (c *Core) setPeers(peers map[ids.HostID]string) {
@@ -76,7 +86,7 @@
 		Digest:      c.docs.Digest(),
 		Age:         c.docs.Age(c.now),
 		PlatformAge: c.now.Sub(c.platform.answered),
-		Documents:   docs,
+		Documents:   pack(docs),
 		Leaving:     c.routes.Leaving(c.now),
 	}
 }
@@ -102,19 +112,58 @@
 // learn takes documents and passes the news on.
 func (c *Core) learn(docs []gossip.Document) {
 	var news []gossip.Document
+	size := 0
 	for _, d := range docs {
-		if c.take(d) {
+		if d, ok := unpack(d); ok && c.take(d) {
 			news = append(news, d)
+			size += len(d.Value)
 		}
 	}
 	if len(news) == 0 {
 		return
 	}
+	if size > pushBytes {
+		// Neighbours that lack it fetch it once, in place of getting it from each other.
+		news = nil
+	}
 	for _, h := range c.near {
 		c.call(h, c.greeting(news), nil)
 	}
 }
 
+// fetch asks a peer that holds newer documents for them, one peer at a time.
+func (c *Core) fetch(g *peer.Gossip) {
+	if !c.docs.Wants(g.Digest) || c.now.Sub(c.fetching) < fetchLimit {
+		return
+	}
+	c.fetching = c.now
+	c.call(g.From, c.greeting(nil), nil)
+}
+
+// pack compresses large documents for the wire.
+func pack(docs []gossip.Document) []gossip.Document {
+	packed := make([]gossip.Document, 0, len(docs))
+	for _, d := range docs {
+		if len(d.Value) > packBytes {
+			d.Value, d.Packed = batch.Compress(d.Value), true
+		}
+		packed = append(packed, d)
+	}
+	return packed
+}
+
+func unpack(d gossip.Document) (plain gossip.Document, ok bool) {
+	if !d.Packed {
+		return d, true
+	}
+	value, err := batch.Decompress(d.Value)
+	if err != nil {
+		return gossip.Document{}, false
+	}
+	d.Value, d.Packed = value, false
+	return d, true
+}
+
 // take puts a newer document into force. One that can't be read is kept for
 // peers but changes nothing here.
 func (c *Core) take(d gossip.Document) (news bool) {
--- a/verbena/core/owner_test.go
+++ b/verbena/core/owner_test.go
@@ -17,6 +17,7 @@
 	"verbenaledge.example/verbena/gossip"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/lease"
+	"verbenaledge.example/verbena/peer"
 	"verbenaledge.example/verbena/platform"
 	"verbenaledge.example/verbena/platform/memory"
 )
@@ -44,6 +45,8 @@
 	lose   func() bool
 	// line is the time line of all hosts.
 	line []string
+	// heard is told of each message that comes to a host.
+	heard func(h ids.HostID, m peer.Message)
 }
 
 // host is one core; a paused host does nothing, and one that is cut off doesn't
@@ -59,7 +62,7 @@
 var start = time.Unix(1_000_000, 0)
 
 func newTown(hosts int) *town {
-	w := &town{now: start, store: memory.New(), lose: func() bool { return false }}
+	w := &town{now: start, store: memory.New(), lose: func() bool { return false }, heard: func(ids.HostID, peer.Message) {}}
 	seeds := map[ids.HostID]string{}
 	for i := range hosts {
 		seeds[ids.HostID(fmt.Sprint("h", i))] = "x"
@@ -100,9 +103,13 @@
 		if to.id != c.To || to.paused || to.noPeer || h.noPeer || w.lose() {
 			continue
 		}
+		w.heard(to.id, c.Message)
 		for _, cmd := range to.core.Step(w.now, core.PeerAsked{Ask: 1, From: h.id, Message: c.Message}) {
 			if r, ok := cmd.(core.Reply); ok {
-				w.flight = append(w.flight, func() { w.step(h, core.PeerReplied{Call: c.ID, Message: r.Message}) })
+				w.flight = append(w.flight, func() {
+					w.heard(h.id, r.Message)
+					w.step(h, core.PeerReplied{Call: c.ID, Message: r.Message})
+				})
 				continue
 			}
 			w.carryOut(to, cmd)
--- a/verbena/core/peers.go
+++ b/verbena/core/peers.go
@@ -11,6 +11,7 @@
 	case *peer.Gossip:
 		c.heardGossip(m)
 		c.emit(Reply{e.Ask, c.greeting(c.docs.NewerThan(m.Digest))})
+		c.fetch(m)
 	case *peer.QuotaAsk:
 		c.quotaAsked(e.Ask, m)
 	case *peer.OnlineNotice:
