feat: packing of online requests as a setting, and refused certificates told

Conclusion: throughput for harm, so it stays off by default and is a setting for who weighs throughput more. Prompts shorter than 512 bytes have no affinity any more: no block of theirs is cached.

--- a/verbena/batch/main_test.go
+++ b/verbena/batch/main_test.go
@@ -1,20 +1,9 @@
 package batch_test
 
 import (
-	"flag"
-	"fmt"
-	"os"
 	"testing"
+
+	"verbenaledge.example/verbena/seeded"
 )
 
-// TestMain fixes the seed, so that each run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "2000"} {
-		if err := flag.Set(name, value); err != nil {
-			fmt.Println(err)
-			os.Exit(1)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 7, 2000) }
--- a/verbena/core/config.go
+++ b/verbena/core/config.go
@@ -30,6 +30,9 @@
 	// Watchers is how many hosts watch the platform for all.
 	Watchers int
 	Slots    slots.Policy
+	// Pack is how many online requests a backend server gets before the next one
+	// does; 0 spreads them.
+	Pack int
 	// ItemAttempts is how often a batch item is tried.
 	ItemAttempts int
 	// ItemTimeout is how long an owner waits for an item's result.
--- a/verbena/core/core.go
+++ b/verbena/core/core.go
@@ -122,7 +122,7 @@
 		ledger:      quota.NewLedger(c.Quota),
 		spender:     quota.NewSpender(c.Host, c.QuotaPatience),
 		admits:      map[quota.Ticket]AdmitAsked{},
-		routes:      route.NewTable(random),
+		routes:      route.NewTable(random, route.WithPack(c.Pack)),
 		budget:      retry.NewBudget(c.RetryShare, c.RetryReserve),
 		poison:      poison.NewRegistry(),
 		managers:    map[ids.BackendID]*managed{},
--- a/verbena/core/owner_test.go
+++ b/verbena/core/owner_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -20,19 +18,10 @@
 	"verbenaledge.example/verbena/peer"
 	"verbenaledge.example/verbena/platform"
 	"verbenaledge.example/verbena/platform/memory"
+	"verbenaledge.example/verbena/seeded"
 )
 
-// TestMain fixes the seed, so that each run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "11", "rapid.checks": "600"} {
-		if err := flag.Set(name, value); err != nil {
-			fmt.Println(err)
-			os.Exit(1)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m, 11, 600) }
 
 const shards = 4
 
--- a/verbena/core/peers.go
+++ b/verbena/core/peers.go
@@ -3,6 +3,7 @@
 import (
 	"verbenaledge.example/verbena/peer"
 	"verbenaledge.example/verbena/quota"
+	"verbenaledge.example/verbena/route"
 )
 
 // peerAsked answers a message of a peer.
@@ -15,8 +16,7 @@
 	case *peer.QuotaAsk:
 		c.quotaAsked(e.Ask, m)
 	case *peer.OnlineNotice:
-		c.heardNotice(m)
-		c.emit(Reply{e.Ask, &peer.Ack{}})
+		c.emit(Reply{e.Ask, &peer.OnlineCount{Online: c.heardNotice(m)}})
 	case *peer.Crashed:
 		c.crashReported(e.Ask, m)
 	case *peer.Suspects:
@@ -80,6 +80,10 @@
 		if a, ok := e.Message.(*peer.QuotaAnswer); ok {
 			c.spend(quota.Answered{Ask: sent.Ask, Answer: a.Answer, Sent: p.sent})
 		}
+	case *peer.OnlineNotice:
+		if n, ok := e.Message.(*peer.OnlineCount); ok {
+			c.routes.Step(c.now, route.OnlineCounted{Backend: sent.Backend, Online: n.Online})
+		}
 	case *peer.PromiseAsk:
 		if r, ok := e.Message.(*peer.PromiseReply); ok {
 			c.promiseReplied(p, sent, r)
--- a/verbena/core/slots.go
+++ b/verbena/core/slots.go
@@ -9,6 +9,7 @@
 	"verbenaledge.example/verbena/backend"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/peer"
+	"verbenaledge.example/verbena/route"
 	"verbenaledge.example/verbena/rules"
 	"verbenaledge.example/verbena/slots"
 )
@@ -117,19 +118,22 @@
 	}
 	m := &peer.OnlineNotice{From: c.config.Host, Backend: b, Seq: n.seq, Running: n.running}
 	if owner == c.config.Host {
-		c.heardNotice(m)
+		c.routes.Step(c.now, route.OnlineCounted{Backend: b, Online: c.heardNotice(m)})
 		return
 	}
 	c.call(owner, m, nil)
 }
 
-func (c *Core) heardNotice(m *peer.OnlineNotice) {
+// heardNotice takes a host's count of online requests at a managed server, and
+// returns that of all hosts.
+func (c *Core) heardNotice(m *peer.OnlineNotice) (online int) {
 	managed := c.managers[m.Backend]
 	if managed == nil {
-		return
+		return 0
 	}
 	managed.manager.Notice(c.now, m.From, m.Seq, m.Running)
 	c.setSlots(managed)
+	return managed.manager.Online(c.now)
 }
 
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
--- a/verbena/peer/codec.go
+++ b/verbena/peer/codec.go
@@ -37,6 +37,7 @@
 	kindProgressAsk  kind = 17
 	kindProgress     kind = 18
 	kindHandover     kind = 19
+	kindOnlineCount  kind = 20
 )
 
 type envelope struct {
@@ -111,6 +112,7 @@
 	kindProgressAsk:  func() Message { return &ProgressAsk{} },
 	kindProgress:     func() Message { return &Progress{} },
 	kindHandover:     func() Message { return &Handover{} },
+	kindOnlineCount:  func() Message { return &OnlineCount{} },
 }
 
 // kinds finds the kind of a message by its type.
--- a/verbena/peer/message.go
+++ b/verbena/peer/message.go
@@ -92,6 +92,11 @@
 	Running int           `cbor:"4,keyasint"`
 }
 
+// OnlineCount is the manager's reply: the online requests of all hosts there.
+type OnlineCount struct {
+	Online int `cbor:"1,keyasint"`
+}
+
 // JobChanged tells a job's owner to read its object again.
 type JobChanged struct {
 	Job ids.JobID `cbor:"1,keyasint"`
@@ -190,5 +195,6 @@
 func (*ProgressAsk) isMessage()  {}
 func (*Progress) isMessage()     {}
 func (*Handover) isMessage()     {}
+func (*OnlineCount) isMessage()  {}
 func (*Ack) isMessage()          {}
 func (*Refusal) isMessage()      {}
--- a/verbena/route/event.go
+++ b/verbena/route/event.go
@@ -24,13 +24,20 @@
 	Running int
 }
 
+// OnlineCounted brings the number of online requests that all hosts run at a server.
+type OnlineCounted struct {
+	Backend ids.BackendID
+	Online  int
+}
+
 // SaidLeaving says that a server refused work because it leaves, here or at a peer.
 type SaidLeaving struct{ Backend ids.BackendID }
 
-func (Listed) isEvent()       {}
-func (Finished) isEvent()     {}
-func (LoadReported) isEvent() {}
-func (SaidLeaving) isEvent()  {}
+func (Listed) isEvent()        {}
+func (Finished) isEvent()      {}
+func (LoadReported) isEvent()  {}
+func (SaidLeaving) isEvent()   {}
+func (OnlineCounted) isEvent() {}
 
 // Outcome is how a request ended at a server.
 type Outcome int
--- a/verbena/route/table.go
+++ b/verbena/route/table.go
@@ -19,6 +19,8 @@
 const (
 	// loadFresh is how long a reported load counts in full.
 	loadFresh = 2 * time.Second
+	// onlineFresh is how long a count of online requests is trusted.
+	onlineFresh = time.Second
 	// overload bounds how far above the mean a preferred server may be loaded.
 	overload     = 1.25
 	firstBackoff = 500 * time.Millisecond
@@ -30,6 +32,7 @@
 // Table is a host's view of the backend servers.
 type Table struct {
 	random  *rand.Rand
+	pack    int
 	servers map[ids.BackendID]*server
 	byName  map[ids.ServiceName][]*server
 }
@@ -41,14 +44,29 @@
 	startedSince int
 	reported     int
 	reportedAt   time.Time
+	online       int
+	onlineAt     time.Time
+	onlineSince  int
 	leavingAt    time.Time
 	failures     int
 	retryAt      time.Time
 }
 
+// Option changes how a table is built.
+type Option func(*Table)
+
+// WithPack fills servers with a number of online requests each before it uses the next.
+func WithPack(n int) Option {
+	return func(t *Table) { t.pack = n }
+}
+
 // NewTable returns a table without servers. The random source must be the caller's alone.
-func NewTable(random *rand.Rand) *Table {
-	return &Table{random: random, servers: map[ids.BackendID]*server{}, byName: map[ids.ServiceName][]*server{}}
+func NewTable(random *rand.Rand, opts ...Option) *Table {
+	t := &Table{random: random, servers: map[ids.BackendID]*server{}, byName: map[ids.ServiceName][]*server{}}
+	for _, o := range opts {
+		o(t)
+	}
+	return t
 }
 
 // Step applies one event and returns the changes of state that follow.
@@ -60,6 +78,8 @@
 		return t.finished(now, e)
 	case LoadReported:
 		t.reported(now, e)
+	case OnlineCounted:
+		t.onlineCounted(now, e)
 	case SaidLeaving:
 		return t.saidLeaving(now, e)
 	}
@@ -88,6 +108,7 @@
 	chosen := t.prefer(now, r, able)
 	chosen.inFlight++
 	chosen.startedSince++
+	chosen.onlineSince++
 	if r.Suspect {
 		chosen.suspects++
 	}
@@ -180,6 +201,12 @@
 	s.reported, s.reportedAt, s.startedSince = e.Running, now, 0
 }
 
+func (t *Table) onlineCounted(now time.Time, e OnlineCounted) {
+	if s := t.servers[e.Backend]; s != nil {
+		s.online, s.onlineAt, s.onlineSince = e.Online, now, 0
+	}
+}
+
 func (t *Table) saidLeaving(now time.Time, e SaidLeaving) []Change {
 	s := t.servers[e.Backend]
 	if s == nil {
@@ -244,6 +271,9 @@
 			return s
 		}
 	}
+	if s := t.packed(now, r, able); s != nil {
+		return s
+	}
 	x, y := able[t.random.IntN(len(able))], able[t.random.IntN(len(able))]
 	if y.load(now) < x.load(now) {
 		return y
@@ -251,6 +281,33 @@
 	return x
 }
 
+// packed takes the first server, in an order that all hosts share, that has room
+// for another online request. It keeps the others free of online requests, and so
+// open to batch work that needn't yield.
+func (t *Table) packed(now time.Time, r Request, able []*server) (first *server) {
+	if t.pack == 0 {
+		return nil
+	}
+	var top uint64
+	for _, s := range able {
+		if s.onlineLoad(now) >= t.pack {
+			continue
+		}
+		if score := shard.Score("pack/"+string(r.Service), ids.HostID(s.ID)); first == nil || score > top {
+			first, top = s, score
+		}
+	}
+	return first
+}
+
+// onlineLoad is how many online requests run at a server, as far as this host knows.
+func (s *server) onlineLoad(now time.Time) int {
+	if now.Sub(s.onlineAt) > onlineFresh {
+		return s.inFlight
+	}
+	return max(s.inFlight, s.online+s.onlineSince)
+}
+
 func preferred(affinity string, able []*server) (best *server) {
 	var top uint64
 	for _, s := range able {
--- a/verbenad/internal/caller/complete.go
+++ b/verbenad/internal/caller/complete.go
@@ -14,7 +14,10 @@
 
 // affinityBytes is how much of a prompt's head groups requests on a server that
 // has it cached.
-const affinityBytes = 1024
+const (
+	affinityBytes    = 1024
+	minAffinityBytes = 512
+)
 
 // completion is what the daemon reads of a completion request.
 type completion struct {
@@ -89,5 +92,8 @@
 	if len(text) == 0 {
 		text = q.Prompt
 	}
+	if len(text) < minAffinityBytes {
+		return "" // too short for a cached prefix to matter
+	}
 	return string(text[:min(len(text), affinityBytes)])
 }
--- a/verbenad/internal/daemon/steps.go
+++ b/verbenad/internal/daemon/steps.go
@@ -97,7 +97,7 @@
 func (listenForPeers) String() string { return "listen for peers" }
 
 func (listenForPeers) Run(_ context.Context, d *Daemon) (err error) {
-	d.transport, err = peer.New(d.settings.Host.ID, d.settings.Peer.Listen, d.files)
+	d.transport, err = peer.New(d.settings.Host.ID, d.settings.Peer.Listen, d.files, d.timeline)
 	if err != nil {
 		return err
 	}
@@ -155,6 +155,7 @@
 		Max: s.Batch.MaxSlots, Shared: s.Batch.SharedSlots, Fixed: s.Batch.FixedSlots,
 		Quiet: time.Duration(s.Batch.Quiet), Growth: time.Duration(s.Batch.Growth),
 	}
+	c.Pack = s.Backend.Pack
 	c.RecordAdmissions = s.Timeline.Admissions
 	c.ItemAttempts = s.Batch.Attempts
 	c.ItemTimeout = time.Duration(s.Batch.ItemTimeout)
--- a/verbenad/internal/peer/transport.go
+++ b/verbenad/internal/peer/transport.go
@@ -16,6 +16,7 @@
 
 	"verbenaledge.example/verbena/ids"
 	wire "verbenaledge.example/verbena/peer"
+	"verbenaledge.example/verbena/timeline"
 	"verbenaledge.example/verbenad/internal/metric"
 	"verbenaledge.example/verbenad/internal/tlsfiles"
 )
@@ -42,6 +43,8 @@
 	files   *tlsfiles.Files
 	quic    *quic.Transport
 	handler Handler
+	// timeline takes changes of state.
+	timeline *timeline.Recorder
 
 	mu       sync.Mutex
 	links    map[ids.HostID]*link
@@ -54,10 +57,12 @@
 	address string
 	conn    *quic.Conn
 	failed  time.Time
+	// refused is true after a handshake failed because of a certificate.
+	refused bool
 }
 
 // New returns a transport on a UDP address.
-func New(self ids.HostID, address string, files *tlsfiles.Files) (t *Transport, err error) {
+func New(self ids.HostID, address string, files *tlsfiles.Files, r *timeline.Recorder) (t *Transport, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("listen for peers on %s: %w", address, err)
@@ -72,7 +77,7 @@
 		return nil, err
 	}
 	return &Transport{
-		self: self, files: files,
+		self: self, files: files, timeline: r,
 		// With a key that outlives the process, a daemon that was killed and started
 		// again tells peers at once that their connections are gone.
 		quic:     &quic.Transport{Conn: socket, StatelessResetKey: files.ResetKey()},
@@ -186,11 +191,25 @@
 	l.conn, err = t.quic.Dial(dialCtx, udp, t.files.Client(to), quicConfig())
 	if err != nil {
 		l.conn, l.failed = nil, time.Now()
+		t.noteRefusal(l, to, err)
 		return nil, err
 	}
+	l.refused = false
 	return l.conn, nil
 }
 
+// noteRefusal tells operators, once, that a host's certificate or this one's is not
+// accepted.
+func (t *Transport) noteRefusal(l *link, to ids.HostID, err error) {
+	var fault *quic.TransportError
+	if !errors.As(err, &fault) || !fault.ErrorCode.IsCryptoError() || l.refused {
+		return
+	}
+	l.refused = true
+	log.WithField("peer", string(to)).WithError(err).Warn("certificate refused")
+	t.timeline.Record(timeline.Event{Kind: timeline.CertificateBad, Detail: string(to) + ": " + fault.ErrorMessage})
+}
+
 func (l *link) drop(why string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/verbenad/internal/settings/check.go
+++ b/verbenad/internal/settings/check.go
@@ -45,6 +45,7 @@
 	c.length("backend.connect_timeout", s.Backend.ConnectTimeout, 10*time.Millisecond, time.Minute)
 	c.length("backend.stall_timeout", s.Backend.StallTimeout, 100*time.Millisecond, 10*time.Minute)
 	c.between("backend.attempts", s.Backend.Attempts, 1, 10)
+	c.between("backend.pack", s.Backend.Pack, 0, 1024)
 	c.length("drain.notice", s.Drain.Notice, 0, time.Minute)
 	c.length("drain.limit", s.Drain.Limit, 0, time.Hour)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
--- a/verbenad/internal/settings/settings.go
+++ b/verbenad/internal/settings/settings.go
@@ -110,8 +110,11 @@
 	// StallTimeout ends a call that sends nothing for that long.
 	StallTimeout Duration `json:"stall_timeout"`
 	Attempts     int      `json:"attempts"`
-	RetryShare   float64  `json:"retry_share"`
-	RetryReserve float64  `json:"retry_reserve"`
+	// Pack is how many online requests a model's server gets before the next one
+	// does, which keeps servers free for batch work; 0 spreads them.
+	Pack         int     `json:"pack"`
+	RetryShare   float64 `json:"retry_share"`
+	RetryReserve float64 `json:"retry_reserve"`
 }
 
 // Drain sets how a planned stop goes.
--- a/verbenalab/internal/measure/harm.go
+++ b/verbenalab/internal/measure/harm.go
@@ -34,8 +34,14 @@
 	// The naive version: a fixed number of slots, whatever online work there is.
 	"fixed": {"fixed_slots": 16},
 	"yield": {},
+	"pack2": {},
+	"pack3": {},
+	"pack4": {},
 }
 
+// packs are the policies that also fill servers with online requests.
+var packs = map[string]int{"pack2": 2, "pack3": 3, "pack4": 4}
+
 // Harm runs the same online trace without and with a batch beside it, at the size
 // of a deployment, and prints the delay of online answers and the batch's rate.
 func Harm(ctx context.Context, programs string, d time.Duration, seed uint64, policies []string) (err error) {
@@ -47,7 +53,7 @@
 	show("no batch", quiet, quiet)
 	run.withBatch = true
 	for _, p := range policies {
-		run.settings = Policies[p]
+		run.settings, run.pack = Policies[p], packs[p]
 		r, err := run.do(ctx)
 		if err != nil {
 			return err
@@ -64,6 +70,7 @@
 	seed      uint64
 	settings  map[string]any
 	withBatch bool
+	pack      int
 }
 
 // result is what a run has measured.
@@ -90,7 +97,7 @@
 	f, err := fleet.Start(fleet.Config{
 		Programs: x.programs, Dir: dir, Daemons: 9, Engines: map[ids.ServiceName]int{model: 9},
 		Services: map[ids.ServiceName]int{"registry": 3}, Zones: []ids.ZoneID{"z1", "z2", "z3"},
-		Settings: map[string]any{"batch": x.settings},
+		Settings: map[string]any{"batch": x.settings, "backend": map[string]any{"pack": x.pack}},
 	})
 	if err != nil {
 		return r, err
