--- a/verbena/peer/message.go
+++ b/verbena/peer/message.go
@@ -168,7 +168,6 @@
 // The reasons.
 const (
 	NotOwner Reason = "not_owner"
-	Stopping Reason = "stopping"
 	Bad      Reason = "bad_message"
 	Later    Reason = "later"
 )
--- a/verbena/route/table.go
+++ b/verbena/route/table.go
@@ -2,7 +2,6 @@
 package route
 
 import (
-	"cmp"
 	"errors"
 	"math/rand/v2"
 	"slices"
@@ -37,21 +36,6 @@
 	byName  map[ids.ServiceName][]*server
 }
 
-type server struct {
-	backend.Server
-	inFlight     int
-	suspects     int
-	startedSince int
-	reported     int
-	reportedAt   time.Time
-	online       int
-	onlineAt     time.Time
-	onlineSince  int
-	leavingAt    time.Time
-	failures     int
-	retryAt      time.Time
-}
-
 // Option changes how a table is built.
 type Option func(*Table)
 
@@ -239,10 +223,6 @@
 	return otherZones(t, list, r.Tried)
 }
 
-func (s *server) leavingOrTried(now time.Time, r Request) bool {
-	return s.State != backend.Live || s.leaving(now) || slices.Contains(r.Tried, s.ID)
-}
-
 // otherZones drops the zones that a retry has already tried, if any other is left.
 func otherZones(t *Table, list []*server, tried []ids.BackendID) []*server {
 	zones := map[ids.ZoneID]bool{}
@@ -300,14 +280,6 @@
 	return first
 }
 
-// onlineLoad is how many online requests run at a server, as far as this host knows.
-func (s *server) onlineLoad(now time.Time) int {
-	if now.Sub(s.onlineAt) > onlineFresh {
-		return s.inFlight
-	}
-	return max(s.inFlight, s.online+s.onlineSince)
-}
-
 func preferred(affinity string, able []*server) (best *server) {
 	var top uint64
 	for _, s := range able {
@@ -325,31 +297,3 @@
 	}
 	return sum / float64(len(able))
 }
-
-// load is the larger of what this host runs there and what the server last said
-// plus what was started since; an old report counts for less.
-func (s *server) load(now time.Time) float64 {
-	own := float64(s.inFlight)
-	age := now.Sub(s.reportedAt)
-	if age > loadFresh {
-		return own
-	}
-	weight := 1 - float64(age)/float64(loadFresh)
-	return max(own, weight*float64(s.reported)+float64(s.startedSince))
-}
-
-func (s *server) takesWork(now time.Time) bool {
-	return s.State == backend.Live && !s.leaving(now) && !now.Before(s.retryAt)
-}
-
-func (s *server) leaving(now time.Time) bool {
-	return s.State == backend.Leaving || (!s.leavingAt.IsZero() && now.Sub(s.leavingAt) < leavingMemory)
-}
-
-func backoff(failures int) time.Duration {
-	return min(firstBackoff<<min(failures-1, 10), maxBackoff)
-}
-
-func byID(x, y backend.Server) int {
-	return cmp.Compare(x.ID, y.ID)
-}
--- a/verbena/timeline/kind.go
+++ b/verbena/timeline/kind.go
@@ -30,10 +30,7 @@
 	JobResumed      Kind = "job_resumed"
 	JobCancelled    Kind = "job_cancelled"
 	JobCompleted    Kind = "job_completed"
-	SegmentWritten  Kind = "segment_written"
 	SegmentRefused  Kind = "segment_refused"
-	BatchYielded    Kind = "batch_yielded"
-	OrderSent       Kind = "order_sent"
 	CertificateNew  Kind = "certificate_renewed"
 	CertificateBad  Kind = "certificate_refused"
 )
--- a/verbenad/internal/caller/claims.go
+++ b/verbenad/internal/caller/claims.go
@@ -12,6 +12,7 @@
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/platform"
 	"verbenaledge.example/verbena/refusal"
+	"verbenaledge.example/verbena/timeline"
 	"verbenaledge.example/verbenad/internal/backend"
 	"verbenaledge.example/verbenad/internal/control"
 )
@@ -34,6 +35,8 @@
 	store  platform.Store
 	loop   *control.Loop
 	runner *backend.Runner
+	// timeline takes changes of state; nil for none.
+	timeline *timeline.Recorder
 }
 
 // run makes the call, or answers a resend with what became of the first.
@@ -88,6 +91,7 @@
 		return refused
 	default:
 		o.record.State = claim.Unknown
+		x.noteUnknown(j.Workspace, o.record.Request)
 		_ = x.settle(o.update(x.store)) // tried again later
 		return unknownOutcome()
 	}
@@ -141,6 +145,12 @@
 	return r.WithRun(refusal.Unknown)
 }
 
+func (x *claims) noteUnknown(w ids.WorkspaceID, r ids.RequestID) {
+	if x.timeline != nil {
+		x.timeline.Record(timeline.Event{Kind: timeline.ClaimUnknown, Workspace: w, Request: r})
+	}
+}
+
 func unknownOutcome() *refusal.Refusal {
 	r := refusal.New(refusal.OutcomeUnknown, 0, "the call may have run; it isn't sent again under this key")
 	return r.WithRun(refusal.Unknown)
@@ -174,6 +184,7 @@
 			return unknownOutcome()
 		case claim.Settle:
 			record.State = claim.Unknown
+			x.noteUnknown(c.workspace, record.Request)
 			_, _ = x.store.Update(c.Context(), name, o.Version, record.Marshal()) // read again either way
 		case claim.Wait:
 			if time.Now().After(deadline) {
--- a/verbenad/internal/caller/handler.go
+++ b/verbenad/internal/caller/handler.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net/http"
-	"sync"
 	"sync/atomic"
 
 	"verbenaledge.example/verbena/ids"
@@ -45,7 +44,6 @@
 	limits   Limits
 	shards   int
 	running  atomic.Int64
-	active   sync.WaitGroup
 	claims   *claims
 }
 
@@ -71,7 +69,7 @@
 	for _, o := range opts {
 		o(h)
 	}
-	h.claims = &claims{store: s, loop: l, runner: r}
+	h.claims = &claims{store: s, loop: l, runner: r, timeline: h.timeline}
 	return h
 }
 
@@ -101,11 +99,6 @@
 	return int(h.running.Load())
 }
 
-// Wait returns when no request is being served.
-func (h *Handler) Wait() {
-	h.active.Wait()
-}
-
 // call is one request of a caller.
 type call struct {
 	*http.Request
@@ -118,8 +111,6 @@
 // serve does what every page needs: count, name, identify, refuse.
 func (h *Handler) serve(page func(http.ResponseWriter, *call) *refusal.Refusal) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		h.active.Add(1)
-		defer h.active.Done()
 		defer h.running.Add(-1)
 		c := &call{Request: r, id: newRequestID()}
 		w.Header().Set(backend.HeaderRequestID, string(c.id))
--- a/verbenad/internal/daemon/steps.go
+++ b/verbenad/internal/daemon/steps.go
@@ -119,7 +119,7 @@
 		MaxHeldBytes: s.Batch.MaxHeldBytes,
 	}, d.store, d.loop, d.timeline)
 	x := newExecutor(ctx, d)
-	d.items = items.NewRuntime(ctx, runner, x, d.timeline)
+	d.items = items.NewRuntime(ctx, runner, x)
 	d.callers = caller.NewHandler(d.loop, runner, d.store, x, s.Lease.Shards,
 		caller.WithTimeline(d.timeline), caller.WithLimits(caller.Limits{
 			BodyBytes: s.Caller.MaxBodyBytes, FileBytes: s.Caller.MaxFileBytes, Concurrent: s.Caller.MaxConcurrent,
--- a/verbenad/internal/items/runtime.go
+++ b/verbenad/internal/items/runtime.go
@@ -17,7 +17,6 @@
 	"verbenaledge.example/verbena/peer"
 	"verbenaledge.example/verbena/poison"
 	"verbenaledge.example/verbena/refusal"
-	"verbenaledge.example/verbena/timeline"
 	client "verbenaledge.example/verbenad/internal/backend"
 	"verbenaledge.example/verbenad/internal/metric"
 )
@@ -34,11 +33,10 @@
 
 // Runtime runs items.
 type Runtime struct {
-	runner   *client.Runner
-	owners   Owners
-	timeline *timeline.Recorder
-	pool     pond.Pool
-	reports  *reports
+	runner  *client.Runner
+	owners  Owners
+	pool    pond.Pool
+	reports *reports
 
 	mu      sync.Mutex
 	servers map[ids.BackendID]*server
@@ -46,9 +44,9 @@
 }
 
 // NewRuntime returns a runtime that manages no server yet.
-func NewRuntime(ctx context.Context, r *client.Runner, o Owners, t *timeline.Recorder) *Runtime {
+func NewRuntime(ctx context.Context, r *client.Runner, o Owners) *Runtime {
 	rt := &Runtime{
-		runner: r, owners: o, timeline: t, pool: pond.NewPool(0),
+		runner: r, owners: o, pool: pond.NewPool(0),
 		reports: newReports(o), servers: map[ids.BackendID]*server{},
 	}
 	go rt.reports.run(ctx)
@@ -91,16 +89,6 @@
 	}
 }
 
-// Running returns how many items run.
-func (r *Runtime) Running() (n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, s := range r.servers {
-		n += s.count()
-	}
-	return n
-}
-
 // Wait returns when no item runs and every outcome has been brought back.
 func (r *Runtime) Wait(ctx context.Context) {
 	done := make(chan struct{})
--- a/verbenad/internal/items/server.go
+++ b/verbenad/internal/items/server.go
@@ -85,12 +85,6 @@
 	}
 }
 
-func (s *server) count() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.running)
-}
-
 func (s *server) free() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
