--- a/verbenad/internal/backend/client_test.go
+++ b/verbenad/internal/backend/client_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,10 +89,9 @@
 // on a connection that turns out to be closed.
 func TestNotRepeated(t *testing.T) {
 	c := qt.New(t)
-	runs := 0
+	var runs atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		runs++
-		if strings.HasSuffix(r.URL.Path, "x") && runs > 1 {
+		if runs.Add(1) > 1 && strings.HasSuffix(r.URL.Path, "x") {
 			panic(http.ErrAbortHandler)
 		}
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
@@ -100,5 +100,5 @@
 	cl := client.NewClient(time.Second, time.Second)
 	c.Assert(call(cl, server.Listener.Addr().String()) == nil, qt.IsTrue)
 	c.Assert(call(cl, server.Listener.Addr().String()).Kind, qt.Equals, client.Crashed)
-	c.Assert(runs, qt.Equals, 2)
+	c.Assert(runs.Load(), qt.Equals, int64(2))
 }
