perf: a host that is only a guard reads its wards' leases, not all

Cause: every host is some other's guard, so at 390 hosts each would list 390 leases each 1.5 s, 11.7 KB/s of 5 KB/s (worked out). Changed: the nine hosts that watch over all leases list them; a guard that isn't one of them reads its two wards'. Only those who see all leases may break one in its guards' place. TestEachHostIsSucceeded: 12 hosts, three of them no monitors, each paused in turn.

--- a/verbena/core/command.go
+++ b/verbena/core/command.go
@@ -69,6 +69,9 @@
 // ListLeases lists the leases of all hosts.
 type ListLeases struct{}
 
+// ReadWards reads the leases of hosts that this one guards.
+type ReadWards struct{ Leases []lease.ID }
+
 // ReadLease reads the guards that a lease names, if it still has the version seen.
 type ReadLease struct{ Lease lease.Seen }
 
@@ -157,6 +160,7 @@
 func (WriteLease) isCommand()     {}
 func (ListLeases) isCommand()     {}
 func (BreakLease) isCommand()     {}
+func (ReadWards) isCommand()      {}
 func (ReadLease) isCommand()      {}
 func (WriteShards) isCommand()    {}
 func (Publish) isCommand()        {}
--- a/verbena/core/core.go
+++ b/verbena/core/core.go
@@ -158,7 +158,7 @@
 		c.peerFailed(e)
 	case ConfigRead, PlatformFailed, HostsRead:
 		c.stepPlatform(e)
-	case LeaseWritten, LeaseFailed, LeasesListed, LeaseRead, LeaseBreakEnded, ShardsWritten, ShardReady, ShardClosed:
+	case LeaseWritten, LeaseFailed, LeasesListed, WardsRead, LeaseRead, LeaseBreakEnded, ShardsWritten, ShardReady, ShardClosed:
 		c.stepOwnership(e)
 	case Batch:
 		c.stepBatch(e.Event, 0)
--- a/verbena/core/event.go
+++ b/verbena/core/event.go
@@ -136,6 +136,13 @@
 	Settled bool
 }
 
+// WardsRead brings the wards' leases that stand.
+type WardsRead struct {
+	Asked    time.Time
+	Answered time.Time
+	Leases   []lease.Seen
+}
+
 // LeaseRead brings the guards that a lease names at the version seen.
 type LeaseRead struct {
 	Lease  lease.Seen
@@ -185,6 +192,7 @@
 func (LeaseFailed) isEvent()     {}
 func (LeasesListed) isEvent()    {}
 func (LeaseBreakEnded) isEvent() {}
+func (WardsRead) isEvent()       {}
 func (LeaseRead) isEvent()       {}
 func (ShardsWritten) isEvent()   {}
 func (ShardReady) isEvent()      {}
--- a/verbena/core/guards.go
+++ b/verbena/core/guards.go
@@ -27,8 +27,8 @@
 // guarding is a host's part as a guard of others' leases, and as one that is guarded.
 type guarding struct {
 	asked time.Time
-	// wards are the hosts that name this one as a guard, by when they last said so.
-	wards map[ids.HostID]time.Time
+	// wards are the hosts that name this one as a guard.
+	wards map[ids.HostID]ward
 	// promised is until when this host has promised not to break a lease.
 	promised map[lease.ID]time.Time
 	// breaking holds leases that this host has broken, or may have.
@@ -36,8 +36,14 @@
 	extended bool
 }
 
+// ward is a lease that this host guards, and when its holder last said so.
+type ward struct {
+	lease lease.ID
+	at    time.Time
+}
+
 func newGuarding() guarding {
-	return guarding{wards: map[ids.HostID]time.Time{}, promised: map[lease.ID]time.Time{}, breaking: map[lease.ID]bool{}}
+	return guarding{wards: map[ids.HostID]ward{}, promised: map[lease.ID]time.Time{}, breaking: map[lease.ID]bool{}}
 }
 
 // chooseGuards names hosts that were heard of lately, of other availability zones first.
@@ -93,7 +99,7 @@
 // may act itself: its own lease then stands, and those who are no guards leave the
 // ward's lease alone for as long as the promise lasts.
 func (c *Core) promiseAsked(m *peer.PromiseAsk) peer.Message {
-	c.guard.wards[m.Lease.Host] = c.now
+	c.guard.wards[m.Lease.Host] = ward{m.Lease, c.now}
 	platformAway := c.platform.down || c.holder.Overdue(c.now)
 	if m.For <= 0 || m.For > promiseFor || !platformAway || !c.mayAct() || c.guard.breaking[m.Lease] || c.draining {
 		return &peer.PromiseReply{}
@@ -110,14 +116,45 @@
 	c.dirty = true
 }
 
-// isGuard tells whether any host has lately named this one as its guard.
-func (c *Core) isGuard() bool {
-	for h, at := range c.guard.wards {
-		if c.now.Sub(at) > wardMemory {
+// wards returns the leases of the hosts that have lately named this one as a guard.
+func (c *Core) wards() (list []lease.ID) {
+	for _, h := range sortedKeys(c.guard.wards) {
+		w := c.guard.wards[h]
+		if c.now.Sub(w.at) > wardMemory {
 			delete(c.guard.wards, h)
+			continue
 		}
+		list = append(list, w.lease)
+	}
+	return list
+}
+
+// watchLeases looks at all leases on a host that does so for the fleet, and at its
+// wards' on one that is only their guard.
+func (c *Core) watchLeases() {
+	if c.listing || c.now.Before(c.nextList) || c.draining {
+		return
+	}
+	c.nextList = c.now.Add(c.config.Lease.Renew)
+	if c.monitors {
+		c.listing = true
+		c.emit(ListLeases{})
+		return
+	}
+	if wards := c.wards(); len(wards) > 0 {
+		c.listing = true
+		c.emit(ReadWards{wards})
+	}
+}
+
+// wardsRead breaks the leases of wards that have ended. Their shards are given away
+// by hosts that see all leases.
+func (c *Core) wardsRead(e WardsRead) {
+	c.listing = false
+	c.platformAnswered(e.Asked)
+	for _, seen := range c.monitor.Observe(e.Asked, e.Answered, e.Leases) {
+		c.emit(ReadLease{seen})
 	}
-	return len(c.guard.wards) > 0
 }
 
 // leaseRead decides whether a lease that hasn't been renewed may be broken by this
@@ -137,6 +174,9 @@
 	if len(guards) == 0 || slices.Contains(guards, c.config.Host) {
 		return true
 	}
+	if !c.monitors {
+		return false // it sees too few leases to tell that all guards are gone
+	}
 	wait := promiseFor + c.config.Lease.Margin
 	return !slices.ContainsFunc(guards, func(g ids.HostID) bool { return c.monitor.Absent(c.now, g) < wait })
 }
--- a/verbena/core/owner_test.go
+++ b/verbena/core/owner_test.go
@@ -82,7 +82,7 @@
 		w.flight = append(w.flight, func() { w.call(h, c) })
 	case core.Record:
 		w.line = append(w.line, fmt.Sprintf("%s %s %s %s", w.now.Sub(start), h.id, c.Event.Kind, c.Event.Detail))
-	case core.ReadConfig, core.ReadHosts, core.WriteLease, core.ListLeases, core.ReadLease, core.BreakLease, core.WriteShards:
+	case core.ReadConfig, core.ReadHosts, core.WriteLease, core.ListLeases, core.ReadWards, core.ReadLease, core.BreakLease, core.WriteShards:
 		w.flight = append(w.flight, func() { w.platform(h, c) })
 	}
 }
@@ -128,6 +128,8 @@
 		w.step(h, core.HostsRead{Asked: w.now})
 	case core.ListLeases:
 		w.listLeases(h, c)
+	case core.ReadWards:
+		w.readWards(h, c)
 	case core.ReadLease:
 		w.readLease(h, c)
 	case core.BreakLease:
@@ -177,6 +179,21 @@
 	w.step(h, e)
 }
 
+func (w *town) readWards(h *host, c core.ReadWards) {
+	e := core.WardsRead{Asked: w.now, Answered: w.now}
+	for _, id := range c.Leases {
+		o, err := w.store.Get(context.Background(), id.ObjectName())
+		if w.reach(h, nil) != nil {
+			w.step(h, core.PlatformFailed{Command: c})
+			return
+		}
+		if err == nil {
+			e.Leases = append(e.Leases, lease.Seen{ID: id, Version: o.Version})
+		}
+	}
+	w.step(h, e)
+}
+
 func (w *town) readLease(h *host, c core.ReadLease) {
 	o, err := w.store.Get(context.Background(), c.Lease.ID.ObjectName())
 	if w.reach(h, err) != nil || o.Version != c.Lease.Version {
@@ -332,3 +349,21 @@
 		}
 	}
 }
+
+// TestEachHostIsSucceeded pauses each host of a fleet in which some watch over no
+// leases but their wards': its shards get another owner, and it comes back.
+func TestEachHostIsSucceeded(t *testing.T) {
+	w := newTown(12)
+	w.run(30 * time.Second)
+	for _, h := range w.hosts {
+		h.paused = true
+		w.run(30 * time.Second)
+		for s := range ids.ShardID(shards) {
+			if list := w.owners(s); len(list) != 1 || list[0] == h.id {
+				t.Fatalf("shard %d has the owners %v with %s paused", s, list, h.id)
+			}
+		}
+		h.paused = false
+		w.run(15 * time.Second)
+	}
+}
--- a/verbena/core/ownership.go
+++ b/verbena/core/ownership.go
@@ -19,12 +19,7 @@
 	c.runLease(c.holder.Step(c.now, lease.Tick{Guards: c.chooseGuards()}))
 	c.dropLapsed()
 	c.tickGuards()
-	if c.listing || c.now.Before(c.nextList) || (!c.monitors && !c.isGuard()) || c.draining {
-		return
-	}
-	c.listing = true
-	c.nextList = c.now.Add(c.config.Lease.Renew)
-	c.emit(ListLeases{})
+	c.watchLeases()
 }
 
 func (c *Core) runLease(cmds []lease.Command) {
@@ -55,6 +50,8 @@
 		c.runLease(c.holder.Step(c.now, e.Failed))
 	case LeasesListed:
 		c.leasesListed(e)
+	case WardsRead:
+		c.wardsRead(e)
 	case LeaseRead:
 		c.leaseRead(e)
 	case LeaseBreakEnded:
--- a/verbena/core/platform.go
+++ b/verbena/core/platform.go
@@ -92,7 +92,7 @@
 	case ReadHosts:
 		p.listing = false
 		p.nextHosts = c.now.Add(c.jitter(failurePause))
-	case ListLeases:
+	case ListLeases, ReadWards:
 		c.listing = false
 	}
 	if !p.down {
--- a/verbenad/internal/daemon/executor.go
+++ b/verbenad/internal/daemon/executor.go
@@ -95,6 +95,8 @@
 			x.platform.WriteLease(x.ctx, c.Command)
 		case core.ListLeases:
 			x.platform.ListLeases(x.ctx, c)
+		case core.ReadWards:
+			x.platform.ReadWards(x.ctx, c)
 		case core.ReadLease:
 			x.platform.ReadLease(x.ctx, c)
 		case core.BreakLease:
--- a/verbenad/internal/platform/executor.go
+++ b/verbenad/internal/platform/executor.go
@@ -165,6 +165,24 @@
 	x.post.Post(e)
 }
 
+// ReadWards reads the leases of hosts that this one guards.
+func (x *Executor) ReadWards(ctx context.Context, cmd core.ReadWards) {
+	e := core.WardsRead{Asked: x.clock.Now()}
+	for _, id := range cmd.Leases {
+		o, err := x.store.Get(ctx, id.ObjectName())
+		if errors.Is(err, api.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			x.post.Post(core.PlatformFailed{Command: cmd})
+			return
+		}
+		e.Leases = append(e.Leases, lease.Seen{ID: id, Version: o.Version})
+	}
+	e.Answered = x.clock.Now()
+	x.post.Post(e)
+}
+
 // BreakLease deletes another host's lease at the version seen.
 func (x *Executor) BreakLease(ctx context.Context, cmd core.BreakLease) {
 	err := x.store.Delete(ctx, cmd.Lease.ID.ObjectName(), cmd.Lease.Version)
