fix: a host that its peers can't reach gives its lease up

Changed: a host that doesn't reach the larger part of the hosts with a lease hands over and gives its lease up until it does; of two equal parts that with the first host goes on. A late answer to a renewal doesn't revive a term that was given up. Ruled out: counting silent peers alone, which stops the survivors of a fleet whose other hosts are lost.

--- a/verbena/core/core.go
+++ b/verbena/core/core.go
@@ -53,6 +53,8 @@
 	guard    guarding
 	// zones are the availability zones of entry hosts.
 	zones map[ids.HostID]ids.ZoneID
+	// cutFromPeers is true while this host holds no lease because too few reach it.
+	cutFromPeers bool
 	// listing and writing are true while a call to the platform is under way.
 	listing  bool
 	writing  bool
--- a/verbena/core/owner_test.go
+++ b/verbena/core/owner_test.go
@@ -367,3 +367,25 @@
 		w.run(15 * time.Second)
 	}
 }
+
+// TestCutHostGivesUp cuts a host from its peers but not from the platform: nobody
+// could ask it for its shards, so others get them.
+func TestCutHostGivesUp(t *testing.T) {
+	for _, hosts := range []int{2, 3, 5} {
+		w := newTown(hosts)
+		w.run(20 * time.Second)
+		cut := w.hosts[hosts-1]
+		cut.noPeer = true
+		w.run(30 * time.Second)
+		for s := range ids.ShardID(shards) {
+			if list := w.owners(s); len(list) != 1 || list[0] == cut.id {
+				t.Fatalf("%d hosts: shard %d has the owners %v with %s cut off", hosts, s, list, cut.id)
+			}
+		}
+		cut.noPeer = false
+		w.run(20 * time.Second)
+		if n := len(w.hosts); n > 1 && len(w.owners(0)) != 1 {
+			t.Fatalf("shard 0 has no owner after the cut")
+		}
+	}
+}
--- a/verbena/core/ownership.go
+++ b/verbena/core/ownership.go
@@ -16,7 +16,10 @@
 
 // tickOwnership renews the host's lease and looks at those of others.
 func (c *Core) tickOwnership() {
-	c.runLease(c.holder.Step(c.now, lease.Tick{Guards: c.chooseGuards()}))
+	c.judgeReach()
+	if !c.cutFromPeers {
+		c.runLease(c.holder.Step(c.now, lease.Tick{Guards: c.chooseGuards()}))
+	}
 	c.dropLapsed()
 	c.tickGuards()
 	c.watchLeases()
--- a/verbena/lease/event.go
+++ b/verbena/lease/event.go
@@ -35,6 +35,9 @@
 	Lost bool
 }
 
+// GiveUp says that the host is not to hold a lease for now.
+type GiveUp struct{}
+
 // Release says that the host is stopping.
 type Release struct{}
 
@@ -42,4 +45,5 @@
 func (Promised) isEvent()    {}
 func (Written) isEvent()     {}
 func (WriteFailed) isEvent() {}
+func (GiveUp) isEvent()      {}
 func (Release) isEvent()     {}
--- a/verbena/lease/holder.go
+++ b/verbena/lease/holder.go
@@ -25,6 +25,8 @@
 	sent     time.Time
 	deadline time.Time
 	inFlight bool
+	// ended is the last term that has ended; a late answer to its renewal is ignored.
+	ended    ids.Term
 	released bool
 	// guards are the hosts that the platform's copy of the lease may name: those of
 	// the last write that succeeded and of all that got no answer since.
@@ -49,6 +51,8 @@
 		return h.writeFailed(e)
 	case Promised:
 		h.promise(now, e)
+	case GiveUp:
+		return h.giveUp()
 	case Release:
 		return h.release()
 	}
@@ -129,7 +133,7 @@
 func (h *Holder) written(e Written) []Command {
 	h.inFlight = false
 	first := h.term == 0
-	if !first && e.Term != h.term {
+	if e.Term <= h.ended || (!first && e.Term != h.term) {
 		return nil
 	}
 	h.term = e.Term
@@ -153,10 +157,25 @@
 		return nil
 	}
 	term := h.term
+	h.end()
+	return []Command{Lost{Term: term}}
+}
+
+// giveUp ends the term. A renewal that is on its way finds no lease, or is ignored.
+func (h *Holder) giveUp() []Command {
+	if h.term == 0 {
+		return nil
+	}
+	cmd := Remove{Term: h.term, Expected: h.version}
+	h.end()
+	return []Command{cmd}
+}
+
+func (h *Holder) end() {
+	h.ended = h.term
 	h.term, h.version, h.deadline = 0, 0, time.Time{}
 	clear(h.guards)
 	clear(h.promised)
-	return []Command{Lost{Term: term}}
 }
 
 func (h *Holder) release() []Command {
--- a/verbena/lease/lease_test.go
+++ b/verbena/lease/lease_test.go
@@ -67,6 +67,8 @@
 		e = lease.WriteFailed{Term: 1}
 	case "lost":
 		e = lease.WriteFailed{Term: 1, Lost: true}
+	case "give-up":
+		e = lease.GiveUp{}
 	case "release":
 		e = lease.Release{}
 	case "valid":
--- a/verbena/timeline/kind.go
+++ b/verbena/timeline/kind.go
@@ -9,6 +9,7 @@
 	HostStarted     Kind = "host_started"
 	HostDraining    Kind = "host_draining"
 	HostStopped     Kind = "host_stopped"
+	HostCutOff      Kind = "host_cut_off"
 	HostIsolated    Kind = "host_isolated"
 	HostRejoined    Kind = "host_rejoined"
 	LeaseAcquired   Kind = "lease_acquired"
