--- a/verbena/core/core.go
+++ b/verbena/core/core.go
@@ -68,7 +68,11 @@
 	budget *retry.Budget
 	poison *poison.Registry
 
-	managers  map[ids.BackendID]*managed
+	managers map[ids.BackendID]*managed
+	// parked are suspects that wait for a place.
+	parked []RouteAsked
+	// suspects is until when a managed server's place for suspects is taken.
+	suspects  map[ids.BackendID]time.Time
 	managedAt time.Time
 	// remanage is true when the servers to be managed may have changed.
 	remanage bool
@@ -99,6 +103,8 @@
 	to      ids.HostID
 	sent    time.Time
 	message peer.Message
+	// placing is a suspected request that waits for a manager's word.
+	placing *placing
 	// verdict is the ask of a peer, or the ticket of a caller, that waits for this call.
 	verdict *spreading
 }
@@ -128,6 +134,7 @@
 		budget:      retry.NewBudget(c.RetryShare, c.RetryReserve),
 		poison:      poison.NewRegistry(),
 		managers:    map[ids.BackendID]*managed{},
+		suspects:    map[ids.BackendID]time.Time{},
 		notices:     map[ids.BackendID]*noticing{},
 		queue:       batch.NewQueue(c.ItemAttempts, c.ItemTimeout),
 	}
@@ -210,6 +217,7 @@
 	c.tickPlatform()
 	c.spend(quota.Tick{})
 	c.tickSlots()
+	c.retryParked()
 	c.stepBatch(batch.Tick{}, 0)
 	const sweepEvery = 10 * time.Second
 	if c.now.Sub(c.swept) > sweepEvery {
@@ -246,9 +254,15 @@
 
 // call sends a message to a peer, or fails at once when its address isn't known.
 func (c *Core) call(to ids.HostID, m peer.Message, v *spreading) {
+	c.callFor(to, m, pending{verdict: v})
+}
+
+// callFor is like call, for what waits for the reply.
+func (c *Core) callFor(to ids.HostID, m peer.Message, p pending) {
 	c.lastID++
 	id := CallID(c.lastID)
-	c.backlog[id] = pending{to: to, sent: c.now, message: m, verdict: v}
+	p.to, p.sent, p.message = to, c.now, m
+	c.backlog[id] = p
 	address, known := c.peers[to]
 	if !known {
 		c.peerFailed(PeerFailed{id})
--- a/verbena/core/event.go
+++ b/verbena/core/event.go
@@ -52,6 +52,9 @@
 	Retry bool
 	// Batch is true for an item, which doesn't count as online work.
 	Batch bool
+	// since and tried are when a suspect first asked and what it had tried by then.
+	since time.Time
+	tried int
 }
 
 // CallEnded says how a call to a backend server ended.
--- a/verbena/core/peers.go
+++ b/verbena/core/peers.go
@@ -30,6 +30,8 @@
 		c.emit(Reply{e.Ask, c.jobChanged(m)})
 	case *peer.PromiseAsk:
 		c.emit(Reply{e.Ask, c.promiseAsked(m)})
+	case *peer.SuspectAsk:
+		c.emit(Reply{e.Ask, c.suspectAsked(m)})
 	case *peer.Handover:
 		c.handed[m.Shard] = m
 		c.emit(Reply{e.Ask, &peer.Ack{}})
@@ -80,6 +82,10 @@
 		if a, ok := e.Message.(*peer.QuotaAnswer); ok {
 			c.spend(quota.Answered{Ask: sent.Ask, Answer: a.Answer, Sent: p.sent})
 		}
+	case *peer.SuspectAsk:
+		if p.placing != nil {
+			c.routed(p.placing.ask, p.placing.server)
+		}
 	case *peer.OnlineNotice:
 		if n, ok := e.Message.(*peer.OnlineCount); ok {
 			c.routes.Step(c.now, route.OnlineCounted{Backend: sent.Backend, Online: n.Online})
@@ -112,6 +118,10 @@
 	switch sent := p.message.(type) {
 	case *peer.QuotaAsk:
 		c.spend(quota.AskFailed{Ask: sent.Ask})
+	case *peer.SuspectAsk:
+		if p.placing != nil {
+			c.suspectRefused(p.placing)
+		}
 	case *peer.Crashed:
 		c.emit(Judged{Ticket: p.verdict.ticket, Verdict: c.poison.Judge(c.now, sent.Record.Fingerprint)})
 	case *peer.Suspects:
--- a/verbena/core/traffic.go
+++ b/verbena/core/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"verbenaledge.example/verbena/backend"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/peer"
 	"verbenaledge.example/verbena/poison"
@@ -143,7 +144,14 @@
 		return
 	}
 	e.Request.Suspect = verdict == poison.Suspect
+	if e.Request.Suspect && e.since.IsZero() {
+		e.since, e.tried = c.now, len(e.Request.Tried)
+	}
 	s, err := c.routes.Pick(c.now, e.Request)
+	if err != nil && e.Request.Suspect && c.now.Sub(e.since) < suspectPatience {
+		c.parked = append(c.parked, e)
+		return
+	}
 	if err != nil {
 		c.refuse(e.Ticket, refusal.New(refusal.NoBackend, backendPause, "%s", err))
 		return
@@ -151,6 +159,14 @@
 	if e.Retry {
 		c.record(timeline.Event{Kind: timeline.RequestRetried, Workspace: e.Workspace, Backend: s.ID})
 	}
+	if e.Request.Suspect {
+		c.placeSuspect(e, s)
+		return
+	}
+	c.routed(e, s)
+}
+
+func (c *Core) routed(e RouteAsked, s backend.Server) {
 	c.emit(Routed{e.Ticket, s, e.Request.Suspect})
 	if !e.Batch {
 		c.noticeOnline(s.ID, 1)
@@ -165,6 +181,9 @@
 	if e.Leaving {
 		c.apply(c.routes.Step(c.now, route.SaidLeaving{Backend: e.Backend}))
 	}
+	if e.Suspect {
+		c.suspectEnded(e.Backend)
+	}
 	if !e.Batch {
 		c.noticeOnline(e.Backend, -1)
 	}
--- a/verbena/peer/codec.go
+++ b/verbena/peer/codec.go
@@ -38,6 +38,7 @@
 	kindProgress     kind = 18
 	kindHandover     kind = 19
 	kindOnlineCount  kind = 20
+	kindSuspectAsk   kind = 21
 )
 
 type envelope struct {
@@ -113,6 +114,7 @@
 	kindProgress:     func() Message { return &Progress{} },
 	kindHandover:     func() Message { return &Handover{} },
 	kindOnlineCount:  func() Message { return &OnlineCount{} },
+	kindSuspectAsk:   func() Message { return &SuspectAsk{} },
 }
 
 // kinds finds the kind of a message by its type.
--- a/verbena/peer/message.go
+++ b/verbena/peer/message.go
@@ -154,6 +154,14 @@
 	Complete bool `cbor:"4,keyasint,omitempty"`
 }
 
+// SuspectAsk asks a backend server's manager to let a suspected request run there,
+// alone among suspects of all hosts. Done gives the place back.
+type SuspectAsk struct {
+	From    ids.HostID    `cbor:"1,keyasint"`
+	Backend ids.BackendID `cbor:"2,keyasint"`
+	Done    bool          `cbor:"3,keyasint,omitempty"`
+}
+
 // Ack says that a message has been dealt with.
 type Ack struct{}
 
@@ -195,5 +203,6 @@
 func (*Progress) isMessage()     {}
 func (*Handover) isMessage()     {}
 func (*OnlineCount) isMessage()  {}
+func (*SuspectAsk) isMessage()   {}
 func (*Ack) isMessage()          {}
 func (*Refusal) isMessage()      {}
