--- a/verbena/core/peers.go
+++ b/verbena/core/peers.go
@@ -82,10 +82,6 @@
 		if a, ok := e.Message.(*peer.QuotaAnswer); ok {
 			c.spend(quota.Answered{Ask: sent.Ask, Answer: a.Answer, Sent: p.sent})
 		}
-	case *peer.SuspectAsk:
-		if p.placing != nil {
-			c.routed(p.placing.ask, p.placing.server)
-		}
 	case *peer.OnlineNotice:
 		if n, ok := e.Message.(*peer.OnlineCount); ok {
 			c.routes.Step(c.now, route.OnlineCounted{Backend: sent.Backend, Online: n.Online})
@@ -94,8 +90,20 @@
 		if r, ok := e.Message.(*peer.PromiseReply); ok {
 			c.promiseReplied(p, sent, r)
 		}
+	default:
+		c.poisonReplied(p, e.Message)
+	}
+}
+
+// poisonReplied takes replies to what is said of requests that crash servers.
+func (c *Core) poisonReplied(p pending, reply peer.Message) {
+	switch p.message.(type) {
+	case *peer.SuspectAsk:
+		if p.placing != nil {
+			c.routed(p.placing.ask, p.placing.server)
+		}
 	case *peer.Crashed:
-		if v, ok := e.Message.(*peer.Verdict); ok {
+		if v, ok := reply.(*peer.Verdict); ok {
 			c.emit(Judged{Ticket: p.verdict.ticket, Verdict: v.Verdict, Known: true})
 		}
 	case *peer.Suspects:
