perf: one host watches the store and passes news on with their age

Ruled out: jobs and leases (some 30 calls a second together, from the kinds of calls). Change: hosts take configuration, servers and owners from the dispatching host while it says that the store confirmed them within 1.8 s; else they read the store, with one shared pause.

--- a/verbenad/internal/host/front.go
+++ b/verbenad/internal/host/front.go
@@ -17,6 +17,7 @@
 	"verbenaledge.example/verbenad/internal/entry"
 	"verbenaledge.example/verbenad/internal/hostlink"
 	"verbenaledge.example/verbenad/internal/owners"
+	"verbenaledge.example/verbenad/internal/relay"
 	"verbenaledge.example/verbenad/internal/slots"
 	"verbenaledge.example/verbenad/internal/upstream"
 )
@@ -42,7 +43,8 @@
 	defer end()
 	sys := clock.System{}
 	var v owners.View
-	place := slots.NewClient(w.Settings.Host, w.Settings.Zone, sys, func() string { return v.Address(ownership.Dispatch) })
+	feed := relay.NewFeed(sys)
+	place := slots.NewClient(w.Settings.Host, w.Settings.Zone, sys, feed, func() string { return v.Address(ownership.Dispatch) })
 	client := upstream.NewClient(sys)
 	jobs := owners.NewJobsClient(&v, hostlink.NewCaller(w.Settings.Host))
 	handler := entry.New(w.Protocol, w.Protocol, jobs, place, client, sys, w.Settings.MemoryMB)
@@ -50,13 +52,15 @@
 	go place.Run(work)
 	go serveMetrics(work, w.Settings.MetricsAddress())
 	go sweep(work, client, &listed)
-	w.follow(work, &v, func(c *catalog.Catalog) {
+	known := newKnowledge(w, feed, func() bool { return false })
+	known.followAll(&v, func(c *catalog.Catalog) {
 		handler.SetCatalog(c)
 		place.SetRates(ratesOf(c))
 	}, func(s map[ids.BackendID]directory.Server) {
 		listed.Store(&s)
 		place.SetServers(s)
 	})
+	known.run(work)
 	if err := serveReady(work, w.Settings.ReadyAddress, handler); err != nil {
 		return err
 	}
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -19,9 +19,9 @@
 	"verbenaledge.example/verbenad/internal/bulk"
 	"verbenaledge.example/verbenad/internal/hostlink"
 	"verbenaledge.example/verbenad/internal/owners"
+	"verbenaledge.example/verbenad/internal/relay"
 	"verbenaledge.example/verbenad/internal/slots"
 	"verbenaledge.example/verbenad/internal/upstream"
-	"verbenaledge.example/verbenad/internal/view"
 )
 
 const (
@@ -51,9 +51,12 @@
 	work, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	sys := clock.System{}
-	s := &storage{world: w, dispatcher: slots.NewServer(sys)}
+	s := &storage{world: w}
 	s.keeper = owners.NewKeeper(w.Settings.Host, w.Settings.PeerAddress(), w.Store, &s.view)
-	place := slots.NewClient(w.Settings.Host, w.Settings.Zone, sys, func() string { return s.view.Address(ownership.Dispatch) })
+	feed := relay.NewFeed(sys)
+	known := newKnowledge(w, feed, func() bool { return s.keeper.Holds(ownership.Dispatch) })
+	s.dispatcher = slots.NewServer(sys, known.news)
+	place := slots.NewClient(w.Settings.Host, w.Settings.Zone, sys, feed, func() string { return s.view.Address(ownership.Dispatch) })
 	client := upstream.NewClient(sys)
 	s.owner = bulk.New(w.Settings.Host, w.Store, w.Settings.StoreValueBytes, s.keeper, w.Protocol, place, client, sys, w.Settings.ResultsKept)
 	var listed atomic.Pointer[map[ids.BackendID]directory.Server]
@@ -62,15 +65,15 @@
 	go place.Run(work)
 	go serveMetrics(work, w.Settings.MetricsAddress())
 	go sweep(work, client, &listed)
-	w.follow(work, &s.view, func(c *catalog.Catalog) {
+	known.followAll(&s.view, func(c *catalog.Catalog) {
 		s.dispatcher.SetRates(ratesOf(c))
 		s.owner.SetCatalog(c)
 	}, func(servers map[ids.BackendID]directory.Server) {
 		listed.Store(&servers)
 		s.dispatcher.SetServers(servers)
 	})
-	retirements := view.NewKind(w.Source.RetirementKind(), w.Store, sys, s.retirements)
-	go retirements.Run(work)
+	known.follow(w.Source.RetirementKind(), s.retirements)
+	known.run(work)
 	go s.keeper.Run(work)
 	go s.look(work)
 	failed := make(chan error, 1)
--- a/verbenad/internal/host/world.go
+++ b/verbenad/internal/host/world.go
@@ -22,6 +22,7 @@
 	"verbenaledge.example/verbenad/internal/bulk"
 	"verbenaledge.example/verbenad/internal/entry"
 	"verbenaledge.example/verbenad/internal/owners"
+	"verbenaledge.example/verbenad/internal/relay"
 	"verbenaledge.example/verbenad/internal/view"
 )
 
@@ -77,26 +78,61 @@
 	debug.SetGCPercent(collectAt)
 }
 
-// follow keeps what this process knows up to date.
-func (w World) follow(
-	ctx context.Context, v *owners.View, onCatalog func(*catalog.Catalog), onServers func(map[ids.BackendID]directory.Server),
-) {
-	c := clock.System{}
-	newest := catalog.Version(0)
-	kinds := []*view.Kind{
-		view.NewKind(w.Source.CatalogKind(), w.Store, c, func(all map[string]objects.Object, at objects.Revision) {
-			if found := w.catalog(all); found != nil && found.Version > newest {
-				newest = found.Version
-				log.WithFields(log.Fields{"version": found.Version, "revision": at, "routes": len(found.Routes)}).Info("configuration in force")
-				onCatalog(found)
-			}
-		}),
-		view.NewKind(w.Source.ServerKind(), w.Store, c, w.servers(onServers), view.KeepThroughOutage()),
-		view.NewKind(owners.KindOwners, w.Store, c, v.Set),
+// knowledge is what a process follows in the store, through another host where there is one.
+type knowledge struct {
+	world  World
+	gate   *view.Gate
+	feed   *relay.Feed
+	direct func() bool
+	news   *relay.Publisher
+	kinds  map[objects.Kind]*view.Kind
+}
+
+// newKnowledge returns what is known through a feed; direct tells whether this host is its source.
+func newKnowledge(w World, feed *relay.Feed, direct func() bool) *knowledge {
+	k := &knowledge{world: w, gate: view.NewGate(clock.System{}), feed: feed, direct: direct, kinds: make(map[objects.Kind]*view.Kind)}
+	k.news = relay.NewPublisher(k.age)
+	return k
+}
+
+func (k *knowledge) age(kind objects.Kind) time.Duration {
+	if v, ok := k.kinds[kind]; ok {
+		return v.Age()
 	}
-	for _, k := range kinds {
-		go k.Run(ctx)
+	return -1
+}
+
+// follow adds a kind. All are added before any runs.
+func (k *knowledge) follow(kind objects.Kind, on func(map[string]objects.Object, objects.Revision), options ...view.Option) {
+	changed := func(all map[string]objects.Object, at objects.Revision) {
+		k.news.Publish(kind, all, at)
+		on(all, at)
 	}
+	options = append(options, view.Through(k.feed, k.direct))
+	k.kinds[kind] = view.NewKind(kind, k.world.Store, clock.System{}, k.gate, changed, options...)
+}
+
+func (k *knowledge) run(ctx context.Context) {
+	for _, v := range k.kinds {
+		go v.Run(ctx)
+	}
+}
+
+// followAll follows the configuration, the backend servers and the owners.
+func (k *knowledge) followAll(
+	v *owners.View, onCatalog func(*catalog.Catalog), onServers func(map[ids.BackendID]directory.Server),
+) {
+	w := k.world
+	newest := catalog.Version(0)
+	k.follow(w.Source.CatalogKind(), func(all map[string]objects.Object, at objects.Revision) {
+		if found := w.catalog(all); found != nil && found.Version > newest {
+			newest = found.Version
+			log.WithFields(log.Fields{"version": found.Version, "revision": at, "routes": len(found.Routes)}).Info("configuration in force")
+			onCatalog(found)
+		}
+	})
+	k.follow(w.Source.ServerKind(), w.servers(onServers), view.KeepThroughOutage())
+	k.follow(owners.KindOwners, v.Set)
 }
 
 func (w World) catalog(all map[string]objects.Object) (found *catalog.Catalog) {
--- a/verbenad/internal/hostlink/frame.go
+++ b/verbenad/internal/hostlink/frame.go
@@ -13,6 +13,7 @@
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/dispatch"
 	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/objects"
 )
 
 // maxFrame bounds a message: a batch job with its bodies.
@@ -32,6 +33,9 @@
 	Ping  bool            `cbor:"8,keyasint,omitempty"`
 	// Hosts is how many hosts ask for slots.
 	Hosts int `cbor:"11,keyasint,omitempty"`
+	// News are changes of the store's objects, Ages how long ago the store confirmed them.
+	News *News                          `cbor:"12,keyasint,omitempty"`
+	Ages map[objects.Kind]time.Duration `cbor:"13,keyasint,omitempty"`
 	// Jobs is a question on batch jobs, Reply its answer.
 	Jobs  *JobsCall   `cbor:"9,keyasint,omitempty"`
 	Reply *bulk.Reply `cbor:"10,keyasint,omitempty"`
@@ -60,6 +64,16 @@
 	Later  time.Duration   `cbor:"3,keyasint,omitempty"`
 }
 
+// News are changes of the objects of a kind between two revisions, or all of them.
+type News struct {
+	Kind    objects.Kind     `cbor:"1,keyasint"`
+	From    objects.Revision `cbor:"2,keyasint,omitempty"`
+	At      objects.Revision `cbor:"3,keyasint"`
+	Full    bool             `cbor:"4,keyasint,omitempty"`
+	Objects []objects.Object `cbor:"5,keyasint,omitempty"`
+	Removed []string         `cbor:"6,keyasint,omitempty"`
+}
+
 // JobsCall is a question on batch jobs to the owner of their shard.
 type JobsCall struct {
 	Shard bulk.Shard `cbor:"1,keyasint"`
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -14,6 +14,7 @@
 	"verbenaledge.example/verbena/dispatch"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbenad/internal/hostlink"
+	"verbenaledge.example/verbenad/internal/relay"
 )
 
 const (
@@ -61,6 +62,7 @@
 	clock   clock.Clock
 	address func() string
 	local   *Runner
+	feed    *relay.Feed
 
 	mu      sync.Mutex
 	link    *hostlink.Link
@@ -96,9 +98,9 @@
 }
 
 // NewClient returns a client. address tells where the dispatching host is; empty means unknown.
-func NewClient(host ids.HostID, zone ids.ZoneID, c clock.Clock, address func() string) *Client {
+func NewClient(host ids.HostID, zone ids.ZoneID, c clock.Clock, feed *relay.Feed, address func() string) *Client {
 	k := &Client{
-		host: host, zone: zone, clock: c, address: address, hosts: usualHosts,
+		host: host, zone: zone, clock: c, address: address, feed: feed, hosts: usualHosts,
 		pending: make(map[dispatch.Ticket]*pending), held: make(map[dispatch.Ticket]*holding),
 	}
 	k.local = NewRunner(c, k.localCommand)
@@ -229,6 +231,7 @@
 	err := link.Read(func(f hostlink.Frame) { c.handle(link, f) })
 	log.WithError(err).WithField("address", address).Warn("dispatching host lost; this host decides alone")
 	linkLosses.Inc()
+	c.feed.Down()
 	c.disconnected(link)
 }
 
@@ -304,6 +307,10 @@
 		c.refused(f.Refusal.Ticket, f.Refusal.Reason, f.Refusal.Later)
 	case f.Yield != 0:
 		c.yield(f.Yield)
+	case f.News != nil:
+		c.feed.Take(*f.News)
+	case f.Ages != nil:
+		c.feed.Heard(f.Ages)
 	case f.Hosts > 0:
 		c.mu.Lock()
 		c.hosts = f.Hosts
--- a/verbenad/internal/slots/server.go
+++ b/verbenad/internal/slots/server.go
@@ -12,6 +12,7 @@
 	"verbenaledge.example/verbena/dispatch"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbenad/internal/hostlink"
+	"verbenaledge.example/verbenad/internal/relay"
 )
 
 var (
@@ -24,14 +25,15 @@
 // Server dispatches for all hosts that connect.
 type Server struct {
 	runner *Runner
+	news   *relay.Publisher
 
 	mu    sync.Mutex
 	links map[ids.HostID]*hostlink.Link
 }
 
 // NewServer returns a dispatcher without hosts.
-func NewServer(c clock.Clock) *Server {
-	s := &Server{links: make(map[ids.HostID]*hostlink.Link)}
+func NewServer(c clock.Clock, news *relay.Publisher) *Server {
+	s := &Server{news: news, links: make(map[ids.HostID]*hostlink.Link)}
 	s.runner = NewRunner(c, s.command)
 	return s
 }
@@ -60,11 +62,14 @@
 	}
 	log.WithFields(log.Fields{"peer": h.Host, "held": len(h.Held)}).Info("host joined")
 	s.runner.Do(dispatch.Joined{Host: h.Host, Held: h.Held})
+	s.news.Add(l)
+	s.tellAges(l)
 	s.tellHosts()
 }
 
 // Part ends a host's connection.
 func (s *Server) Part(l *hostlink.Link, host ids.HostID) {
+	s.news.Remove(l)
 	s.mu.Lock()
 	current := s.links[host] == l
 	if current {
@@ -94,10 +99,15 @@
 	case f.Outcome != nil:
 		s.runner.Do(dispatch.Ended{Host: host, Outcome: *f.Outcome})
 	case f.Ping:
-		_ = l.Send(hostlink.Frame{Ping: true}) // a closed connection ends its reader
+		s.tellAges(l)
 	}
 }
 
+// tellAges answers a sign of life with the ages of what this host passes on.
+func (s *Server) tellAges(l *hostlink.Link) {
+	_ = l.Send(hostlink.Frame{Ping: true, Ages: s.news.Ages()}) // a closed connection ends its reader
+}
+
 // tellHosts tells all hosts among how many they divide slots and rates when they decide alone.
 func (s *Server) tellHosts() {
 	s.mu.Lock()
--- a/verbenad/internal/view/view.go
+++ b/verbenad/internal/view/view.go
@@ -18,9 +18,10 @@
 	// watchWait is how long a watch waits. Each wait is one priced call; a watch that the store forgot in an
 	// outage delays news by as much.
 	watchWait = 4 * time.Second
-	// firstPause and longestPause bound the pause after a failed call.
-	firstPause   = 50 * time.Millisecond
-	longestPause = 400 * time.Millisecond
+	// passingWait is how long a watch of the host waits that passes news on to others: its age is theirs.
+	passingWait = time.Second
+	// feedWait is how long news of another host are waited for before their age is looked at again.
+	feedWait = 300 * time.Millisecond
 	// returnTime is how long entries that lapsed while the store was away may take to come back.
 	returnTime = 2200 * time.Millisecond
 	// outageTime is how long calls must have failed for entries to count as lapsed.
@@ -34,6 +35,10 @@
 	clock  clock.Clock
 	// changed is called in the following goroutine with all objects after each change.
 	changed func(all map[string]objects.Object, at objects.Revision)
+	gate    *Gate
+	// feed is another host's knowledge, used in place of the store's unless direct says otherwise.
+	feed   Feed
+	direct func() bool
 	// lenient keeps entries that are missing after an outage until they had the time to come back.
 	lenient bool
 
@@ -54,12 +59,28 @@
 	return func(k *Kind) { k.lenient = true }
 }
 
+// Feed is what another host passes on.
+type Feed interface {
+	// Wait waits for a state that is newer than a revision. fresh is false if the feed can't take the
+	// store's place now.
+	Wait(ctx context.Context, kind objects.Kind, after objects.Revision, wait time.Duration) (
+		all map[string]objects.Object, at objects.Revision, changed, fresh bool)
+}
+
+// Through uses another host's knowledge except while direct holds: then this host passes its own on.
+func Through(f Feed, direct func() bool) Option {
+	return func(k *Kind) { k.feed, k.direct = f, direct }
+}
+
 // NewKind returns a follower of a kind.
 func NewKind(
-	kind objects.Kind, client objects.Client, c clock.Clock,
+	kind objects.Kind, client objects.Client, c clock.Clock, gate *Gate,
 	changed func(all map[string]objects.Object, at objects.Revision), options ...Option,
 ) *Kind {
-	k := &Kind{kind: kind, client: client, clock: c, changed: changed, all: make(map[string]objects.Object), missing: make(map[string]bool)}
+	k := &Kind{
+		kind: kind, client: client, clock: c, gate: gate, changed: changed,
+		all: make(map[string]objects.Object), missing: make(map[string]bool),
+	}
 	for _, o := range options {
 		o(k)
 	}
@@ -77,27 +98,51 @@
 
 // Run follows the kind until the context ends.
 func (k *Kind) Run(ctx context.Context) {
-	pause := firstPause
 	for ctx.Err() == nil {
-		err := k.step(ctx)
-		if err == nil {
-			pause = firstPause
-			k.answered()
+		if k.fed(ctx) {
 			continue
 		}
-		if ctx.Err() != nil {
+		if !k.gate.Enter(ctx) {
 			return
 		}
-		if errors.Is(err, objects.ErrCompacted) {
+		err := k.step(ctx)
+		switch {
+		case err == nil:
+			k.gate.Passed()
+			k.answered()
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, objects.ErrCompacted):
+			k.gate.Passed()
 			k.listed = false
-			continue
+		default:
+			k.gate.Failed()
+			k.failed(err)
 		}
-		k.failed(err)
-		wait(ctx, pause)
-		pause = min(2*pause, longestPause)
 	}
 }
 
+// fed takes news of another host; it is false if there is none to rely on.
+func (k *Kind) fed(ctx context.Context) bool {
+	if k.feed == nil || k.direct() {
+		return false
+	}
+	all, at, changed, fresh := k.feed.Wait(ctx, k.kind, k.at, feedWait)
+	if !fresh {
+		return false
+	}
+	if changed {
+		k.all = make(map[string]objects.Object, len(all))
+		for name, o := range all {
+			k.all[name] = o
+		}
+		clear(k.missing)
+		k.at, k.listed = at, true
+		k.changed(k.all, k.at)
+	}
+	return true
+}
+
 func (k *Kind) answered() {
 	now := k.clock.Now()
 	k.fresh.Store(now.UnixNano())
@@ -130,6 +175,9 @@
 		return nil
 	}
 	span := watchWait
+	if k.direct != nil && k.direct() {
+		span = passingWait
+	}
 	if len(k.missing) > 0 {
 		span = max(50*time.Millisecond, returnTime-k.clock.Now().Sub(k.back))
 	}
@@ -188,12 +236,3 @@
 		k.changed(k.all, k.at)
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
