perf: a host cut off from the dispatching one reaches it over another host

Cause: 19 hosts cut off from the storage hosts for 12 s noticed after 1.2 s of silence and then kept each workspace to 1/64 of its rate: 1,335 of 17,000 tries refused with 429, 1,100 late.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -48,6 +48,7 @@
 	}
 	p.online.add(w)
 	m.waits[w.key] = w
+	m.out = append(m.out, Wait{Key: w.key})
 }
 
 // meter counts the request against its workspace's rate.
--- a/verbena/dispatch/machine.go
+++ b/verbena/dispatch/machine.go
@@ -31,7 +31,7 @@
 	buckets map[ids.WorkspaceID]*bucket
 	orphans map[ids.HostID]time.Time
 	out     []Command
-	// hosts is among how many machines rates and slots are divided.
+	// hosts is among how many machines the slots are divided.
 	hosts    int
 	suspects suspects
 }
@@ -58,6 +58,11 @@
 		m.setServers(now, e)
 	case Rates:
 		m.setRates(now, e)
+	case Peers:
+		m.hosts = max(1, e.Count)
+		for _, s := range m.servers {
+			s.hosts = m.hosts
+		}
 	case Asked:
 		m.ask(now, e)
 	case Ended:
@@ -124,14 +129,8 @@
 }
 
 func (m *Machine) setRates(now time.Time, e Rates) {
-	m.hosts = max(1, e.Hosts)
-	for _, s := range m.servers {
-		s.hosts = m.hosts
-	}
 	m.rates = make(map[ids.WorkspaceID]Rate, len(e.Rates))
 	for id, r := range e.Rates {
-		r.PerSecond /= float64(m.hosts)
-		r.Burst = max(1, r.Burst/float64(m.hosts))
 		m.rates[id] = r
 		if b, ok := m.buckets[id]; ok {
 			b.set(now, r)
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -111,11 +111,10 @@
 }
 
 // Rates is the newest set of rates; a workspace without one is unlimited.
-type Rates struct {
-	Rates map[ids.WorkspaceID]Rate
-	// Hosts is among how many hosts that don't hear of one another rates and slots are divided; 0 means one.
-	Hosts int
-}
+type Rates struct{ Rates map[ids.WorkspaceID]Rate }
+
+// Peers tells among how many machines that don't hear of one another the slots are divided.
+type Peers struct{ Count int }
 
 // Asked is a request for a slot.
 type Asked struct {
@@ -143,6 +142,7 @@
 
 func (Servers) event() {}
 func (Rates) event()   {}
+func (Peers) event()   {}
 func (Asked) event()   {}
 func (Ended) event()   {}
 func (Joined) event()  {}
@@ -168,12 +168,16 @@
 	Later time.Duration
 }
 
+// Wait tells that an ask waits for a slot.
+type Wait struct{ Key Key }
+
 // Yield takes a slot back from a batch item.
 type Yield struct{ Key Key }
 
 func (Grant) command()  {}
 func (Refuse) command() {}
 func (Yield) command()  {}
+func (Wait) command()   {}
 
 // Reason says why an ask was turned away.
 type Reason int
--- a/verbenad/internal/host/front.go
+++ b/verbenad/internal/host/front.go
@@ -44,9 +44,9 @@
 	sys := clock.System{}
 	var v owners.View
 	feed := relay.NewFeed(sys)
-	place := slots.NewClient(w.Settings.Host, w.Settings.Zone, sys, feed, func() string { return v.Address(ownership.Dispatch) })
+	place := slots.NewClient(w.Settings.Host, w.Settings.Zone, w.Settings.PeerAddress(), sys, feed, func() string { return v.Address(ownership.Dispatch) })
 	client := upstream.NewClient(sys)
-	jobs := owners.NewJobsClient(&v, hostlink.NewCaller(w.Settings.Host))
+	jobs := owners.NewJobsClient(&v, hostlink.NewCaller(w.Settings.Host, place.Helpers))
 	handler := entry.New(w.Protocol, w.Protocol, jobs, place, client, sys, w.Settings.MemoryMB)
 	var listed atomic.Pointer[map[ids.BackendID]directory.Server]
 	go place.Run(work)
@@ -61,6 +61,7 @@
 		place.SetServers(s)
 	})
 	known.run(work)
+	go passOn(work, w.Settings.PeerAddress(), &v)
 	if err := serveReady(work, w.Settings.ReadyAddress, handler); err != nil {
 		return err
 	}
@@ -133,3 +134,11 @@
 	}
 	return nil
 }
+
+// passOn connects hosts that can't reach an owner themselves.
+func passOn(ctx context.Context, address string, v *owners.View) {
+	err := hostlink.Listen(ctx, address, v.IsOwner, func(l *hostlink.Link, _ hostlink.Frame) { l.Close() })
+	if err != nil {
+		log.WithError(err).WithField("address", address).Error("connections of other hosts are not passed on")
+	}
+}
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -56,7 +56,7 @@
 	feed := relay.NewFeed(sys)
 	known := newKnowledge(w, feed, func() bool { return s.keeper.Holds(ownership.Dispatch) })
 	s.dispatcher = slots.NewServer(sys, known.news)
-	place := slots.NewClient(w.Settings.Host, w.Settings.Zone, sys, feed, func() string { return s.view.Address(ownership.Dispatch) })
+	place := slots.NewClient(w.Settings.Host, w.Settings.Zone, "", sys, feed, func() string { return s.view.Address(ownership.Dispatch) })
 	client := upstream.NewClient(sys)
 	s.owner = bulk.New(w.Settings.Host, w.Store, w.Settings.StoreValueBytes, s.keeper, w.Protocol, place, client, sys, w.Settings.ResultsKept)
 	var listed atomic.Pointer[map[ids.BackendID]directory.Server]
@@ -78,7 +78,9 @@
 	go s.look(work)
 	failed := make(chan error, 1)
 	go func() {
-		failed <- hostlink.Listen(work, w.Settings.PeerAddress(), func(l *hostlink.Link) { hostlink.Serve(work, l, s.dispatcher, s.owner) })
+		failed <- hostlink.Listen(work, w.Settings.PeerAddress(), s.view.IsOwner, func(l *hostlink.Link, first hostlink.Frame) {
+			hostlink.Serve(work, l, first, s.dispatcher, s.owner)
+		})
 	}()
 	log.WithField("address", w.Settings.PeerAddress()).Info("taking hosts")
 	select {
--- a/verbenad/internal/hostlink/answerer.go
+++ b/verbenad/internal/hostlink/answerer.go
@@ -19,14 +19,14 @@
 	Answer(ctx context.Context, q JobsCall) bulk.Reply
 }
 
-// Serve takes the messages of one connection until it ends.
-func Serve(ctx context.Context, l *Link, d Dispatcher, o JobsOwner) {
+// Serve takes the messages of one connection until it ends, the first of which has been read.
+func Serve(ctx context.Context, l *Link, first Frame, d Dispatcher, o JobsOwner) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
 	var hello Hello
-	_ = l.Read(func(f Frame) { // a connection that ends takes its questions with it
+	handle := func(f Frame) {
 		switch {
 		case f.Hello != nil:
 			hello = *f.Hello
@@ -40,8 +40,12 @@
 			}()
 		case hello.Slots:
 			d.Handle(l, hello.Host, f)
+		case f.Ping:
+			_ = l.Send(Frame{Ping: true}) // the asker may be gone
 		}
-	})
+	}
+	handle(first)
+	_ = l.Read(handle) // a connection that ends takes its questions with it
 	if hello.Slots {
 		d.Part(l, hello.Host)
 	}
--- a/verbenad/internal/hostlink/caller.go
+++ b/verbenad/internal/hostlink/caller.go
@@ -3,14 +3,20 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"verbenaledge.example/verbena/bulk"
 	"verbenaledge.example/verbena/ids"
 )
 
+// answerTimeout is how long an answer may take beyond the wait that it was allowed: some writes to
+// a slow store.
+const answerTimeout = 900 * time.Millisecond
+
 // Caller asks hosts questions on batch jobs, over one connection a host.
 type Caller struct {
-	host ids.HostID
+	host    ids.HostID
+	helpers func() []string
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -22,9 +28,9 @@
 	waiting map[uint64]chan bulk.Reply
 }
 
-// NewCaller returns a caller without connections.
-func NewCaller(host ids.HostID) *Caller {
-	return &Caller{host: host, peers: make(map[string]*peer)}
+// NewCaller returns a caller without connections. helpers names hosts that may pass connections on.
+func NewCaller(host ids.HostID, helpers func() []string) *Caller {
+	return &Caller{host: host, helpers: helpers, peers: make(map[string]*peer)}
 }
 
 // Call asks the host at an address. ErrClosed means that no question left; ErrNoAnswer that one did.
@@ -46,14 +52,17 @@
 	if err := p.link.Send(Frame{Call: id, Jobs: &q}); err != nil {
 		return r, err
 	}
+	t := time.NewTimer(max(q.Call.Wait, 0) + answerTimeout)
+	defer t.Stop()
 	select {
 	case r := <-reply:
 		return r, nil
 	case <-p.link.Closed():
-		return r, ErrNoAnswer
 	case <-ctx.Done():
-		return r, ErrNoAnswer
+	case <-t.C:
+		p.link.Close() // silent: the network to the host may be cut
 	}
+	return r, ErrNoAnswer
 }
 
 func (c *Caller) peer(ctx context.Context, address string) (*peer, error) {
@@ -63,7 +72,7 @@
 	if p != nil {
 		return p, nil
 	}
-	link, err := Dial(ctx, address)
+	link, err := Connect(ctx, address, c.helpers())
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/verbenad/internal/hostlink/connect.go
@@ -0,0 +1,83 @@
+package hostlink
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"time"
+)
+
+const (
+	// confirmTimeout is how long the first answer of a host may take, over another host too.
+	confirmTimeout = 400 * time.Millisecond
+	// helperAfter is the time after which a connection over the next helper is tried; a direct one
+	// takes two round trips.
+	helperAfter = 40 * time.Millisecond
+	// maxHelpers bounds the attempts at once.
+	maxHelpers = 3
+)
+
+// ErrUnreachable means that a host answered neither directly nor over others.
+var ErrUnreachable = errors.New("host answers neither directly nor over others")
+
+// Connect reaches a host directly or, where the network between the two is cut, over a helper. The
+// first connection on which the host itself answers is taken.
+func Connect(ctx context.Context, address string, helpers []string) (l *Link, err error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout+confirmTimeout)
+	defer cancel()
+	helpers = helpers[:min(len(helpers), maxHelpers)]
+	links := make(chan *Link, 1+len(helpers))
+	try := func(to, via string, after time.Duration) {
+		select {
+		case <-time.After(after):
+		case <-ctx.Done():
+		}
+		links <- attempt(ctx, to, via)
+	}
+	go try(address, "", 0)
+	for n, h := range helpers {
+		go try(h, address, time.Duration(n+1)*helperAfter)
+	}
+	for n := range 1 + len(helpers) {
+		if l := <-links; l != nil {
+			go closeOthers(links, len(helpers)-n)
+			return l, nil
+		}
+	}
+	return nil, ErrUnreachable
+}
+
+func closeOthers(links <-chan *Link, count int) {
+	for range count {
+		if l := <-links; l != nil {
+			l.Close()
+		}
+	}
+}
+
+// attempt makes one connection and waits for the host's own answer. nil means that none came.
+func attempt(ctx context.Context, to, via string) *Link {
+	if ctx.Err() != nil {
+		return nil
+	}
+	c, err := dial(ctx, to)
+	if err != nil {
+		return nil
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // ends the read below
+	l := newLink(c, bufio.NewReaderSize(c, readBuffer))
+	if via != "" {
+		err = l.Send(Frame{Via: via})
+	}
+	if err == nil {
+		err = l.Send(Frame{Ping: true})
+	}
+	if err == nil {
+		_, err = decode(l.reader)
+	}
+	if !stop() || err != nil {
+		l.Close()
+		return nil
+	}
+	return l
+}
--- a/verbenad/internal/hostlink/frame.go
+++ b/verbenad/internal/hostlink/frame.go
@@ -31,8 +31,13 @@
 	// Yield names the ticket whose slot is taken back.
 	Yield dispatch.Ticket `cbor:"7,keyasint,omitempty"`
 	Ping  bool            `cbor:"8,keyasint,omitempty"`
-	// Hosts is how many hosts ask for slots.
-	Hosts int `cbor:"11,keyasint,omitempty"`
+	// Wait names a ticket that waits for a slot.
+	Wait dispatch.Ticket `cbor:"14,keyasint,omitempty"`
+	// Hosts is how many hosts ask for slots, Helpers the addresses of some that may pass a connection on.
+	Hosts   int      `cbor:"11,keyasint,omitempty"`
+	Helpers []string `cbor:"15,keyasint,omitempty"`
+	// Via asks the receiver to pass the connection on to an address.
+	Via string `cbor:"16,keyasint,omitempty"`
 	// News are changes of the store's objects, Ages how long ago the store confirmed them.
 	News *News                          `cbor:"12,keyasint,omitempty"`
 	Ages map[objects.Kind]time.Duration `cbor:"13,keyasint,omitempty"`
@@ -48,6 +53,8 @@
 	Held []dispatch.Held `cbor:"3,keyasint,omitempty"`
 	// Slots tells that the host asks for slots on this connection.
 	Slots bool `cbor:"4,keyasint,omitempty"`
+	// Address is where the host passes connections on, if it does.
+	Address string `cbor:"5,keyasint,omitempty"`
 }
 
 // Grant gives a ticket a server.
--- a/verbenad/internal/hostlink/link.go
+++ b/verbenad/internal/hostlink/link.go
@@ -17,6 +17,8 @@
 	// writeTimeout ends a connection whose peer doesn't read.
 	writeTimeout = 2 * time.Second
 	dialTimeout  = 500 * time.Millisecond
+	// readBuffer fits usual messages.
+	readBuffer = 4096
 )
 
 // ErrClosed means that the connection is gone.
@@ -37,23 +39,19 @@
 // Link is a connection to a host.
 type Link struct {
 	conn   net.Conn
+	reader *bufio.Reader
 	outbox chan []byte
 	closed chan struct{}
 	once   sync.Once
 }
 
-// Dial connects to a host.
-func Dial(ctx context.Context, address string) (*Link, error) {
+func dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
-	c, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return newLink(c), nil
+	return d.DialContext(ctx, "tcp", address)
 }
 
-func newLink(c net.Conn) *Link {
-	l := &Link{conn: c, outbox: make(chan []byte, outboxSize), closed: make(chan struct{})}
+func newLink(c net.Conn, r *bufio.Reader) *Link {
+	l := &Link{conn: c, reader: r, outbox: make(chan []byte, outboxSize), closed: make(chan struct{})}
 	go l.write()
 	return l
 }
@@ -113,9 +111,8 @@
 // Read calls handle for each message until the connection ends.
 func (l *Link) Read(handle func(Frame)) error {
 	defer l.Close()
-	r := bufio.NewReaderSize(l.conn, 4096)
 	for {
-		f, err := decode(r)
+		f, err := decode(l.reader)
 		if err != nil {
 			return err
 		}
@@ -134,27 +131,3 @@
 
 // Closed is closed when the connection has ended.
 func (l *Link) Closed() <-chan struct{} { return l.closed }
-
-// Listen accepts connections until the context ends.
-func Listen(ctx context.Context, address string, accept func(*Link)) error {
-	lc := net.ListenConfig{KeepAliveConfig: keepAlive}
-	ln, err := lc.Listen(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
-	context.AfterFunc(ctx, func() { _ = ln.Close() })
-	for {
-		c, err := ln.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			if ne, ok := errors.AsType[net.Error](err); ok && ne.Timeout() {
-				continue
-			}
-			time.Sleep(10 * time.Millisecond) // out of descriptors, most likely
-			continue
-		}
-		go accept(newLink(c))
-	}
-}
--- /dev/null
+++ b/verbenad/internal/hostlink/listen.go
@@ -0,0 +1,95 @@
+package hostlink
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+)
+
+// acceptPause is the pause after a failed accept, most likely for want of descriptors.
+const acceptPause = 10 * time.Millisecond
+
+// firstTimeout is how long a new connection may be silent.
+const firstTimeout = 3 * time.Second
+
+var passedOn = metrics.NewCounter("verbenad_host_connections_passed_on_total")
+
+// Listen accepts connections until the context ends. Each is handled with its first message, or
+// passed on to another host if the peer asks for that and allowed permits the address.
+func Listen(ctx context.Context, address string, allowed func(string) bool, handle func(*Link, Frame)) error {
+	lc := net.ListenConfig{KeepAliveConfig: keepAlive}
+	ln, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, func() { _ = ln.Close() }) // the process is ending
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			log.WithError(err).Warn("connection of a host not accepted")
+			time.Sleep(acceptPause)
+			continue
+		}
+		go receive(ctx, c, allowed, handle)
+	}
+}
+
+func receive(ctx context.Context, c net.Conn, allowed func(string) bool, handle func(*Link, Frame)) {
+	r := bufio.NewReaderSize(c, readBuffer)
+	_ = c.SetReadDeadline(time.Now().Add(firstTimeout)) // fails only on a closed connection, as the read then does
+	first, err := decode(r)
+	if err != nil {
+		_ = c.Close() // nothing was asked
+		return
+	}
+	_ = c.SetReadDeadline(time.Time{}) // as above
+	if first.Via == "" {
+		handle(newLink(c, r), first)
+		return
+	}
+	defer func() { _ = c.Close() }() // both ends are told by the close
+	if !allowed(first.Via) {
+		log.WithField("address", first.Via).Warn("connection not passed on: not an owner's address")
+		return
+	}
+	passOn(ctx, c, r, first.Via)
+}
+
+// passOn copies bytes both ways until either end closes.
+func passOn(ctx context.Context, c net.Conn, r io.Reader, address string) {
+	target, err := dial(ctx, address)
+	if err != nil {
+		log.WithError(err).Info("connection not passed on")
+		return
+	}
+	passedOn.Inc()
+	end := func() {
+		_ = target.Close() // the other direction ends with it
+		_ = c.Close()
+	}
+	stop := context.AfterFunc(ctx, end)
+	defer stop()
+	go func() {
+		defer end()
+		_, err := io.Copy(target, r)
+		logCopy(err)
+	}()
+	defer end()
+	_, err = io.Copy(c, target)
+	logCopy(err)
+}
+
+func logCopy(err error) {
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		log.WithError(err).Info("passed-on connection ended")
+	}
+}
--- a/verbenad/internal/owners/view.go
+++ b/verbenad/internal/owners/view.go
@@ -85,3 +85,14 @@
 	o, _ := v.Owner(u)
 	return o.Address
 }
+
+// IsOwner tells whether an owner is reached at an address.
+func (v *View) IsOwner(address string) bool {
+	m, _ := v.Map()
+	for _, o := range m.Units {
+		if o.Address == address {
+			return true
+		}
+	}
+	return false
+}
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -22,6 +22,11 @@
 	pingEvery = 400 * time.Millisecond
 	// silence is how long the dispatching host may be silent; three signs of life.
 	silence = 1200 * time.Millisecond
+	// askTimeout is how long a first word on an ask may take: some round trips between availability zones.
+	askTimeout = 50 * time.Millisecond
+	// suspectTime is how long a connection on which an ask brought no word is kept: a lost packet is
+	// sent again within it.
+	suspectTime = 300 * time.Millisecond
 	// redialPause is the pause between attempts to reach the dispatching host.
 	redialPause = 100 * time.Millisecond
 	// usualHosts divides slots and rates before the dispatching host said how many hosts there are.
@@ -57,22 +62,27 @@
 
 // Client asks for slots.
 type Client struct {
-	host    ids.HostID
-	zone    ids.ZoneID
+	host ids.HostID
+	zone ids.ZoneID
+	// passes is where this host passes connections on, or nothing.
+	passes  string
 	clock   clock.Clock
 	address func() string
 	local   *Runner
 	feed    *relay.Feed
 
-	mu      sync.Mutex
-	link    *hostlink.Link
-	heard   time.Time
+	mu    sync.Mutex
+	link  *hostlink.Link
+	heard time.Time
+	// suspect is set when an ask brought no word; it holds until something is heard.
+	suspect bool
+	usage   *usage
 	next    dispatch.Ticket
 	pending map[dispatch.Ticket]*pending
 	held    map[dispatch.Ticket]*holding
 	hosts   int
-	servers dispatch.Servers
-	rates   dispatch.Rates
+	helpers []string
+	rates   map[ids.WorkspaceID]dispatch.Rate
 }
 
 type pending struct {
@@ -80,6 +90,8 @@
 	sent  time.Time
 	local bool
 	reply chan reply
+	// timer moves the ask to this host's own machine if no word comes.
+	timer *time.Timer
 }
 
 type reply struct {
@@ -98,9 +110,11 @@
 }
 
 // NewClient returns a client. address tells where the dispatching host is; empty means unknown.
-func NewClient(host ids.HostID, zone ids.ZoneID, c clock.Clock, feed *relay.Feed, address func() string) *Client {
+func NewClient(
+	host ids.HostID, zone ids.ZoneID, passes string, c clock.Clock, feed *relay.Feed, address func() string,
+) *Client {
 	k := &Client{
-		host: host, zone: zone, clock: c, address: address, feed: feed, hosts: usualHosts,
+		passes: passes, host: host, zone: zone, clock: c, address: address, feed: feed, hosts: usualHosts, usage: newUsage(),
 		pending: make(map[dispatch.Ticket]*pending), held: make(map[dispatch.Ticket]*holding),
 	}
 	k.local = NewRunner(c, k.localCommand)
@@ -112,13 +126,18 @@
 	c.local.Do(dispatch.Servers{Servers: s})
 }
 
-// SetRates tells the rates to keep while this host decides alone.
+// SetRates tells the rates, of which this host keeps its part while it decides alone.
 func (c *Client) SetRates(r map[ids.WorkspaceID]dispatch.Rate) {
 	c.mu.Lock()
-	c.rates.Rates = r
-	rates := dispatch.Rates{Rates: r, Hosts: c.hosts}
+	c.rates = r
+	e := c.ownRates()
 	c.mu.Unlock()
-	c.local.Do(rates)
+	c.local.Do(e)
+}
+
+// ownRates is this host's part of the rates.
+func (c *Client) ownRates() dispatch.Rates {
+	return dispatch.Rates{Rates: c.usage.parts(c.clock.Now(), c.rates, c.hosts)}
 }
 
 // Acquire waits for a slot. It returns *Refused if there is none to be had.
@@ -132,9 +151,13 @@
 	c.pending[p.ask.Ticket] = p
 	link := c.link
 	// Without the dispatching host batch waits for it: it alone sees which slots callers need.
-	p.local = link == nil && a.Class == dispatch.Online
+	p.local = (link == nil || c.suspect) && a.Class == dispatch.Online
+	if !p.local && a.Class == dispatch.Online {
+		p.timer = time.AfterFunc(askTimeout, func() { c.unheard(p) })
+	}
 	c.mu.Unlock()
 	c.send(link, p)
+	defer p.stop()
 	select {
 	case r := <-p.reply:
 		return r.lease(p.ask.Ticket)
@@ -154,6 +177,58 @@
 	return nil, ctx.Err()
 }
 
+func (p *pending) stop() {
+	if p.timer != nil {
+		p.timer.Stop()
+	}
+}
+
+// unheard moves an ask on which no word came to this host's own machine.
+func (c *Client) unheard(p *pending) {
+	c.mu.Lock()
+	if c.pending[p.ask.Ticket] != p || p.local {
+		c.mu.Unlock()
+		return
+	}
+	if !c.suspect {
+		c.suspect = true
+		log.WithField("silent_ms", c.clock.Now().Sub(c.heard).Milliseconds()).Warn("dispatching host is silent; this host decides alone")
+		c.goAlone()
+	}
+	c.moveToLocal(p)
+	link := c.link
+	c.mu.Unlock()
+	c.end(link, false, dispatch.Outcome{Ticket: p.ask.Ticket, Verdict: dispatch.Left})
+	c.send(nil, p)
+	if link != nil {
+		time.AfterFunc(suspectTime, func() { c.closeIfSuspect(link) })
+	}
+}
+
+// closeIfSuspect gives a silent connection up, so that another way to the dispatching host is tried.
+func (c *Client) closeIfSuspect(link *hostlink.Link) {
+	c.mu.Lock()
+	silent := c.suspect && c.link == link
+	c.mu.Unlock()
+	if silent {
+		link.Close()
+	}
+}
+
+// goAlone tells this host's own machine its part of the rates as of now.
+func (c *Client) goAlone() {
+	e := c.ownRates()
+	go c.local.Do(e)
+}
+
+// moveToLocal makes an ask this host's own, with the time that is left.
+func (c *Client) moveToLocal(p *pending) {
+	p.local = true
+	spent := c.clock.Now().Sub(p.sent)
+	p.ask.Objective -= spent
+	p.ask.Patience -= spent
+}
+
 func (r reply) lease(t dispatch.Ticket) (*Lease, error) {
 	if r.refused != nil {
 		return nil, r.refused
@@ -211,7 +286,7 @@
 	go c.local.Run(ctx)
 	for ctx.Err() == nil {
 		if address := c.address(); address != "" {
-			if link, err := hostlink.Dial(ctx, address); err == nil {
+			if link, err := hostlink.Connect(ctx, address, c.Helpers()); err == nil {
 				c.serve(ctx, link, address)
 			}
 		}
@@ -239,14 +314,14 @@
 func (c *Client) connected(link *hostlink.Link) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	hello := hostlink.Hello{Host: c.host, Zone: c.zone, Slots: true}
+	hello := hostlink.Hello{Host: c.host, Zone: c.zone, Slots: true, Address: c.passes}
 	for _, h := range c.held {
 		hello.Held = append(hello.Held, h.held)
 	}
 	if err := link.Send(hostlink.Frame{Hello: &hello}); err != nil {
 		return
 	}
-	c.link, c.heard = link, c.clock.Now()
+	c.link, c.heard, c.suspect = link, c.clock.Now(), false
 	for _, p := range c.pending {
 		if !p.local {
 			c.send(link, p)
@@ -260,12 +335,10 @@
 	var move []*pending
 	if c.link == link {
 		c.link = nil
+		c.goAlone()
 		for _, p := range c.pending {
 			if p.ask.Class == dispatch.Online && !p.local {
-				p.local = true
-				spent := c.clock.Now().Sub(p.sent)
-				p.ask.Objective -= spent
-				p.ask.Patience -= spent
+				c.moveToLocal(p)
 				move = append(move, p)
 			}
 		}
@@ -298,33 +371,54 @@
 
 func (c *Client) handle(link *hostlink.Link, f hostlink.Frame) {
 	c.mu.Lock()
-	c.heard = c.clock.Now()
+	c.heard, c.suspect = c.clock.Now(), false
 	c.mu.Unlock()
+	if f.Hosts > 0 {
+		c.setHosts(f)
+	}
 	switch {
 	case f.Grant != nil:
 		c.granted(link, f.Grant.Ticket, reply{server: f.Grant.Server, waited: f.Grant.Waited})
 	case f.Refusal != nil:
-		c.refused(f.Refusal.Ticket, f.Refusal.Reason, f.Refusal.Later)
+		c.refused(f.Refusal.Ticket, false, f.Refusal.Reason, f.Refusal.Later)
+	case f.Wait != 0:
+		c.mu.Lock()
+		if p, ok := c.pending[f.Wait]; ok {
+			p.stop()
+		}
+		c.mu.Unlock()
 	case f.Yield != 0:
 		c.yield(f.Yield)
 	case f.News != nil:
 		c.feed.Take(*f.News)
 	case f.Ages != nil:
 		c.feed.Heard(f.Ages)
-	case f.Hosts > 0:
-		c.mu.Lock()
-		c.hosts = f.Hosts
-		rates := dispatch.Rates{Rates: c.rates.Rates, Hosts: c.hosts}
-		c.mu.Unlock()
-		c.local.Do(rates)
 	}
 }
 
+func (c *Client) setHosts(f hostlink.Frame) {
+	c.mu.Lock()
+	c.hosts, c.helpers = f.Hosts, f.Helpers
+	c.mu.Unlock()
+	c.local.Do(dispatch.Peers{Count: f.Hosts})
+}
+
+// Helpers names hosts that may pass connections on.
+func (c *Client) Helpers() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.helpers
+}
+
 func (c *Client) granted(link *hostlink.Link, t dispatch.Ticket, r reply) {
 	c.mu.Lock()
 	p, ok := c.pending[t]
-	if ok && p.local == r.alone {
+	ok = ok && p.local == r.alone
+	if ok {
 		delete(c.pending, t)
+		if p.ask.Metered {
+			c.usage.add(c.clock.Now(), p.ask.Workspace)
+		}
 		h := &holding{held: dispatch.Held{Ask: p.ask, Server: r.server.ID}, local: r.alone, yielded: make(chan struct{})}
 		c.held[t] = h
 		r.yielded = h.yielded
@@ -336,10 +430,10 @@
 	}
 }
 
-func (c *Client) refused(t dispatch.Ticket, reason dispatch.Reason, later time.Duration) {
+func (c *Client) refused(t dispatch.Ticket, alone bool, reason dispatch.Reason, later time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p, ok := c.pending[t]; ok {
+	if p, ok := c.pending[t]; ok && p.local == alone {
 		delete(c.pending, t)
 		p.reply <- reply{refused: &Refused{Reason: reason, Later: later}}
 	}
@@ -361,7 +455,7 @@
 	case dispatch.Grant:
 		c.granted(nil, cmd.Key.Ticket, reply{server: cmd.Server, waited: cmd.Waited, alone: true})
 	case dispatch.Refuse:
-		c.refused(cmd.Key.Ticket, cmd.Reason, cmd.Later)
+		c.refused(cmd.Key.Ticket, true, cmd.Reason, cmd.Later)
 	case dispatch.Yield:
 		c.yield(cmd.Key.Ticket)
 	}
--- a/verbenad/internal/slots/server.go
+++ b/verbenad/internal/slots/server.go
@@ -28,12 +28,21 @@
 	news   *relay.Publisher
 
 	mu    sync.Mutex
-	links map[ids.HostID]*hostlink.Link
+	links map[ids.HostID]*member
+}
+
+// member is a host that is connected.
+type member struct {
+	link *hostlink.Link
+	// helper is where the host passes connections on, or nothing.
+	helper string
+	// told is of how many hosts it was told.
+	told int
 }
 
 // NewServer returns a dispatcher without hosts.
 func NewServer(c clock.Clock, news *relay.Publisher) *Server {
-	s := &Server{news: news, links: make(map[ids.HostID]*hostlink.Link)}
+	s := &Server{news: news, links: make(map[ids.HostID]*member)}
 	s.runner = NewRunner(c, s.command)
 	return s
 }
@@ -55,23 +64,23 @@
 func (s *Server) Join(l *hostlink.Link, h hostlink.Hello) {
 	s.mu.Lock()
 	old := s.links[h.Host]
-	s.links[h.Host] = l
+	s.links[h.Host] = &member{link: l, helper: h.Address}
 	s.mu.Unlock()
-	if old != nil && old != l {
-		old.Close()
+	if old != nil && old.link != l {
+		old.link.Close()
 	}
 	log.WithFields(log.Fields{"peer": h.Host, "held": len(h.Held)}).Info("host joined")
 	s.runner.Do(dispatch.Joined{Host: h.Host, Held: h.Held})
 	s.news.Add(l)
-	s.tellAges(l)
-	s.tellHosts()
+	s.tell(h.Host)
 }
 
 // Part ends a host's connection.
 func (s *Server) Part(l *hostlink.Link, host ids.HostID) {
 	s.news.Remove(l)
 	s.mu.Lock()
-	current := s.links[host] == l
+	m := s.links[host]
+	current := m != nil && m.link == l
 	if current {
 		delete(s.links, host)
 	}
@@ -86,8 +95,8 @@
 func (s *Server) PartAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, l := range s.links {
-		l.Close()
+	for _, m := range s.links {
+		m.link.Close()
 	}
 }
 
@@ -99,22 +108,43 @@
 	case f.Outcome != nil:
 		s.runner.Do(dispatch.Ended{Host: host, Outcome: *f.Outcome})
 	case f.Ping:
-		s.tellAges(l)
+		s.tell(host)
 	}
 }
 
-// tellAges answers a sign of life with the ages of what this host passes on.
-func (s *Server) tellAges(l *hostlink.Link) {
-	_ = l.Send(hostlink.Frame{Ping: true, Ages: s.news.Ages()}) // a closed connection ends its reader
-}
+// maxHelpers is how many hosts a host is told of that may pass its connections on.
+const maxHelpers = 4
 
-// tellHosts tells all hosts among how many they divide slots and rates when they decide alone.
-func (s *Server) tellHosts() {
+// tell answers a sign of life with the ages of what this host passes on, and with the hosts that are
+// there if their number has changed.
+func (s *Server) tell(host ids.HostID) {
+	ages := s.news.Ages()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, l := range s.links {
-		_ = l.Send(hostlink.Frame{Hosts: len(s.links)}) // a closed connection ends its reader
+	m, ok := s.links[host]
+	if !ok {
+		s.mu.Unlock()
+		return
+	}
+	f := hostlink.Frame{Ping: true, Ages: ages}
+	if m.told != len(s.links) {
+		m.told = len(s.links)
+		f.Hosts, f.Helpers = m.told, s.helpers(host)
+	}
+	s.mu.Unlock()
+	_ = m.link.Send(f) // a closed connection ends its reader
+}
+
+// helpers picks hosts that may pass a host's connections on, in no order.
+func (s *Server) helpers(but ids.HostID) (list []string) {
+	for h, m := range s.links {
+		if h != but && m.helper != "" {
+			list = append(list, m.helper)
+		}
+		if len(list) == maxHelpers {
+			break
+		}
 	}
+	return list
 }
 
 // command carries out a decision. It doesn't block: a host that doesn't read loses its connection.
@@ -127,6 +157,8 @@
 	case dispatch.Refuse:
 		refusals.Inc()
 		s.send(cmd.Key.Host, hostlink.Frame{Refusal: &hostlink.Refusal{Ticket: cmd.Key.Ticket, Reason: cmd.Reason, Later: cmd.Later}})
+	case dispatch.Wait:
+		s.send(cmd.Key.Host, hostlink.Frame{Wait: cmd.Key.Ticket})
 	case dispatch.Yield:
 		yieldsAsked.Inc()
 		s.send(cmd.Key.Host, hostlink.Frame{Yield: cmd.Key.Ticket})
@@ -135,10 +167,10 @@
 
 func (s *Server) send(host ids.HostID, f hostlink.Frame) {
 	s.mu.Lock()
-	l := s.links[host]
+	m := s.links[host]
 	s.mu.Unlock()
-	if l == nil {
+	if m == nil {
 		return // the host parted; its slots are freed with it
 	}
-	_ = l.Send(f) // a closed connection ends its reader
+	_ = m.link.Send(f) // a closed connection ends its reader
 }
