perf: fewer store calls, owners spread over hosts, slots kept free for callers

Change: the first map waits for the other leases; hosts that start wait for another host's news; results gather for 1.2 s; half a root of the callers' number of slots stays free of batch.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -118,13 +118,15 @@
 	r := &run{key: w.key, ask: w.ask, server: s, start: now, due: w.due}
 	m.runs[w.key] = r
 	s.used++
-	if w.ask.Class == Batch {
-		p := m.pool(w.ask.Service)
-		if p.batch == nil {
-			p.batch = make(map[Key]*run)
-		}
-		p.batch[w.key] = r
+	p := m.pool(w.ask.Service)
+	if w.ask.Class != Batch {
+		p.running++
+		return
+	}
+	if p.batch == nil {
+		p.batch = make(map[Key]*run)
 	}
+	p.batch[w.key] = r
 }
 
 func (m *Machine) drop(w *waiter) {
@@ -149,7 +151,7 @@
 	for len(p.waiting) > 0 {
 		w := p.waiting[0]
 		s := p.pick(now, w.ask)
-		if s == nil {
+		if s == nil || p.freeSlots(now) <= p.reserve() {
 			return
 		}
 		m.drop(w)
--- a/verbena/dispatch/bucket.go
+++ b/verbena/dispatch/bucket.go
@@ -12,8 +12,12 @@
 	at     time.Time
 }
 
+// startShare is the part of its burst that a workspace has when counting starts: a dispatcher that
+// takes over doesn't know what was spent before.
+const startShare = 0.25
+
 func newBucket(now time.Time, r Rate) *bucket {
-	return &bucket{rate: r, tokens: r.Burst, at: now}
+	return &bucket{rate: r, tokens: math.Max(1, startShare*r.Burst), at: now}
 }
 
 // set changes the rate. What was earned before stays, within the new burst.
--- a/verbena/dispatch/machine.go
+++ b/verbena/dispatch/machine.go
@@ -184,6 +184,8 @@
 	p := m.pool(r.ask.Service)
 	if r.ask.Class == Batch {
 		delete(p.batch, r.key)
+	} else {
+		p.running--
 	}
 	if r.server.gone && r.server.used == 0 {
 		m.forget(r.server)
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"verbenaledge.example/verbena/ids"
@@ -17,6 +18,8 @@
 	crowdCost = 0.02
 	// crossZoneCost weighs a server of another availability zone; it keeps bytes in the zone when all else is equal.
 	crossZoneCost = 0.01
+	// reserveShare is how many roots of the number of callers' requests stay free of batch.
+	reserveShare = 0.5
 	// slowCost puts servers that are much slower than the fastest behind all others.
 	slowCost = 10.0
 )
@@ -27,6 +30,8 @@
 	online  queue
 	waiting queue
 	batch   map[Key]*run
+	// running counts the slots of callers' requests.
+	running int
 	hold    float64
 	first   float64
 }
@@ -72,6 +77,22 @@
 	return n
 }
 
+// freeSlots counts the slots that are free now.
+func (p *pool) freeSlots(now time.Time) (n int) {
+	for _, s := range p.servers {
+		if s.usable(now) {
+			n += max(0, s.free(now))
+		}
+	}
+	return n
+}
+
+// reserve is how many slots stay free of batch: callers' requests vary by about the root of their
+// number, and an item that must leave at once has run for nothing.
+func (p *pool) reserve() int {
+	return int(reserveShare * math.Sqrt(float64(p.running)))
+}
+
 // alive counts the servers that are there at all, ejected ones too.
 func (p *pool) alive() (n int) {
 	for _, s := range p.servers {
--- a/verbena/node/settings.go
+++ b/verbena/node/settings.go
@@ -25,6 +25,8 @@
 	MemoryMB    int
 	CPUShare    float64
 	Files       int
+	// First tells that the whole fleet starts for the first time.
+	First bool
 	// Grace is how long after SIGTERM a process is killed.
 	Grace time.Duration
 	// ResultsKept is how long after its submission a batch job's results stay readable.
--- a/verbenad/cmd/platform.go
+++ b/verbenad/cmd/platform.go
@@ -11,9 +11,11 @@
 	"github.com/apex/log/handlers/json"
 
 	"verbenaledge.example/platform"
+	"verbenaledge.example/verbena/clock"
 	"verbenaledge.example/verbena/node"
 	"verbenaledge.example/verbenad/internal/host"
 	"verbenaledge.example/verbenad/internal/logs"
+	"verbenaledge.example/verbenad/internal/metered"
 )
 
 // role is what a process does on the users' platform.
@@ -35,7 +37,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go reloadOnHangup(ctx, s)
-	w := host.World{Settings: s, Store: platform.NewStore(s.StoreAddress), Source: platform.Source{}, Protocol: platform.Protocol{}}
+	w := host.World{Settings: s, Store: metered.New(platform.NewStore(s.StoreAddress), clock.System{}), Source: platform.Source{}, Protocol: platform.Protocol{}}
 	log.WithFields(log.Fields{"role": name, "host": s.Host, "zone": s.Zone, "memory_mb": s.MemoryMB, "version": version()}).Info("started")
 	if err := r(ctx, w); err != nil {
 		log.WithError(err).Error("stopped by a fault")
--- a/verbenad/internal/bulk/commit.go
+++ b/verbenad/internal/bulk/commit.go
@@ -53,7 +53,7 @@
 		delete(o.commits, r.Job.ID)
 		return
 	}
-	if !r.Finished() && now.Sub(c.since) < commitAfter {
+	if !r.Finished() && now.Sub(c.since) < commitAfter && r.Job.Due.Sub(now) > commitBeforeDue {
 		return
 	}
 	c.writing = true
@@ -117,6 +117,7 @@
 		return
 	}
 	c.pause = 0
+	c.since = o.clock.Now()
 	if r.Segments == number {
 		o.ledger.Commit(r, s)
 	}
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -152,6 +152,10 @@
 	o.First = answer.First
 	if answer.Status != http.StatusOK || !answer.Reply.Signed {
 		o.Verdict, v = i.refused(route, answer)
+		log.WithFields(log.Fields{
+			"job": i.record.Job.ID, "item": i.item.ID, "server": l.Server.ID, "status": answer.Status, "not_executed": answer.Reply.NotExecuted,
+			"server_running": answer.Reply.Load.Running, "server_waiting": answer.Reply.Load.Waiting, "failures": i.failures, "outcome": "not_served",
+		}).Info("server turned an item away")
 		return v
 	}
 	return i.read(whole, l, answer, &o, silence)
--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -20,9 +20,11 @@
 
 const (
 	// maxRunning bounds the items that run or wait for a slot at one host; each holds a connection and its text.
-	maxRunning = 160
-	// commitAfter is how long results wait for others to share a write with.
-	commitAfter = 350 * time.Millisecond
+	maxRunning = 400
+	// commitAfter is how long results wait for others to share a write with; each write is a priced call.
+	commitAfter = 1200 * time.Millisecond
+	// commitBeforeDue is how long before a job is due results wait no more.
+	commitBeforeDue = 2 * time.Second
 	// checkEvery is the time between looks at deadlines and unwritten results.
 	checkEvery = 100 * time.Millisecond
 )
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -60,6 +60,8 @@
 	client := upstream.NewClient(sys)
 	s.owner = bulk.New(w.Settings.Host, w.Store, w.Settings.StoreValueBytes, s.keeper, w.Protocol, place, client, sys, w.Settings.ResultsKept)
 	var listed atomic.Pointer[map[ids.BackendID]directory.Server]
+	// Hosts are taken once configuration and servers are known: a dispatcher without them would refuse all.
+	var first firsts
 	go s.dispatcher.Run(work)
 	go s.owner.Run(work)
 	go place.Run(work)
@@ -68,9 +70,11 @@
 	known.followAll(&s.view, func(c *catalog.Catalog) {
 		s.dispatcher.SetRates(ratesOf(c))
 		s.owner.SetCatalog(c)
+		first.catalog()
 	}, func(servers map[ids.BackendID]directory.Server) {
 		listed.Store(&servers)
 		s.dispatcher.SetServers(servers)
+		first.servers()
 	})
 	known.follow(w.Source.RetirementKind(), s.retirements)
 	known.run(work)
@@ -78,11 +82,14 @@
 	go s.look(work)
 	failed := make(chan error, 1)
 	go func() {
+		if !first.wait(work) {
+			return
+		}
+		log.WithField("address", w.Settings.PeerAddress()).Info("taking hosts")
 		failed <- hostlink.Listen(work, w.Settings.PeerAddress(), s.view.IsOwner, func(l *hostlink.Link, first hostlink.Frame) {
 			hostlink.Serve(work, l, first, s.dispatcher, s.owner)
 		})
 	}()
-	log.WithField("address", w.Settings.PeerAddress()).Info("taking hosts")
 	select {
 	case err := <-failed:
 		return err
--- a/verbenad/internal/host/world.go
+++ b/verbenad/internal/host/world.go
@@ -102,13 +102,28 @@
 	return -1
 }
 
-// follow adds a kind. All are added before any runs.
+const (
+	// feedPatience is how long a host that starts waits for others to tell it what they know.
+	feedPatience = 500 * time.Millisecond
+	// firstPatience is the same at the start of the whole fleet, when owners are still to be found.
+	firstPatience = 4 * time.Second
+)
+
+// follow adds a kind. All are added before any runs. The map of owners comes first: it leads to the
+// host that passes the others on.
 func (k *knowledge) follow(kind objects.Kind, on func(map[string]objects.Object, objects.Revision), options ...view.Option) {
+	patience := feedPatience
+	switch {
+	case kind == owners.KindOwners:
+		patience = 0
+	case k.world.Settings.First:
+		patience = firstPatience
+	}
 	changed := func(all map[string]objects.Object, at objects.Revision) {
 		k.news.Publish(kind, all, at)
 		on(all, at)
 	}
-	options = append(options, view.Through(k.feed, k.direct))
+	options = append(options, view.Through(k.feed, k.direct, patience))
 	k.kinds[kind] = view.NewKind(kind, k.world.Store, clock.System{}, k.gate, changed, options...)
 }
 
--- a/verbenad/internal/hostlink/caller.go
+++ b/verbenad/internal/hostlink/caller.go
@@ -24,6 +24,7 @@
 
 type peer struct {
 	link    *Link
+	heard   uint64
 	next    uint64
 	waiting map[uint64]chan bulk.Reply
 }
@@ -60,11 +61,32 @@
 	case <-p.link.Closed():
 	case <-ctx.Done():
 	case <-t.C:
-		p.link.Close() // silent: the network to the host may be cut
+		go c.probe(p)
 	}
 	return r, ErrNoAnswer
 }
 
+// probe closes a connection on which not even a sign of life is answered: the network may be cut.
+func (c *Caller) probe(p *peer) {
+	c.mu.Lock()
+	before := p.heard
+	c.mu.Unlock()
+	if p.link.Send(Frame{Ping: true}) != nil {
+		return
+	}
+	select {
+	case <-p.link.Closed():
+		return
+	case <-time.After(confirmTimeout):
+	}
+	c.mu.Lock()
+	silent := p.heard == before
+	c.mu.Unlock()
+	if silent {
+		p.link.Close()
+	}
+}
+
 func (c *Caller) peer(ctx context.Context, address string) (*peer, error) {
 	c.mu.Lock()
 	p := c.peers[address]
@@ -93,6 +115,9 @@
 
 func (c *Caller) read(address string, p *peer) {
 	_ = p.link.Read(func(f Frame) { // the end of the connection is told to all that wait
+		c.mu.Lock()
+		p.heard++
+		c.mu.Unlock()
 		if f.Reply == nil {
 			return
 		}
--- a/verbenad/internal/owners/keeper.go
+++ b/verbenad/internal/owners/keeper.go
@@ -22,6 +22,10 @@
 	mapsWritten  = metrics.NewCounter("verbenad_owner_maps_written_total")
 )
 
+// firstPlan is how long a host waits before it writes the very first map, so that the others' leases
+// are there and units spread over all hosts.
+const firstPlan = 2500 * time.Millisecond
+
 // listGap is how long without a listing makes earlier sights worthless: nobody may have been able to renew.
 const listGap = 2500 * time.Millisecond
 
@@ -41,6 +45,7 @@
 	leaving  atomic.Bool
 	nudge    chan struct{}
 	acquired bool
+	started  time.Time
 }
 
 // NewKeeper returns a keeper without a lease.
@@ -87,6 +92,7 @@
 
 // Run renews the lease and looks after the others until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
+	k.started = k.boot.Now()
 	t := time.NewTicker(ownership.RenewEvery)
 	defer t.Stop()
 	for {
@@ -223,7 +229,7 @@
 func (k *Keeper) plan(ctx context.Context) error {
 	current, at := k.view.Map()
 	next, changed := k.watcher.Plan(current)
-	if !changed {
+	if !changed || at == 0 && k.boot.Now().Sub(k.started) < firstPlan {
 		return nil
 	}
 	var o objects.Object
--- a/verbenad/internal/view/view.go
+++ b/verbenad/internal/view/view.go
@@ -17,9 +17,12 @@
 const (
 	// watchWait is how long a watch waits. Each wait is one priced call; a watch that the store forgot in an
 	// outage delays news by as much.
-	watchWait = 4 * time.Second
+	watchWait = 2 * time.Second
 	// passingWait is how long a watch of the host waits that passes news on to others: its age is theirs.
 	passingWait = time.Second
+	// gather is the least time between two watches of a host that only reads for itself: changes that
+	// come close together, as in a release, take one priced call.
+	gather = 400 * time.Millisecond
 	// feedWait is how long news of another host are waited for before their age is looked at again.
 	feedWait = 300 * time.Millisecond
 	// returnTime is how long entries that lapsed while the store was away may take to come back.
@@ -39,6 +42,9 @@
 	// feed is another host's knowledge, used in place of the store's unless direct says otherwise.
 	feed   Feed
 	direct func() bool
+	// patience is how long the first state is awaited from another host.
+	patience time.Duration
+	last     time.Time
 	// lenient keeps entries that are missing after an outage until they had the time to come back.
 	lenient bool
 
@@ -68,8 +74,9 @@
 }
 
 // Through uses another host's knowledge except while direct holds: then this host passes its own on.
-func Through(f Feed, direct func() bool) Option {
-	return func(k *Kind) { k.feed, k.direct = f, direct }
+// The first state is awaited from it for the given time.
+func Through(f Feed, direct func() bool, patience time.Duration) Option {
+	return func(k *Kind) { k.feed, k.direct, k.patience = f, direct, patience }
 }
 
 // NewKind returns a follower of a kind.
@@ -98,6 +105,12 @@
 
 // Run follows the kind until the context ends.
 func (k *Kind) Run(ctx context.Context) {
+	for end := k.clock.Now().Add(k.patience); k.clock.Now().Before(end) && ctx.Err() == nil; {
+		if k.direct() || k.fed(ctx) {
+			break
+		}
+		sleep(ctx, feedWait/10)
+	}
 	for ctx.Err() == nil {
 		if k.fed(ctx) {
 			continue
@@ -105,8 +118,9 @@
 		if !k.gate.Enter(ctx) {
 			return
 		}
-		err := k.step(ctx)
+		overtaken, err := k.stepUnlessFed(ctx)
 		switch {
+		case overtaken:
 		case err == nil:
 			k.gate.Passed()
 			k.answered()
@@ -122,6 +136,30 @@
 	}
 }
 
+// stepUnlessFed reads the store, but leaves off when another host has newer news: a watch that the
+// store forgot would hold them up.
+func (k *Kind) stepUnlessFed(ctx context.Context) (overtaken bool, err error) {
+	if k.feed == nil || k.direct() {
+		return false, k.step(ctx)
+	}
+	reading, stop := context.WithCancel(ctx)
+	defer stop()
+	at := k.at
+	var newer atomic.Bool
+	go func() {
+		for reading.Err() == nil {
+			if _, _, changed, fresh := k.feed.Wait(reading, k.kind, at, feedWait); changed && fresh {
+				newer.Store(true)
+				stop()
+				return
+			}
+			sleep(reading, feedWait/3)
+		}
+	}()
+	err = k.step(reading)
+	return err != nil && newer.Load(), err
+}
+
 // fed takes news of another host; it is false if there is none to rely on.
 func (k *Kind) fed(ctx context.Context) bool {
 	if k.feed == nil || k.direct() {
@@ -177,6 +215,9 @@
 	span := watchWait
 	if k.direct != nil && k.direct() {
 		span = passingWait
+	} else {
+		sleep(ctx, gather-k.clock.Now().Sub(k.last))
+		k.last = k.clock.Now()
 	}
 	if len(k.missing) > 0 {
 		span = max(50*time.Millisecond, returnTime-k.clock.Now().Sub(k.back))
@@ -236,3 +277,15 @@
 		k.changed(k.all, k.at)
 	}
 }
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
