test: replayed loads for the dispatcher, ledgers, owners and catalogs

Found by the first script: servers were ordered before their ids were set, so which of equal servers was chosen hung on the order of a map, and hosts that decide alone would all have chosen the same ones. Servers are now ordered by id, and at each host that decides alone in an order of its own.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 GO       ?= go
 BIN      := $(CURDIR)/bin
-MODULES  := verbena verbenad verbenactl verbenalab
+MODULES  := platform verbena verbenad verbenactl verbenalab
 LINT     := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.12.2
 LINTER   := $(BIN)/golangci-lint
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,7 +10,7 @@
 fi
 
 status=0
-for module in verbena verbenad verbenactl verbenalab; do
+for module in platform verbena verbenad verbenactl verbenalab; do
   skip=()
   [ -n "$red" ] && skip=(-skip "^($red)\$")
   (cd "$module" && go test -race -count=1 -timeout 12m "${skip[@]}" ./...) || status=1
@@ -19,7 +19,7 @@
 if [ -n "$red" ]; then
   echo "Known red, from KNOWN-RED.txt:"
   cat KNOWN-RED.txt
-  for module in verbena verbenad verbenactl verbenalab; do
+  for module in platform verbena verbenad verbenactl verbenalab; do
     (cd "$module" && go test -count=1 -timeout 12m -run "^($red)\$" ./... 2>&1 | grep -E '^(--- |FAIL|panic)' | head -40)
   done
 fi
--- /dev/null
+++ b/verbena/bulk/ledger_test.go
@@ -0,0 +1,155 @@
+package bulk
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"verbenaledge.example/verbena/ids"
+)
+
+var noon = time.Date(2026, 5, 1, 12, 0, 0, 0, time.UTC)
+
+func newJob(id string, items int) Job {
+	j := Job{ID: ids.JobID(id), Workspace: "w", Route: "r", Submitted: noon, Due: noon.Add(18 * time.Second), GiveUp: noon.Add(time.Minute)}
+	for n := range items {
+		j.Items = append(j.Items, Item{ID: ItemID(fmt.Sprintf("%s-%d", id, n)), Path: "/x", Body: []byte{byte(n)}, Tokens: 100})
+	}
+	return j
+}
+
+func TestCapCountsWaitingTokens(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger()
+	a, b := newJob("a", 3), newJob("b", 3)
+	c.Assert(l.Reserve(&a, 500), qt.IsTrue)
+	c.Assert(l.Reserve(&b, 500), qt.IsFalse)
+	r := l.Add(a, 1, true)
+	c.Assert(l.Waiting("w", "r"), qt.Equals, int64(300))
+	l.Finish(r, Result{Item: "a-0", State: Completed})
+	c.Assert(l.Reserve(&b, 500), qt.IsTrue)
+	l.Free(&b)
+	l.End(r)
+	c.Assert(l.Waiting("w", "r"), qt.Equals, int64(0))
+}
+
+func TestRepeatedSubmissionIsOneJob(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger()
+	j := newJob("a", 2)
+	c.Assert(l.Reserve(&j, 0), qt.IsTrue)
+	first := l.Add(j, 1, true)
+	c.Assert(l.Reserve(&j, 0), qt.IsTrue)
+	c.Assert(l.Add(j, 1, true), qt.Equals, first)
+	c.Assert(l.Waiting("w", "r"), qt.Equals, int64(200))
+}
+
+func TestJobOfAnotherWorkspaceIsNone(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger()
+	l.Add(newJob("a", 1), 1, false)
+	_, ok := l.Job("a", "other")
+	c.Assert(ok, qt.IsFalse)
+}
+
+func TestMostUrgentStartsFirst(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger()
+	late, soon := newJob("a", 1), newJob("b", 2)
+	soon.Due = noon.Add(time.Second)
+	l.Add(late, 1, false)
+	r := l.Add(soon, 1, false)
+	list := l.Start(2)
+	c.Assert(list, qt.HasLen, 2)
+	c.Assert(list[0].Item.ID, qt.Equals, ItemID("b-0"))
+	c.Assert(list[1].Item.ID, qt.Equals, ItemID("b-1"))
+	l.Return(r, "b-1")
+	list = l.Start(9)
+	c.Assert(list, qt.HasLen, 2)
+	c.Assert(list[0].Item.ID, qt.Equals, ItemID("b-1"))
+	c.Assert(list[1].Item.ID, qt.Equals, ItemID("a-0"))
+}
+
+func TestEndedJobRunsNoMore(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger()
+	r := l.Add(newJob("a", 2), 1, false)
+	l.End(r)
+	c.Assert(l.Start(9), qt.HasLen, 0)
+	select {
+	case <-r.Stopped():
+	default:
+		c.Fatal("runs of an ended job are not stopped")
+	}
+}
+
+func TestExpiredItems(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger()
+	r := l.Add(newJob("a", 2), 1, false)
+	l.Finish(r, Result{Item: "a-0", State: Completed})
+	c.Assert(r.Expired(noon.Add(59*time.Second)), qt.HasLen, 0)
+	c.Assert(r.Expired(noon.Add(time.Minute)), qt.DeepEquals, []ItemID{"a-1"})
+}
+
+func TestSliceGivesAtLeastOne(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger()
+	r := l.Add(newJob("a", 3), 1, false)
+	l.Commit(r, Segment{Results: []Result{{Item: "a-0", Output: "long text"}, {Item: "a-1", Output: "long text"}}})
+	list, next := r.Slice(0, 5)
+	c.Assert(list, qt.HasLen, 1)
+	c.Assert(next, qt.Equals, 1)
+	list, next = r.Slice(7, 5)
+	c.Assert(list, qt.HasLen, 0)
+	c.Assert(next, qt.Equals, 2)
+}
+
+// TestResultsStandOnce lets two owners work on one job, each with its own view, and write segments by
+// creation only. Whatever the order, both and a third that loads all agree, and no item stands twice.
+func TestResultsStandOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		job := newJob("a", rapid.IntRange(1, 12).Draw(rt, "items"))
+		var store []Segment
+		owners := []*Ledger{NewLedger(), NewLedger()}
+		records := []*Record{owners[0].Add(job, 1, false), owners[1].Add(job, 1, false)}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			n := rapid.IntRange(0, 1).Draw(rt, "owner")
+			l, r := owners[n], records[n]
+			if rapid.Bool().Draw(rt, "finish") {
+				item := job.Items[rapid.IntRange(0, len(job.Items)-1).Draw(rt, "item")].ID
+				l.Finish(r, Result{Item: item, State: Completed, Output: fmt.Sprintf("by %d", n)})
+				continue
+			}
+			if len(r.Pending) == 0 {
+				continue
+			}
+			if r.Segments == len(store) {
+				store = append(store, Segment{Results: append([]Result(nil), r.Pending...)})
+			}
+			l.Commit(r, store[r.Segments])
+		}
+		fresh := NewLedger()
+		all := fresh.Add(job, 1, false)
+		for _, s := range store {
+			fresh.Commit(all, s)
+		}
+		seen := make(map[ItemID]bool)
+		for _, one := range all.Log {
+			if seen[one.Item] {
+				rt.Fatalf("item %s stands twice", one.Item)
+			}
+			seen[one.Item] = true
+		}
+		for _, r := range records {
+			for p, one := range r.Log {
+				if one != all.Log[p] {
+					rt.Fatalf("position %d differs: %v and %v", p, one, all.Log[p])
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/verbena/catalog/catalog_test.go
@@ -0,0 +1,74 @@
+package catalog
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/ids"
+)
+
+func example() *Catalog {
+	three := 3
+	return New(7, []Route{
+		{Name: "short", Host: "h", Prefix: "/a/", Kind: KindStream},
+		{Name: "long", Host: "h", Prefix: "/a/b/", Kind: KindIdempotent, Priority: 1},
+		{Name: "other", Host: "g", Prefix: "/a/", Kind: KindOnce},
+	}, nil, []Workspace{{ID: "w", Keys: []string{"k1", "k2"}, Priority: &three}, {ID: "v", Keys: []string{"k3"}}}, Limits{})
+}
+
+func TestMatch(t *testing.T) {
+	for _, one := range []struct{ host, path, want string }{
+		{"h", "/a/x", "short"},
+		{"h", "/a/b/x", "long"},
+		{"h:80", "/a/b/", "long"},
+		{"h", "/a/b", "short"},
+		{"g", "/a/b/x", "other"},
+		{"h", "/a", ""},
+		{"x", "/a/x", ""},
+		{"h", "", ""},
+	} {
+		r, ok := example().Match(one.host, one.path)
+		qt.Check(t, ok, qt.Equals, one.want != "", qt.Commentf("%v", one))
+		if ok {
+			qt.Check(t, r.Name, qt.Equals, one.want)
+		}
+	}
+}
+
+func TestKeys(t *testing.T) {
+	c := example()
+	w, ok := c.KeyHolder("k2")
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, w.ID, qt.Equals, ids.WorkspaceID("w"))
+	_, ok = c.KeyHolder("")
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+func TestRank(t *testing.T) {
+	c := example()
+	r, _ := c.Route("long")
+	w, _ := c.Workspace("w")
+	v, _ := c.Workspace("v")
+	qt.Assert(t, r.Rank(w), qt.Equals, 3)
+	qt.Assert(t, r.Rank(v), qt.Equals, 1)
+	qt.Assert(t, r.Rank(nil), qt.Equals, 1)
+}
+
+func TestRepeatable(t *testing.T) {
+	qt.Assert(t, (&Route{Kind: KindIdempotent}).Repeatable(), qt.IsTrue)
+	qt.Assert(t, (&Route{Kind: KindOnce}).Repeatable(), qt.IsFalse)
+	qt.Assert(t, (&Route{Kind: KindStream}).Repeatable(), qt.IsFalse)
+	qt.Assert(t, (&Route{Kind: KindStream, Resumable: true}).Repeatable(), qt.IsTrue)
+}
+
+func TestPick(t *testing.T) {
+	r := Route{Targets: []Target{{"a", 90}, {"b", 10}}}
+	for roll, want := range map[float64]ids.ServiceName{0: "a", 0.89: "a", 0.91: "b", 0.9999: "b"} {
+		got, ok := r.Pick(roll)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, got, qt.Equals, want)
+	}
+	_, ok := (&Route{}).Pick(0)
+	qt.Assert(t, ok, qt.IsFalse)
+}
--- a/verbena/dispatch/machine.go
+++ b/verbena/dispatch/machine.go
@@ -4,6 +4,8 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"verbenaledge.example/verbena/ids"
 )
 
@@ -34,11 +36,15 @@
 	// hosts is among how many machines the slots are divided.
 	hosts    int
 	suspects suspects
+	// salt orders servers that are equal otherwise.
+	salt string
 }
 
-// New returns a machine that knows no servers.
-func New() *Machine {
+// New returns a machine that knows no servers. Machines with different salts prefer different ones
+// among servers that are equal otherwise; without a salt the first by id is preferred.
+func New(salt string) *Machine {
 	return &Machine{
+		salt:     salt,
 		pools:    make(map[ids.ServiceName]*pool),
 		servers:  make(map[ids.BackendID]*server),
 		runs:     make(map[Key]*run),
@@ -93,23 +99,40 @@
 	}
 	for id, d := range e.Servers {
 		s, ok := m.servers[id]
+		if ok && s.Service != d.Service {
+			m.leavePool(s)
+		}
 		if !ok {
-			s = &server{coldUntil: now.Add(d.ColdFor), hosts: m.hosts}
+			s = &server{coldUntil: now.Add(d.ColdFor), hosts: m.hosts, order: m.orderOf(id)}
 			m.servers[id] = s
 		}
-		if !ok || s.Service != d.Service {
+		joins := !ok || s.Service != d.Service
+		s.Server, s.gone = d, false
+		if joins {
 			p := m.pool(d.Service)
 			p.servers = append(p.servers, s)
-			sort.Slice(p.servers, func(i, j int) bool { return p.servers[i].ID < p.servers[j].ID })
 		}
-		s.Server = d
-		s.gone = false
+	}
+	for _, p := range m.pools {
+		sort.Slice(p.servers, func(i, j int) bool { return p.servers[i].before(p.servers[j]) })
 	}
 	m.pump(now)
 }
 
+// orderOf spreads the first choice of machines that decide alone over all servers.
+func (m *Machine) orderOf(id ids.BackendID) uint64 {
+	if m.salt == "" {
+		return 0
+	}
+	return xxhash.Sum64String(m.salt + string(id))
+}
+
 func (m *Machine) forget(s *server) {
 	delete(m.servers, s.ID)
+	m.leavePool(s)
+}
+
+func (m *Machine) leavePool(s *server) {
 	p := m.pool(s.Service)
 	for i, o := range p.servers {
 		if o == s {
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -18,6 +18,8 @@
 	crowdCost = 0.02
 	// crossZoneCost weighs a server of another availability zone; it keeps bytes in the zone when all else is equal.
 	crossZoneCost = 0.01
+	// coldCost puts servers that started a moment ago behind warm ones.
+	coldCost = 1.0
 	// reserveShare is how many roots of the number of callers' requests stay free of batch.
 	reserveShare = 0.5
 	// slowCost puts servers that are much slower than the fastest behind all others.
@@ -140,7 +142,7 @@
 		c += crossZoneCost
 	}
 	if now.Before(s.coldUntil) {
-		c += 1
+		c += coldCost
 	}
 	return c
 }
--- /dev/null
+++ b/verbena/dispatch/script_test.go
@@ -0,0 +1,194 @@
+package dispatch
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/directory"
+	"verbenaledge.example/verbena/ids"
+)
+
+// TestScripts replays the loads of testdata: a line an event with its time, and after it a line with
+// "> " for each command that must follow, in any order.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) > 0, qt.IsTrue)
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) { runScript(t, f) })
+	}
+}
+
+type script struct {
+	machine *Machine
+	servers map[ids.BackendID]directory.Server
+	rates   map[ids.WorkspaceID]Rate
+	start   time.Time
+	now     time.Time
+}
+
+func runScript(t *testing.T, file string) {
+	f, err := os.Open(file)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { qt.Check(t, f.Close(), qt.IsNil) }()
+	s := &script{
+		machine: New(""), servers: make(map[ids.BackendID]directory.Server), rates: make(map[ids.WorkspaceID]Rate),
+		start: time.Unix(1000, 0),
+	}
+	var got, want []string
+	line, at := 0, ""
+	check := func() {
+		sort.Strings(got)
+		sort.Strings(want)
+		qt.Assert(t, strings.Join(got, "\n"), qt.Equals, strings.Join(want, "\n"), qt.Commentf("%s:%d %s", file, line, at))
+		got, want = nil, nil
+	}
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		line++
+		text := strings.TrimSpace(strings.SplitN(lines.Text(), "#", 2)[0])
+		if text == "" {
+			continue
+		}
+		if w, ok := strings.CutPrefix(text, "> "); ok {
+			want = append(want, w)
+			continue
+		}
+		check()
+		at = text
+		got = s.step(t, strings.Fields(text))
+	}
+	check()
+}
+
+func (s *script) step(t *testing.T, words []string) (got []string) {
+	ms, err := strconv.Atoi(words[0])
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%v", words))
+	s.now = s.start.Add(time.Duration(ms) * time.Millisecond)
+	for _, c := range s.machine.Step(s.now, s.event(t, words[1], words[2:])) {
+		got = append(got, describe(c))
+	}
+	return got
+}
+
+func (s *script) event(t *testing.T, verb string, words []string) Event {
+	o := options(words)
+	switch verb {
+	case "server":
+		id := ids.BackendID(words[0])
+		s.servers[id] = directory.Server{
+			ID: id, Service: ids.ServiceName(words[1]), Slots: o.number("slots", 1), Zone: ids.ZoneID(o["zone"]), Draining: o["draining"] != "",
+		}
+		return Servers{Servers: s.servers}
+	case "gone":
+		delete(s.servers, ids.BackendID(words[0]))
+		return Servers{Servers: s.servers}
+	case "rate":
+		s.rates[ids.WorkspaceID(words[0])] = Rate{PerSecond: float64(o.number("rate", 1)), Burst: float64(o.number("burst", 1))}
+		return Rates{Rates: s.rates}
+	case "ask", "batch":
+		return Asked{Host: host(words[0]), Ask: ask(verb, words, o)}
+	case "end":
+		return Ended{Host: host(words[0]), Outcome: Outcome{
+			Ticket: ticket(words[0]), Verdict: verdicts[words[1]], Units: o.number("units", 0), Elapsed: o.time("took", 0), First: o.time("first", 0),
+		}}
+	case "join":
+		j := Joined{Host: ids.HostID(words[0])}
+		for _, h := range words[1:] {
+			key, server, _ := strings.Cut(h, "@")
+			j.Held = append(j.Held, Held{Ask: ask("ask", []string{key, o["service"]}, options(nil)), Server: ids.BackendID(server)})
+		}
+		return j
+	case "part":
+		return Parted{Host: ids.HostID(words[0])}
+	case "tick":
+		return Tick{}
+	case "peers":
+		return Peers{Count: o.number("count", 1)}
+	}
+	t.Fatalf("event %q is unknown", verb)
+	return nil
+}
+
+func ask(verb string, words []string, o opts) Ask {
+	a := Ask{
+		Ticket: ticket(words[0]), Service: ids.ServiceName(words[1]), Workspace: ids.WorkspaceID(o["workspace"]),
+		Objective: o.time("objective", 300*time.Millisecond), Patience: o.time("patience", 5*time.Second), Whole: o.time("whole", 5*time.Second),
+		Priority: o.number("priority", 0), Units: 1, Metered: o["workspace"] != "", Zone: ids.ZoneID(o["zone"]),
+		Fingerprint: uint64(o.number("print", 0)),
+	}
+	if verb == "batch" {
+		a.Class, a.Objective, a.Patience = Batch, o.time("due", 18*time.Second), time.Minute
+	}
+	if e := o["exclude"]; e != "" {
+		a.Exclude = []ids.BackendID{ids.BackendID(e)}
+	}
+	return a
+}
+
+var verdicts = map[string]Verdict{
+	"served": Served, "left": Left, "full": Full, "gone": Gone, "unreachable": Unreachable, "broken": Broken, "failed": Failed,
+}
+
+func describe(c Command) string {
+	switch c := c.(type) {
+	case Grant:
+		return fmt.Sprintf("grant %s/%d %s", c.Key.Host, c.Key.Ticket, c.Server.ID)
+	case Refuse:
+		return fmt.Sprintf("refuse %s/%d %s %d", c.Key.Host, c.Key.Ticket, c.Reason, c.Later.Milliseconds())
+	case Yield:
+		return fmt.Sprintf("yield %s/%d", c.Key.Host, c.Key.Ticket)
+	case Wait:
+		return fmt.Sprintf("wait %s/%d", c.Key.Host, c.Key.Ticket)
+	}
+	return "unknown"
+}
+
+type opts map[string]string
+
+func options(words []string) opts {
+	o := make(opts)
+	for _, w := range words {
+		if k, v, ok := strings.Cut(w, "="); ok {
+			o[k] = v
+		}
+	}
+	return o
+}
+
+func (o opts) number(k string, usual int) int {
+	if n, err := strconv.Atoi(o[k]); err == nil {
+		return n
+	}
+	return usual
+}
+
+func (o opts) time(k string, usual time.Duration) time.Duration {
+	if d, err := time.ParseDuration(o[k]); err == nil {
+		return d
+	}
+	return usual
+}
+
+func host(key string) ids.HostID {
+	h, _, _ := strings.Cut(key, "/")
+	return ids.HostID(h)
+}
+
+func ticket(key string) Ticket {
+	_, n, _ := strings.Cut(key, "/")
+	v, err := strconv.ParseUint(n, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return Ticket(v)
+}
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -36,6 +36,15 @@
 	coldUntil time.Time
 	// hosts is among how many machines the slots are divided.
 	hosts int
+	// order decides among servers that are equal otherwise.
+	order uint64
+}
+
+func (s *server) before(o *server) bool {
+	if s.order != o.order {
+		return s.order < o.order
+	}
+	return s.ID < o.ID
 }
 
 func (s *server) usable(now time.Time) bool {
--- /dev/null
+++ b/verbena/ownership/ownership_test.go
@@ -0,0 +1,132 @@
+package ownership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/objects"
+)
+
+var start = time.Unix(5000, 0)
+
+func units(n int) (list []Unit) {
+	for i := range n {
+		list = append(list, Unit(fmt.Sprintf("u%d", i)))
+	}
+	return list
+}
+
+func leases(revision objects.Revision, hosts ...ids.HostID) map[ids.HostID]Sight {
+	m := make(map[ids.HostID]Sight)
+	for _, h := range hosts {
+		m[h] = Sight{Lease: Lease{Address: string(h) + ":1"}, Revision: revision}
+	}
+	return m
+}
+
+func TestUnitsSpread(t *testing.T) {
+	c := qt.New(t)
+	w := NewWatcher("a", units(6))
+	w.See(start, leases(1, "a", "b", "c"))
+	m, changed := w.Plan(Map{})
+	c.Assert(changed, qt.IsTrue)
+	count := make(map[ids.HostID]int)
+	for _, o := range m.Units {
+		count[o.Host]++
+	}
+	c.Assert(count, qt.DeepEquals, map[ids.HostID]int{"a": 2, "b": 2, "c": 2})
+	_, changed = w.Plan(m)
+	c.Assert(changed, qt.IsFalse)
+}
+
+func TestOnlyFirstHostPlans(t *testing.T) {
+	c := qt.New(t)
+	w := NewWatcher("b", units(3))
+	w.See(start, leases(1, "a", "b"))
+	_, changed := w.Plan(Map{})
+	c.Assert(changed, qt.IsFalse)
+	w.Gone("a")
+	_, changed = w.Plan(Map{})
+	c.Assert(changed, qt.IsTrue)
+}
+
+func TestLostHostsUnitsMove(t *testing.T) {
+	c := qt.New(t)
+	w := NewWatcher("a", units(4))
+	w.See(start, leases(1, "a", "b"))
+	m, _ := w.Plan(Map{})
+	w.Gone("b")
+	next, changed := w.Plan(m)
+	c.Assert(changed, qt.IsTrue)
+	for u, o := range next.Units {
+		c.Assert(o.Host, qt.Equals, ids.HostID("a"), qt.Commentf("%s", u))
+	}
+}
+
+func TestLeavingHostKeepsNothing(t *testing.T) {
+	c := qt.New(t)
+	w := NewWatcher("a", units(4))
+	w.See(start, leases(1, "a", "b"))
+	m, _ := w.Plan(Map{})
+	l := leases(2, "a", "b")
+	s := l["b"]
+	s.Lease.Leaving = true
+	l["b"] = s
+	w.See(start.Add(time.Second), l)
+	next, changed := w.Plan(m)
+	c.Assert(changed, qt.IsTrue)
+	for _, o := range next.Units {
+		c.Assert(o.Host, qt.Equals, ids.HostID("a"))
+	}
+}
+
+func TestMovedHostIsFoundAtItsNewAddress(t *testing.T) {
+	c := qt.New(t)
+	w := NewWatcher("a", units(1))
+	w.See(start, leases(1, "a"))
+	m, _ := w.Plan(Map{})
+	l := leases(2, "a")
+	l["a"] = Sight{Lease: Lease{Address: "elsewhere:1"}, Revision: 2}
+	w.See(start.Add(time.Second), l)
+	next, changed := w.Plan(m)
+	c.Assert(changed, qt.IsTrue)
+	c.Assert(next.Units["u0"].Address, qt.Equals, "elsewhere:1")
+}
+
+// TestSuspects: a lease is suspected only after it has been seen unchanged for the whole time, and a
+// holder stops before that by its own clock.
+func TestSuspects(t *testing.T) {
+	c := qt.New(t)
+	w := NewWatcher("a", units(1))
+	w.See(start, leases(1, "a", "b"))
+	c.Assert(w.Suspects(start.Add(BreakAfter-time.Millisecond)), qt.HasLen, 0)
+	w.See(start.Add(BreakAfter-time.Millisecond), leases(2, "a", "b"))
+	c.Assert(w.Suspects(start.Add(BreakAfter)), qt.HasLen, 0)
+	w.See(start.Add(2*BreakAfter), leases(2, "a", "b"))
+	c.Assert(w.Suspects(start.Add(2*BreakAfter)), qt.DeepEquals, map[ids.HostID]objects.Revision{"b": 2})
+	c.Assert(HoldFor < BreakAfter, qt.IsTrue)
+}
+
+// TestStaleListing: an older revision of a lease doesn't take its place.
+func TestStaleListing(t *testing.T) {
+	c := qt.New(t)
+	w := NewWatcher("a", units(1))
+	w.See(start, leases(5, "a", "b"))
+	w.See(start.Add(2*time.Second), leases(4, "a", "b"))
+	w.See(start.Add(3*time.Second), leases(5, "a", "b"))
+	c.Assert(w.Suspects(start.Add(3*time.Second)), qt.DeepEquals, map[ids.HostID]objects.Revision{"b": 5})
+}
+
+// TestForgetAfterOutage: after a time without listings nobody is suspected at once.
+func TestForgetAfterOutage(t *testing.T) {
+	c := qt.New(t)
+	w := NewWatcher("a", units(1))
+	w.See(start, leases(1, "a", "b"))
+	w.Forget()
+	w.See(start.Add(time.Minute), leases(1, "a", "b"))
+	c.Assert(w.Suspects(start.Add(time.Minute)), qt.HasLen, 0)
+}
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -117,7 +117,7 @@
 		passes: passes, host: host, zone: zone, clock: c, address: address, feed: feed, hosts: usualHosts, usage: newUsage(),
 		pending: make(map[dispatch.Ticket]*pending), held: make(map[dispatch.Ticket]*holding),
 	}
-	k.local = NewRunner(c, k.localCommand)
+	k.local = NewRunner(c, string(host), k.localCommand)
 	return k
 }
 
--- a/verbenad/internal/slots/runner.go
+++ b/verbenad/internal/slots/runner.go
@@ -25,9 +25,9 @@
 	emit    func(dispatch.Command)
 }
 
-// NewRunner returns a runner that hands commands to emit, which must not block.
-func NewRunner(c clock.Clock, emit func(dispatch.Command)) *Runner {
-	return &Runner{machine: dispatch.New(), clock: c, events: make(chan dispatch.Event, eventBuffer), emit: emit}
+// NewRunner returns a runner that hands commands to emit, which must not block. salt is the machine's.
+func NewRunner(c clock.Clock, salt string, emit func(dispatch.Command)) *Runner {
+	return &Runner{machine: dispatch.New(salt), clock: c, events: make(chan dispatch.Event, eventBuffer), emit: emit}
 }
 
 // Do applies an event.
--- a/verbenad/internal/slots/server.go
+++ b/verbenad/internal/slots/server.go
@@ -43,7 +43,7 @@
 // NewServer returns a dispatcher without hosts.
 func NewServer(c clock.Clock, news *relay.Publisher) *Server {
 	s := &Server{news: news, links: make(map[ids.HostID]*member)}
-	s.runner = NewRunner(c, s.command)
+	s.runner = NewRunner(c, "", s.command)
 	return s
 }
 
