--- /dev/null
+++ b/verbenad/internal/relay/relay_test.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/objects"
+	"verbenaledge.example/verbenad/internal/hostlink"
+)
+
+type manual struct{ now time.Time }
+
+func (m *manual) Now() time.Time { return m.now }
+
+func news(full bool, from, at objects.Revision, names ...string) hostlink.News {
+	n := hostlink.News{Kind: "k", Full: full, From: from, At: at}
+	for _, name := range names {
+		n.Objects = append(n.Objects, objects.Object{Name: name, Revision: at})
+	}
+	return n
+}
+
+func wait(f *Feed, after objects.Revision) (names int, at objects.Revision, changed, fresh bool) {
+	all, at, changed, fresh := f.Wait(context.Background(), "k", after, time.Millisecond)
+	return len(all), at, changed, fresh
+}
+
+func TestFeedIsUsedWhileConfirmed(t *testing.T) {
+	c := qt.New(t)
+	m := &manual{now: time.Unix(100, 0)}
+	f := NewFeed(m)
+	_, _, _, fresh := wait(f, 0)
+	c.Assert(fresh, qt.IsFalse)
+	f.Take(news(true, 0, 5, "a", "b"))
+	_, _, _, fresh = wait(f, 0)
+	c.Assert(fresh, qt.IsFalse, qt.Commentf("news of unknown age"))
+	f.Heard(map[objects.Kind]time.Duration{"k": time.Second})
+	n, at, changed, fresh := wait(f, 0)
+	c.Assert([]any{n, at, changed, fresh}, qt.DeepEquals, []any{2, objects.Revision(5), true, true})
+	_, _, changed, fresh = wait(f, 5)
+	c.Assert([]bool{changed, fresh}, qt.DeepEquals, []bool{false, true})
+	m.now = m.now.Add(maxAge)
+	_, _, _, fresh = wait(f, 0)
+	c.Assert(fresh, qt.IsFalse, qt.Commentf("news that nobody confirmed lately"))
+}
+
+func TestFeedFollowsChanges(t *testing.T) {
+	c := qt.New(t)
+	f := NewFeed(&manual{now: time.Unix(100, 0)})
+	f.Heard(map[objects.Kind]time.Duration{"k": 0})
+	f.Take(news(true, 0, 5, "a", "b"))
+	n := news(false, 5, 7, "c")
+	n.Removed = []string{"a"}
+	f.Take(n)
+	names, at, _, _ := wait(f, 5)
+	c.Assert(names, qt.Equals, 2)
+	c.Assert(at, qt.Equals, objects.Revision(7))
+	f.Take(news(false, 9, 10, "d"))
+	_, _, _, fresh := wait(f, 0)
+	c.Assert(fresh, qt.IsFalse, qt.Commentf("a change was missed"))
+}
+
+func TestFeedForgetsWithItsSource(t *testing.T) {
+	f := NewFeed(&manual{now: time.Unix(100, 0)})
+	f.Heard(map[objects.Kind]time.Duration{"k": 0})
+	f.Take(news(true, 0, 5, "a"))
+	f.Down()
+	_, _, _, fresh := wait(f, 0)
+	qt.Assert(t, fresh, qt.IsFalse)
+}
+
+func TestDifference(t *testing.T) {
+	c := qt.New(t)
+	o := func(name string, at objects.Revision) objects.Object { return objects.Object{Name: name, Revision: at} }
+	old := state{at: 5, all: map[string]objects.Object{"a": o("a", 1), "b": o("b", 2)}}
+	next := state{at: 9, all: map[string]objects.Object{"b": o("b", 8), "c": o("c", 9)}}
+	n := difference(old, next)
+	c.Assert(n.From, qt.Equals, objects.Revision(5))
+	c.Assert(n.At, qt.Equals, objects.Revision(9))
+	c.Assert(n.Removed, qt.DeepEquals, []string{"a"})
+	c.Assert(n.Objects, qt.HasLen, 2)
+}
--- /dev/null
+++ b/verbenad/internal/upstream/events_test.go
@@ -0,0 +1,69 @@
+package upstream
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func all(t *testing.T, r io.Reader) (text string, err error) {
+	e := NewEvents(r)
+	var b bytes.Buffer
+	for {
+		batch, err := e.Next()
+		b.Write(batch)
+		if err != nil {
+			return b.String(), err
+		}
+	}
+}
+
+func TestEventsAreWhole(t *testing.T) {
+	text, err := all(t, strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+	qt.Assert(t, err, qt.Equals, io.EOF)
+	qt.Assert(t, text, qt.Equals, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+}
+
+func TestHalfEventIsCut(t *testing.T) {
+	text, err := all(t, strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"))
+	qt.Assert(t, err, qt.Equals, io.ErrUnexpectedEOF)
+	qt.Assert(t, text, qt.Equals, "id: 1\ndata: a\n\n")
+}
+
+func TestEndlessEventIsRefused(t *testing.T) {
+	_, err := all(t, strings.NewReader("data: "+strings.Repeat("x", maxEvent+1)))
+	qt.Assert(t, err, qt.Equals, ErrLongEvent)
+}
+
+func TestParse(t *testing.T) {
+	list := Parse([]byte("x-version: 7\nid: 4\ndata: a\ndata: b\n\n: note\n\nid: 5\r\ndata:c\r\n\r\n"))
+	qt.Assert(t, list, qt.DeepEquals, []Event{{ID: "4", Data: []byte("a\nb")}, {ID: "5", Data: []byte("c")}})
+	id, n := LastID([]byte("id: 4\ndata: a\n\nid: 5\ndata: b\n\n"))
+	qt.Assert(t, id, qt.Equals, "5")
+	qt.Assert(t, n, qt.Equals, 2)
+	qt.Assert(t, FirstID([]byte("id: 4\ndata: a\n\nid: 5\n\n")), qt.Equals, "4")
+}
+
+// FuzzEvents: however the bytes arrive, what is passed on is the whole events and nothing else.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid"))
+	f.Add([]byte("\n\n\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		text, err := all(t, iotest.OneByteReader(bytes.NewReader(raw)))
+		if !bytes.HasPrefix(raw, []byte(text)) {
+			t.Fatalf("%q is no beginning of %q", text, raw)
+		}
+		rest := raw[len(text):]
+		if err == io.EOF && len(rest) > 0 {
+			t.Fatalf("%q was lost from a stream that ended in order", rest)
+		}
+		if lastBlankLine(rest) > 0 {
+			t.Fatalf("%q holds whole events that were not passed on", rest)
+		}
+		_ = Parse([]byte(text))
+	})
+}
--- /dev/null
+++ b/verbenad/internal/view/view_test.go
@@ -0,0 +1,163 @@
+package view
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/clock"
+	"verbenaledge.example/verbena/objects"
+	"verbenaledge.example/verbena/objects/memory"
+)
+
+// seen collects what a follower was told.
+type seen struct {
+	mu  sync.Mutex
+	all map[string]objects.Object
+}
+
+func (s *seen) set(all map[string]objects.Object, _ objects.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all = make(map[string]objects.Object, len(all))
+	for k, v := range all {
+		s.all[k] = v
+	}
+}
+
+func (s *seen) has(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.all[name]
+	return ok
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func create(t *testing.T, s *memory.Store, name string) {
+	_, err := s.Create(t.Context(), "k", name, 1)
+	qt.Assert(t, err, qt.IsNil)
+}
+
+func follow(t *testing.T, s *memory.Store, options ...Option) (*seen, *Kind) {
+	var got seen
+	k := NewKind("k", s, clock.System{}, NewGate(clock.System{}), got.set, options...)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go k.Run(ctx)
+	return &got, k
+}
+
+func TestFollowsChanges(t *testing.T) {
+	s := memory.New()
+	create(t, s, "a")
+	got, _ := follow(t, s)
+	eventually(t, "a is listed", func() bool { return got.has("a") })
+	create(t, s, "b")
+	eventually(t, "b is seen", func() bool { return got.has("b") })
+	qt.Assert(t, s.Delete(t.Context(), "k", "a", 0), qt.IsNil)
+	eventually(t, "a is gone", func() bool { return !got.has("a") })
+}
+
+func TestListsAgainWhenHistoryIsGone(t *testing.T) {
+	s := memory.New()
+	create(t, s, "a")
+	got, _ := follow(t, s)
+	eventually(t, "a is listed", func() bool { return got.has("a") })
+	create(t, s, "b")
+	s.Compact()
+	eventually(t, "b is seen", func() bool { return got.has("b") })
+}
+
+// TestOutageKeepsEntries: entries that lapsed while the store was away stay until they had the time to
+// come back, and go after it.
+func TestOutageKeepsEntries(t *testing.T) {
+	s := memory.New()
+	create(t, s, "a")
+	got, _ := follow(t, s, KeepThroughOutage())
+	eventually(t, "a is listed", func() bool { return got.has("a") })
+	s.SetFault(func(memory.Op) memory.Fault { return memory.LoseCall })
+	time.Sleep(watchWait + outageTime + longestPause)
+	s.SetFault(nil)
+	qt.Assert(t, s.Delete(t.Context(), "k", "a", 0), qt.IsNil)
+	time.Sleep(returnTime / 3)
+	qt.Assert(t, got.has("a"), qt.IsTrue)
+	eventually(t, "a is gone", func() bool { return !got.has("a") })
+}
+
+// TestGateSpacesCalls: while the store refuses, all kinds of a process together call it about once a second.
+func TestGateSpacesCalls(t *testing.T) {
+	s := memory.New()
+	s.SetFault(func(memory.Op) memory.Fault { return memory.Refuse })
+	gate := NewGate(clock.System{})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for range 5 {
+		go NewKind("k", s, clock.System{}, gate, func(map[string]objects.Object, objects.Revision) {}).Run(ctx)
+	}
+	time.Sleep(2 * time.Second)
+	qt.Assert(t, s.Calls("list") <= 8, qt.IsTrue, qt.Commentf("%d calls", s.Calls("list")))
+}
+
+// fed is a feed that a test fills.
+type fed struct {
+	mu    sync.Mutex
+	all   map[string]objects.Object
+	at    objects.Revision
+	fresh bool
+}
+
+func (f *fed) Wait(ctx context.Context, _ objects.Kind, after objects.Revision, _ time.Duration) (
+	all map[string]objects.Object, at objects.Revision, changed, fresh bool,
+) {
+	sleep(ctx, time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.all, f.at, f.at > after, f.fresh
+}
+
+func (f *fed) set(at objects.Revision, fresh bool, names ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.at, f.fresh, f.all = at, fresh, make(map[string]objects.Object)
+	for _, n := range names {
+		f.all[n] = objects.Object{Name: n}
+	}
+}
+
+// TestFeedSavesCalls: while another host tells what it knows, the store is not called; when it stops, it is.
+func TestFeedSavesCalls(t *testing.T) {
+	s := memory.New()
+	create(t, s, "direct")
+	var f fed
+	f.set(5, true, "fed")
+	got, _ := follow(t, s, Through(&f, func() bool { return false }, 0))
+	eventually(t, "the feed is used", func() bool { return got.has("fed") })
+	qt.Assert(t, s.Calls("list")+s.Calls("watch"), qt.Equals, 0)
+	f.set(5, false)
+	eventually(t, "the store is used", func() bool { return s.Calls("watch") > 0 })
+}
+
+// TestNewerFeedEndsHangingWatch: a watch that the store forgot doesn't hold up what another host knows.
+func TestNewerFeedEndsHangingWatch(t *testing.T) {
+	s := memory.New()
+	create(t, s, "a")
+	var f fed
+	got, _ := follow(t, s, Through(&f, func() bool { return false }, 0))
+	eventually(t, "a is listed", func() bool { return got.has("a") })
+	eventually(t, "a watch waits", func() bool { return s.Calls("watch") > 0 })
+	begin := time.Now()
+	f.set(99, true, "b")
+	eventually(t, "the feed's news is taken", func() bool { return got.has("b") })
+	qt.Assert(t, time.Since(begin) < watchWait/2, qt.IsTrue)
+}
