--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -21,6 +21,9 @@
 	p := m.pool(e.Ask.Service)
 	w := &waiter{key: Key{Host: e.Host, Ticket: e.Ask.Ticket}, ask: e.Ask, since: now, leave: now.Add(e.Ask.Patience), p: p}
 	w.due = now.Add(e.Ask.Objective)
+	if !p.others(e.Ask.Exclude) {
+		w.ask.Exclude = nil // a server that failed once is better than none
+	}
 	if e.Ask.Class == Batch {
 		p.waiting.add(w)
 		m.waits[w.key] = w
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -147,6 +147,16 @@
 	return c
 }
 
+// others tells whether a server is there that isn't excluded.
+func (p *pool) others(exclude []ids.BackendID) bool {
+	for _, s := range p.servers {
+		if !s.gone && !s.Draining && !excluded(exclude, s.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 func excluded(list []ids.BackendID, id ids.BackendID) bool {
 	for _, e := range list {
 		if e == id {
