--- /dev/null
+++ b/verbenad/cmd/boundary_test.go
@@ -0,0 +1,53 @@
+package cmd
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// namesOfPlatform are spellings of the platform that stand in its adapter and nowhere else.
+var namesOfPlatform = regexp.MustCompile(
+	`X-Verbenaledge-|VERBENALEDGE_CONFIG|"/?(lots|items|objects|retirements)/|` +
+		`"(nodeName|pathPrefix|trafficSplit|ratePerS|burstSize|apiKeys|runTargetMs|maxWaitS|sloMs|maxAttempts|canResume|gapTargetMs|` +
+		`portRange|seedNodes|historyTtlS|serializable|hasMore|coldMs)"`)
+
+// TestPlatformStaysInItsFolder: the library and the inside of the daemon don't import the adapter, and
+// the platform's names stand only in it and in the tests of the entry point that chooses it.
+func TestPlatformStaysInItsFolder(t *testing.T) {
+	for _, module := range []string{"verbena", "verbenad", "verbenactl", "verbenalab"} {
+		err := filepath.WalkDir(filepath.Join("..", "..", module), func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") {
+				return err
+			}
+			entry := strings.Contains(path, filepath.Join("verbenad", "cmd"))
+			if !entry {
+				checkImports(t, path)
+			}
+			if !entry || !strings.HasSuffix(path, "_test.go") {
+				raw, err := os.ReadFile(path)
+				if err != nil {
+					return err
+				}
+				qt.Check(t, namesOfPlatform.FindString(string(raw)), qt.Equals, "", qt.Commentf("%s", path))
+			}
+			return nil
+		})
+		qt.Assert(t, err, qt.IsNil)
+	}
+}
+
+func checkImports(t *testing.T, path string) {
+	f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+	qt.Assert(t, err, qt.IsNil)
+	for _, i := range f.Imports {
+		qt.Check(t, strings.HasPrefix(i.Path.Value, `"verbenaledge.example/platform`), qt.IsFalse, qt.Commentf("%s", path))
+	}
+}
--- a/verbenad/cmd/fleet_test.go
+++ b/verbenad/cmd/fleet_test.go
@@ -281,7 +281,8 @@
 	c.Run("a new configuration is in force", func(c *qt.C) {
 		c.Assert(standin.Configure(f.store, standin.Configuration(5, map[string]string{"new": "w"}, 1000)), qt.IsNil)
 		f.eventually("the old key is refused", func() bool {
-			return f.call("GET", "/app/x", key, nil, nil).status == 401 && f.call("GET", "/app/x", key, nil, nil).status == 401
+			first, second := f.call("GET", "/app/x", key, nil, nil), f.call("GET", "/app/x", key, nil, nil)
+			return first.status == 401 && second.status == 401
 		})
 		c.Assert(f.call("GET", "/app/x", "new", nil, nil).status, qt.Equals, 200)
 	})
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -209,7 +209,7 @@
 	start := i.owner.clock.Now()
 	for {
 		batch, err := events.Next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			o.Verdict, o.Elapsed = dispatch.Served, i.owner.clock.Now().Sub(start)
 			return itemComplete
 		}
--- a/verbenad/internal/entry/answer.go
+++ b/verbenad/internal/entry/answer.go
@@ -109,7 +109,7 @@
 	flusher := http.NewResponseController(q.w)
 	for {
 		batch, err := events.Next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			h.begin(q, j, a)
 			o.Verdict, o.Elapsed = dispatch.Served, h.clock.Now().Sub(start)
 			return finished, o
--- a/verbenad/internal/relay/relay_test.go
+++ b/verbenad/internal/relay/relay_test.go
@@ -23,28 +23,30 @@
 	return n
 }
 
-func wait(f *Feed, after objects.Revision) (names int, at objects.Revision, changed, fresh bool) {
+// view is what a wait on a feed gives.
+type view struct {
+	names          int
+	at             objects.Revision
+	changed, fresh bool
+}
+
+func wait(f *Feed, after objects.Revision) view {
 	all, at, changed, fresh := f.Wait(context.Background(), "k", after, time.Millisecond)
-	return len(all), at, changed, fresh
+	return view{len(all), at, changed, fresh}
 }
 
 func TestFeedIsUsedWhileConfirmed(t *testing.T) {
 	c := qt.New(t)
 	m := &manual{now: time.Unix(100, 0)}
 	f := NewFeed(m)
-	_, _, _, fresh := wait(f, 0)
-	c.Assert(fresh, qt.IsFalse)
+	c.Assert(wait(f, 0).fresh, qt.IsFalse)
 	f.Take(news(true, 0, 5, "a", "b"))
-	_, _, _, fresh = wait(f, 0)
-	c.Assert(fresh, qt.IsFalse, qt.Commentf("news of unknown age"))
+	c.Assert(wait(f, 0).fresh, qt.IsFalse, qt.Commentf("news of unknown age"))
 	f.Heard(map[objects.Kind]time.Duration{"k": time.Second})
-	n, at, changed, fresh := wait(f, 0)
-	c.Assert([]any{n, at, changed, fresh}, qt.DeepEquals, []any{2, objects.Revision(5), true, true})
-	_, _, changed, fresh = wait(f, 5)
-	c.Assert([]bool{changed, fresh}, qt.DeepEquals, []bool{false, true})
+	c.Assert(wait(f, 0) == view{2, 5, true, true}, qt.IsTrue)
+	c.Assert(wait(f, 5) == view{0, 0, false, true}, qt.IsTrue)
 	m.now = m.now.Add(maxAge)
-	_, _, _, fresh = wait(f, 0)
-	c.Assert(fresh, qt.IsFalse, qt.Commentf("news that nobody confirmed lately"))
+	c.Assert(wait(f, 0).fresh, qt.IsFalse, qt.Commentf("news that nobody confirmed lately"))
 }
 
 func TestFeedFollowsChanges(t *testing.T) {
@@ -55,12 +57,11 @@
 	n := news(false, 5, 7, "c")
 	n.Removed = []string{"a"}
 	f.Take(n)
-	names, at, _, _ := wait(f, 5)
-	c.Assert(names, qt.Equals, 2)
-	c.Assert(at, qt.Equals, objects.Revision(7))
+	v := wait(f, 5)
+	c.Assert(v.names, qt.Equals, 2)
+	c.Assert(v.at, qt.Equals, objects.Revision(7))
 	f.Take(news(false, 9, 10, "d"))
-	_, _, _, fresh := wait(f, 0)
-	c.Assert(fresh, qt.IsFalse, qt.Commentf("a change was missed"))
+	c.Assert(wait(f, 0).fresh, qt.IsFalse, qt.Commentf("a change was missed"))
 }
 
 func TestFeedForgetsWithItsSource(t *testing.T) {
@@ -68,8 +69,7 @@
 	f.Heard(map[objects.Kind]time.Duration{"k": 0})
 	f.Take(news(true, 0, 5, "a"))
 	f.Down()
-	_, _, _, fresh := wait(f, 0)
-	qt.Assert(t, fresh, qt.IsFalse)
+	qt.Assert(t, wait(f, 0).fresh, qt.IsFalse)
 }
 
 func TestDifference(t *testing.T) {
--- a/verbenad/internal/upstream/client_test.go
+++ b/verbenad/internal/upstream/client_test.go
@@ -55,7 +55,7 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
-func read(t *testing.T, r *bufio.Reader) (line string, body []byte) {
+func read(r *bufio.Reader) (line string, body []byte) {
 	q, err := http.ReadRequest(r)
 	if err != nil {
 		return "", nil
@@ -79,7 +79,7 @@
 	s := server(t, func(n int, r *bufio.Reader, c net.Conn) {
 		connections <- n
 		for {
-			line, body := read(t, r)
+			line, body := read(r)
 			if line == "" {
 				return
 			}
@@ -100,9 +100,9 @@
 	connections := make(chan int, 9)
 	s := server(t, func(n int, r *bufio.Reader, c net.Conn) {
 		connections <- n
-		_, body := read(t, r)
+		_, body := read(r)
 		_, _ = io.WriteString(c, answer(string(body), "right")+answer("zzz", "wrong"))
-		_, _ = read(t, r)
+		_, _ = read(r)
 	})
 	c := NewClient(clock.System{})
 	for _, id := range []string{"a", "b"} {
@@ -116,7 +116,7 @@
 // TestForeignAnswer: an answer with another id is not passed on, and the request may have run.
 func TestForeignAnswer(t *testing.T) {
 	s := server(t, func(_ int, r *bufio.Reader, c net.Conn) {
-		_, _ = read(t, r)
+		_, _ = read(r)
 		_, _ = io.WriteString(c, answer("other", "x"))
 	})
 	_, err := send(t, NewClient(clock.System{}), request(s, "a", nil))
@@ -140,7 +140,7 @@
 
 // TestClosedWithoutAnswer: a request that left may have run.
 func TestClosedWithoutAnswer(t *testing.T) {
-	s := server(t, func(_ int, r *bufio.Reader, _ net.Conn) { _, _ = read(t, r) })
+	s := server(t, func(_ int, r *bufio.Reader, _ net.Conn) { _, _ = read(r) })
 	_, err := send(t, NewClient(clock.System{}), request(s, "a", nil))
 	var e *Error
 	qt.Assert(t, errors.As(err, &e), qt.IsTrue)
@@ -155,7 +155,7 @@
 		"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
 	} {
 		s := server(t, func(_ int, r *bufio.Reader, c net.Conn) {
-			_, _ = read(t, r)
+			_, _ = read(r)
 			_, _ = io.WriteString(c, raw)
 		})
 		_, err := send(t, NewClient(clock.System{}), request(s, "a", nil))
@@ -165,7 +165,7 @@
 
 func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
 	s := server(t, func(_ int, r *bufio.Reader, c net.Conn) {
-		_, _ = read(t, r)
+		_, _ = read(r)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nall of it")
 	})
 	got, err := send(t, NewClient(clock.System{}), request(s, "a", nil))
@@ -190,7 +190,7 @@
 				return
 			}
 		}
-		if line, _ := read(t, r); line != "" {
+		if line, _ := read(r); line != "" {
 			_, _ = io.WriteString(c, answer("b", "second"))
 		}
 	})
@@ -218,7 +218,7 @@
 func TestCancelClosesConnection(t *testing.T) {
 	closed := make(chan struct{})
 	s := server(t, func(_ int, r *bufio.Reader, _ net.Conn) {
-		_, _ = read(t, r)
+		_, _ = read(r)
 		_, _ = r.ReadByte()
 		close(closed)
 	})
--- a/verbenad/internal/upstream/events.go
+++ b/verbenad/internal/upstream/events.go
@@ -35,7 +35,7 @@
 			return events, nil
 		}
 		if err := e.fill(); err != nil {
-			if err == io.EOF && len(e.buffer) > e.start {
+			if errors.Is(err, io.EOF) && len(e.buffer) > e.start {
 				return nil, io.ErrUnexpectedEOF
 			}
 			return nil, err
--- a/verbenad/internal/upstream/events_test.go
+++ b/verbenad/internal/upstream/events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -10,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-func all(t *testing.T, r io.Reader) (text string, err error) {
+func all(r io.Reader) (text string, err error) {
 	e := NewEvents(r)
 	var b bytes.Buffer
 	for {
@@ -23,19 +24,19 @@
 }
 
 func TestEventsAreWhole(t *testing.T) {
-	text, err := all(t, strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+	text, err := all(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
 	qt.Assert(t, err, qt.Equals, io.EOF)
 	qt.Assert(t, text, qt.Equals, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 }
 
 func TestHalfEventIsCut(t *testing.T) {
-	text, err := all(t, strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"))
+	text, err := all(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"))
 	qt.Assert(t, err, qt.Equals, io.ErrUnexpectedEOF)
 	qt.Assert(t, text, qt.Equals, "id: 1\ndata: a\n\n")
 }
 
 func TestEndlessEventIsRefused(t *testing.T) {
-	_, err := all(t, strings.NewReader("data: "+strings.Repeat("x", maxEvent+1)))
+	_, err := all(strings.NewReader("data: " + strings.Repeat("x", maxEvent+1)))
 	qt.Assert(t, err, qt.Equals, ErrLongEvent)
 }
 
@@ -53,12 +54,12 @@
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid"))
 	f.Add([]byte("\n\n\n"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		text, err := all(t, iotest.OneByteReader(bytes.NewReader(raw)))
+		text, err := all(iotest.OneByteReader(bytes.NewReader(raw)))
 		if !bytes.HasPrefix(raw, []byte(text)) {
 			t.Fatalf("%q is no beginning of %q", text, raw)
 		}
 		rest := raw[len(text):]
-		if err == io.EOF && len(rest) > 0 {
+		if errors.Is(err, io.EOF) && len(rest) > 0 {
 			t.Fatalf("%q was lost from a stream that ended in order", rest)
 		}
 		if lastBlankLine(rest) > 0 {
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -103,16 +103,16 @@
 		_ = k.Close() // the connection is of no further use
 		return nil, &Error{Ran: ran, Reached: true, Err: err}
 	}
-	wrote, err := k.write(r)
+	wrote, err := k.send(r)
 	if err != nil {
 		return fail(Unknown, fmt.Errorf("send to %s: %w", r.Server.Address, err))
 	}
-	response, err := readResponse(k.reader, r.Method)
+	response, err := readResponse(k.reader, r.Method) //nolint:bodyclose // Close of the body would wait for its rest; Answer.Close closes the connection
 	if err != nil {
 		return fail(Unknown, fmt.Errorf("read answer of %s: %w", r.Server.Address, err))
 	}
 	reply := p.Reply(response.StatusCode, response.Header)
-	if reply.ID != r.ID && !(reply.NotExecuted && reply.ID == "") {
+	if reply.ID != r.ID && (!reply.NotExecuted || reply.ID != "") {
 		return fail(Unknown, fmt.Errorf("%s: %w", r.Server.Address, ErrForeign))
 	}
 	return &Answer{
@@ -135,8 +135,8 @@
 // answer, which may come early.
 const smallBody = 16 << 10
 
-// write sends the request. The channel tells when a large body is out; it is nil if all is.
-func (k *conn) write(r Request) (wrote <-chan error, err error) {
+// send writes the request. The channel tells when a large body is out; it is nil if all is.
+func (k *conn) send(r Request) (wrote <-chan error, err error) {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	h := r.Header
@@ -149,15 +149,15 @@
 	b.WriteString("\r\n")
 	if len(r.Body) <= smallBody {
 		b.Write(r.Body)
-		_, err := k.Conn.Write(b.Bytes())
+		_, err := k.Write(b.Bytes())
 		return nil, err
 	}
-	if _, err := k.Conn.Write(b.Bytes()); err != nil {
+	if _, err := k.Write(b.Bytes()); err != nil {
 		return nil, err
 	}
 	done := make(chan error, 1)
 	go func() {
-		_, err := k.Conn.Write(r.Body)
+		_, err := k.Write(r.Body)
 		done <- err
 	}()
 	return done, nil
--- a/verbenad/internal/view/view_test.go
+++ b/verbenad/internal/view/view_test.go
@@ -49,19 +49,19 @@
 	qt.Assert(t, err, qt.IsNil)
 }
 
-func follow(t *testing.T, s *memory.Store, options ...Option) (*seen, *Kind) {
+func follow(t *testing.T, s *memory.Store, options ...Option) *seen {
 	var got seen
 	k := NewKind("k", s, clock.System{}, NewGate(clock.System{}), got.set, options...)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go k.Run(ctx)
-	return &got, k
+	return &got
 }
 
 func TestFollowsChanges(t *testing.T) {
 	s := memory.New()
 	create(t, s, "a")
-	got, _ := follow(t, s)
+	got := follow(t, s)
 	eventually(t, "a is listed", func() bool { return got.has("a") })
 	create(t, s, "b")
 	eventually(t, "b is seen", func() bool { return got.has("b") })
@@ -72,7 +72,7 @@
 func TestListsAgainWhenHistoryIsGone(t *testing.T) {
 	s := memory.New()
 	create(t, s, "a")
-	got, _ := follow(t, s)
+	got := follow(t, s)
 	eventually(t, "a is listed", func() bool { return got.has("a") })
 	create(t, s, "b")
 	s.Compact()
@@ -84,7 +84,7 @@
 func TestOutageKeepsEntries(t *testing.T) {
 	s := memory.New()
 	create(t, s, "a")
-	got, _ := follow(t, s, KeepThroughOutage())
+	got := follow(t, s, KeepThroughOutage())
 	eventually(t, "a is listed", func() bool { return got.has("a") })
 	s.SetFault(func(memory.Op) memory.Fault { return memory.LoseCall })
 	time.Sleep(watchWait + outageTime + longestPause)
@@ -141,7 +141,7 @@
 	create(t, s, "direct")
 	var f fed
 	f.set(5, true, "fed")
-	got, _ := follow(t, s, Through(&f, func() bool { return false }, 0))
+	got := follow(t, s, Through(&f, func() bool { return false }, 0))
 	eventually(t, "the feed is used", func() bool { return got.has("fed") })
 	qt.Assert(t, s.Calls("list")+s.Calls("watch"), qt.Equals, 0)
 	f.set(5, false)
@@ -153,7 +153,7 @@
 	s := memory.New()
 	create(t, s, "a")
 	var f fed
-	got, _ := follow(t, s, Through(&f, func() bool { return false }, 0))
+	got := follow(t, s, Through(&f, func() bool { return false }, 0))
 	eventually(t, "a is listed", func() bool { return got.has("a") })
 	eventually(t, "a watch waits", func() bool { return s.Calls("watch") > 0 })
 	begin := time.Now()
