fix: a job or its end is acknowledged only while the lease holds after the write

Cause: an owner that lost its lease while its write was on the way answered as if it still owned the shard; a successor that had listed before the write took effect knew nothing of the job (or of its end). TestLeaseLostDuringAccept and TestLeaseLostDuringEnd fail before. Also: a retirement's own status started the hand-over again at each change; an ask was changed by a timer while it was encoded, and an owner's context was set while it was read (both seen by the race detector in the new tests of slots, owners and jobs).

--- a/verbena/bulk/call.go
+++ b/verbena/bulk/call.go
@@ -17,6 +17,21 @@
 	Finish
 )
 
+// String names the operation for logs.
+func (o Op) String() string {
+	switch o {
+	case Submit:
+		return "submit"
+	case Read:
+		return "read"
+	case Body:
+		return "body"
+	case Finish:
+		return "end"
+	}
+	return "unknown"
+}
+
 // Call is a caller's question on a job.
 type Call struct {
 	Op        Op              `cbor:"1,keyasint"`
@@ -52,6 +67,23 @@
 	Unsettled
 )
 
+// String names the code for logs.
+func (c Code) String() string {
+	switch c {
+	case Done:
+		return "done"
+	case Missing:
+		return "missing"
+	case OverCap:
+		return "over_cap"
+	case Unavailable:
+		return "unavailable"
+	case Unsettled:
+		return "unsettled"
+	}
+	return "unknown"
+}
+
 // Reply answers a call.
 type Reply struct {
 	Code    Code          `cbor:"1,keyasint"`
--- a/verbenad/internal/bulk/answer.go
+++ b/verbenad/internal/bulk/answer.go
@@ -76,6 +76,13 @@
 	return lookup{record: r, sure: o.lease.Valid() && !pending}
 }
 
+// holds tells whether this host still is the shard's only owner: no successor can have read the
+// store before now.
+func (o *Owner) holds(s bulk.Shard) bool {
+	h, ok := o.shards[s]
+	return ok && h.ready && o.lease.Valid()
+}
+
 // missing answers for a job that isn't there.
 func (l lookup) missing() bulk.Reply {
 	if l.sure {
@@ -162,7 +169,9 @@
 		}
 		pause(ctx, retryAfter)
 	}
-	if _, ok := ask(ctx, o, func() bool { o.ledger.End(l.record); return true }); !ok {
+	held, ok := ask(ctx, o, func() bool { o.ledger.End(l.record); return o.holds(q.Shard) })
+	if !ok || !held {
+		// A successor may have read the job before it was ended; the repeat reaches it.
 		return bulk.Reply{Code: bulk.Unsettled}
 	}
 	return bulk.Reply{Code: bulk.Done}
@@ -224,9 +233,12 @@
 	stored, code := o.writeJob(ctx, job, s)
 	o.post(func() {
 		delete(o.submits, job.ID)
-		h, owned := o.shards[s]
+		if code == bulk.Done && !o.holds(s) {
+			// A successor may have listed the jobs before this one was there; the repeat reaches it.
+			code = bulk.Unsettled
+		}
 		switch {
-		case code != bulk.Done || !owned || !h.ready:
+		case code != bulk.Done:
 			o.ledger.Free(&job)
 		case stored.job.ID == job.ID && len(stored.job.Items) > 0:
 			o.ledger.Free(&job) // another host accepted it first, at its own time
@@ -237,12 +249,14 @@
 		default:
 			o.ledger.Add(job, s, true)
 		}
+		log.WithFields(log.Fields{
+			"job": job.ID, "workspace": job.Workspace, "items": len(job.Items), "tokens": job.Tokens(),
+			"waiting_tokens": o.ledger.Waiting(job.Workspace, job.Route), "lease_valid": o.lease.Valid(), "outcome": code.String(),
+		}).Info("job submitted")
 		sub.code = code
 		close(sub.done)
 		o.start()
 	})
-	log.WithFields(log.Fields{"job": job.ID, "workspace": job.Workspace, "items": len(job.Items), "tokens": job.Tokens(), "outcome": code}).
-		Info("job submitted")
 }
 
 // writeJob writes a job's parts and then its own object. Once a write had no answer, only an answer
--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -71,26 +71,25 @@
 	ctx   context.Context
 }
 
-// New returns an owner of nothing.
+// New returns an owner of nothing that works until the context ends.
 func New(
-	host ids.HostID, store objects.Client, valueBytes int, l Lease, p Protocol, s *slots.Client, u *upstream.Client,
+	ctx context.Context, host ids.HostID, store objects.Client, valueBytes int, l Lease, p Protocol, s *slots.Client, u *upstream.Client,
 	c clock.Clock, kept time.Duration,
 ) *Owner {
 	return &Owner{
-		host: host, store: store, valueBytes: valueBytes, lease: l, protocol: p, slots: s, client: u, clock: c, kept: kept,
+		ctx: ctx, host: host, store: store, valueBytes: valueBytes, lease: l, protocol: p, slots: s, client: u, clock: c, kept: kept,
 		do: make(chan func(), 256), ledger: bulk.NewLedger(), shards: make(map[bulk.Shard]*shard),
 		commits: make(map[ids.JobID]*commit), submits: make(map[ids.JobID]*submission),
 	}
 }
 
-// Run owns the state until the context ends.
-func (o *Owner) Run(ctx context.Context) {
-	o.ctx = ctx
+// Run owns the state until the context of New ends.
+func (o *Owner) Run() {
 	t := time.NewTicker(checkEvery)
 	defer t.Stop()
 	for {
 		select {
-		case <-ctx.Done():
+		case <-o.ctx.Done():
 			return
 		case f := <-o.do:
 			f()
--- /dev/null
+++ b/verbenad/internal/bulk/owner_test.go
@@ -0,0 +1,187 @@
+package bulk
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/bulk"
+	"verbenaledge.example/verbena/catalog"
+	"verbenaledge.example/verbena/clock"
+	"verbenaledge.example/verbena/exchange"
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/objects/memory"
+	"verbenaledge.example/verbenad/internal/hostlink"
+	"verbenaledge.example/verbenad/internal/relay"
+	"verbenaledge.example/verbenad/internal/slots"
+	"verbenaledge.example/verbenad/internal/upstream"
+)
+
+// switched is a lease that a test takes away.
+type switched struct{ lost atomic.Bool }
+
+func (s *switched) Valid() bool { return !s.lost.Load() }
+
+// silent spells nothing: no item of these tests gets a slot.
+type silent struct{ exchange.Protocol }
+
+func (silent) ItemRequest(i bulk.Item) (id ids.RequestID, header map[string][]string) {
+	return ids.RequestID(i.ID), nil
+}
+
+type rig struct {
+	*qt.C
+	store *memory.Store
+	lease *switched
+	owner *Owner
+}
+
+func newRig(t *testing.T, store *memory.Store) *rig {
+	c := clock.System{}
+	r := &rig{C: qt.New(t), store: store, lease: &switched{}}
+	place := slots.NewClient("s", "z", "", c, relay.NewFeed(c), func() string { return "" })
+	r.owner = New(t.Context(), "s", store, 4096, r.lease, silent{}, place, upstream.NewClient(c), c, time.Minute)
+	go r.owner.Run()
+	route := catalog.Route{Name: "r", Kind: catalog.KindBatch, Targets: []catalog.Target{{Service: "llm", Weight: 1}}, MaxAttempts: 3}
+	r.owner.SetCatalog(catalog.New(1, []catalog.Route{route}, nil, nil, catalog.Limits{}))
+	r.owner.SetShards(map[bulk.Shard]bool{3: true})
+	r.eventually(func() bool { return r.call(bulk.Call{Op: bulk.Read, Job: "none"}).Code == bulk.Missing })
+	return r
+}
+
+func (r *rig) eventually(holds func() bool) {
+	r.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	r.Fatal("never")
+}
+
+func (r *rig) call(c bulk.Call) bulk.Reply {
+	c.Workspace, c.Patience = "w", time.Second
+	return r.owner.Answer(context.Background(), hostlink.JobsCall{Shard: 3, Call: c})
+}
+
+func job(items, bytes int) *bulk.Job {
+	now := time.Now()
+	j := &bulk.Job{ID: "a", Workspace: "w", Route: "r", Submitted: now, Due: now.Add(time.Minute), GiveUp: now.Add(time.Hour)}
+	for n := range items {
+		j.Items = append(j.Items, bulk.Item{ID: bulk.ItemID("a" + string(rune('a'+n))), Path: "/x", Body: make([]byte, bytes), Tokens: 10})
+	}
+	return j
+}
+
+func (r *rig) submit(j *bulk.Job) bulk.Code {
+	return r.call(bulk.Call{Op: bulk.Submit, Job: j.ID, New: j}).Code
+}
+
+func TestAcceptedJobIsInTheStore(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.Assert(r.submit(job(3, 10)), qt.Equals, bulk.Done)
+	r.Assert(r.submit(job(3, 10)), qt.Equals, bulk.Done)
+	next := newRig(t, r.store)
+	reply := next.call(bulk.Call{Op: bulk.Read, Job: "a"})
+	r.Assert(reply.Code, qt.Equals, bulk.Done)
+	r.Assert(reply.Total, qt.Equals, 3)
+}
+
+// TestLargeJobIsSplit: a job over the store's value limit is kept in parts and read back whole.
+func TestLargeJobIsSplit(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.Assert(r.submit(job(9, 1000)), qt.Equals, bulk.Done)
+	next := newRig(t, r.store)
+	body := next.call(bulk.Call{Op: bulk.Body, Job: "a", Item: "ai"})
+	r.Assert(body.Code, qt.Equals, bulk.Done)
+	r.Assert(body.Body, qt.HasLen, 1000)
+}
+
+// TestRefusedJobIsNotAccepted: what the store refused was not done, and is told so.
+func TestRefusedJobIsNotAccepted(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.store.SetFault(func(memory.Op) memory.Fault { return memory.Refuse })
+	r.Assert(r.submit(job(1, 10)), qt.Equals, bulk.Unavailable)
+	r.store.SetFault(nil)
+	r.Assert(r.call(bulk.Call{Op: bulk.Read, Job: "a"}).Code, qt.Equals, bulk.Missing)
+}
+
+// TestLostAnswerIsSettled: a write whose answer was lost is found by the next one.
+func TestLostAnswerIsSettled(t *testing.T) {
+	r := newRig(t, memory.New())
+	var lost atomic.Bool
+	r.store.SetFault(func(op memory.Op) memory.Fault {
+		if op.Verb == "create" && !lost.Swap(true) {
+			return memory.LoseAnswer
+		}
+		return memory.None
+	})
+	r.Assert(r.submit(job(2, 10)), qt.Equals, bulk.Done)
+	r.Assert(r.call(bulk.Call{Op: bulk.Read, Job: "a"}).Total, qt.Equals, 2)
+}
+
+// TestUnknownWriteIsNeverCalledNotRun: after a call without an answer a refusal says nothing of it.
+func TestUnknownWriteIsNeverCalledNotRun(t *testing.T) {
+	r := newRig(t, memory.New())
+	var calls atomic.Int64
+	r.store.SetFault(func(memory.Op) memory.Fault {
+		if calls.Add(1) == 1 {
+			return memory.LoseCall
+		}
+		return memory.Refuse
+	})
+	r.Assert(r.submit(job(1, 10)), qt.Equals, bulk.Unsettled)
+	r.Assert(r.call(bulk.Call{Op: bulk.Read, Job: "a"}).Code, qt.Equals, bulk.Unavailable)
+}
+
+// TestLeaseLostDuringAccept: a successor may have listed the jobs before the write took effect, so the
+// caller isn't told that the job is accepted; its repeat reaches the successor.
+func TestLeaseLostDuringAccept(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.store.SetFault(func(op memory.Op) memory.Fault {
+		if op.Verb == "create" {
+			r.lease.lost.Store(true)
+		}
+		return memory.None
+	})
+	r.Assert(r.submit(job(1, 10)), qt.Equals, bulk.Unsettled)
+	next := newRig(t, r.store)
+	r.Assert(next.submit(job(1, 10)), qt.Equals, bulk.Done)
+}
+
+// TestLeaseLostDuringEnd: a successor may have read the job as open.
+func TestLeaseLostDuringEnd(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.Assert(r.submit(job(1, 10)), qt.Equals, bulk.Done)
+	r.store.SetFault(func(op memory.Op) memory.Fault {
+		if op.Verb == "status" {
+			r.lease.lost.Store(true)
+		}
+		return memory.None
+	})
+	r.Assert(r.call(bulk.Call{Op: bulk.Finish, Job: "a"}).Code, qt.Equals, bulk.Unsettled)
+	r.store.SetFault(nil)
+	r.lease.lost.Store(false)
+	r.Assert(r.call(bulk.Call{Op: bulk.Finish, Job: "a"}).Code, qt.Equals, bulk.Done)
+}
+
+// TestWithoutLeaseNothingIsMissing: a host that may have a successor doesn't say that a job doesn't exist.
+func TestWithoutLeaseNothingIsMissing(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.lease.lost.Store(true)
+	r.Assert(r.call(bulk.Call{Op: bulk.Read, Job: "a"}).Code, qt.Equals, bulk.Unavailable)
+	r.Assert(r.submit(job(1, 10)), qt.Equals, bulk.Unavailable)
+}
+
+// TestEndedJobGivesNoBody: what was listed stays listed; bodies go with the end.
+func TestEndedJobGivesNoBody(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.Assert(r.submit(job(1, 10)), qt.Equals, bulk.Done)
+	r.Assert(r.call(bulk.Call{Op: bulk.Body, Job: "a", Item: "aa"}).Code, qt.Equals, bulk.Done)
+	r.Assert(r.call(bulk.Call{Op: bulk.Finish, Job: "a"}).Code, qt.Equals, bulk.Done)
+	r.Assert(r.call(bulk.Call{Op: bulk.Body, Job: "a", Item: "aa"}).Code, qt.Equals, bulk.Missing)
+	r.Assert(newRig(t, r.store).call(bulk.Call{Op: bulk.Body, Job: "a", Item: "aa"}).Code, qt.Equals, bulk.Missing)
+}
--- a/verbenad/internal/entry/jobs.go
+++ b/verbenad/internal/entry/jobs.go
@@ -77,7 +77,7 @@
 	reply := h.jobs.Call(ctx, call)
 	if call.Op != bulk.Read || reply.Code != bulk.Done {
 		log.WithFields(log.Fields{
-			"job": call.Job, "item": call.Item, "op": call.Op, "workspace": call.Workspace, "outcome": reply.Code,
+			"job": call.Job, "item": call.Item, "op": call.Op.String(), "workspace": call.Workspace, "outcome": reply.Code.String(),
 			"shard": bulk.ShardOf(call.Workspace), "took_ms": h.clock.Now().Sub(q.start).Milliseconds(),
 		}).Info("batch call answered")
 	}
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -38,6 +38,8 @@
 	keeper     *owners.Keeper
 	dispatcher *slots.Server
 	owner      *bulk.Owner
+	// retiring is set while this host is asked to hand over for good.
+	retiring atomic.Bool
 }
 
 // Storage owns units of shared state until the context ends, then hands them over.
@@ -58,12 +60,14 @@
 	s.dispatcher = slots.NewServer(sys, known.news)
 	place := slots.NewClient(w.Settings.Host, w.Settings.Zone, "", sys, feed, func() string { return s.view.Address(ownership.Dispatch) })
 	client := upstream.NewClient(sys)
-	s.owner = bulk.New(w.Settings.Host, w.Store, w.Settings.StoreValueBytes, s.keeper, w.Protocol, place, client, sys, w.Settings.ResultsKept)
+	s.owner = bulk.New(
+		work, w.Settings.Host, w.Store, w.Settings.StoreValueBytes, s.keeper, w.Protocol, place, client, sys, w.Settings.ResultsKept,
+	)
 	var listed atomic.Pointer[map[ids.BackendID]directory.Server]
 	// Hosts are taken once configuration and servers are known: a dispatcher without them would refuse all.
 	var first firsts
 	go s.dispatcher.Run(work)
-	go s.owner.Run(work)
+	go s.owner.Run()
 	go place.Run(work)
 	go serveMetrics(work, w.Settings.MetricsAddress())
 	go sweep(work, client, &listed)
@@ -147,11 +151,12 @@
 // retirements hands this host's units over when the operator asks for it, and tells when it is done.
 func (s *storage) retirements(all map[string]objects.Object, _ objects.Revision) {
 	_, asked := all[string(s.world.Settings.Host)]
-	if asked {
-		log.Info("asked to hand over for good")
-		go s.retire()
-	}
 	s.keeper.Leave(asked)
+	if s.retiring.Swap(asked) || !asked {
+		return // this host's own status is a change too
+	}
+	log.Info("asked to hand over for good")
+	go s.retire()
 }
 
 const (
--- /dev/null
+++ b/verbenad/internal/owners/keeper_test.go
@@ -0,0 +1,166 @@
+package owners
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/objects/memory"
+	"verbenaledge.example/verbena/ownership"
+)
+
+// manual is a clock that a test moves.
+type manual struct{ now time.Time }
+
+func (m *manual) Now() time.Time { return m.now }
+
+type member struct {
+	*Keeper
+	view *View
+}
+
+func newMember(name ids.HostID, s *memory.Store, m *manual) *member {
+	v := &View{}
+	k := NewKeeper(name, string(name)+":1", s, v)
+	k.boot, k.started = m, m.now
+	return &member{Keeper: k, view: v}
+}
+
+// round runs one round of each host, one second apart, and lets all see the map.
+func round(t *testing.T, m *manual, s *memory.Store, hosts ...*member) {
+	m.now = m.now.Add(ownership.RenewEvery)
+	for _, h := range hosts {
+		_ = h.round(t.Context()) // a failed round is tried again, as in Run
+	}
+	for _, h := range hosts {
+		if o, err := s.Get(t.Context(), KindOwners, nameMap); err == nil {
+			h.view.take(o)
+		}
+	}
+}
+
+func owned(h *member) (n int) {
+	for _, u := range AllUnits() {
+		if h.Holds(u) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestUnitsAreSharedAndTakenOver(t *testing.T) {
+	c := qt.New(t)
+	s, m := memory.New(), &manual{now: time.Unix(1000, 0)}
+	a, b := newMember("a", s, m), newMember("b", s, m)
+	for range 4 {
+		round(t, m, s, a, b)
+	}
+	c.Assert(owned(a)+owned(b), qt.Equals, len(AllUnits()))
+	c.Assert(owned(b) > 0, qt.IsTrue)
+	for n := 0; owned(b) < len(AllUnits()); n++ {
+		c.Assert(n < 6, qt.IsTrue, qt.Commentf("no takeover after %d rounds", n))
+		round(t, m, s, b)
+	}
+	c.Assert(a.Valid(), qt.IsFalse, qt.Commentf("the former owner still acts"))
+}
+
+// TestNoTwoOwners: whenever a host owns what another one owned, the other's lease is over by its own clock.
+func TestNoTwoOwners(t *testing.T) {
+	c := qt.New(t)
+	s, m := memory.New(), &manual{now: time.Unix(1000, 0)}
+	a, b := newMember("a", s, m), newMember("b", s, m)
+	for range 4 {
+		round(t, m, s, a, b)
+	}
+	before := owned(b)
+	for range 60 {
+		m.now = m.now.Add(100 * time.Millisecond)
+		if m.now.UnixMilli()%1000 == 0 {
+			_ = b.round(t.Context())
+		}
+		if o, err := s.Get(t.Context(), KindOwners, nameMap); err == nil {
+			b.view.take(o)
+		}
+		if owned(b) > before {
+			c.Assert(a.Valid(), qt.IsFalse)
+			return
+		}
+	}
+	c.Fatal("no takeover")
+}
+
+// TestPausedHolder: a holder that was paused learns at its next renewal that its lease is broken.
+func TestPausedHolder(t *testing.T) {
+	c := qt.New(t)
+	s, m := memory.New(), &manual{now: time.Unix(1000, 0)}
+	a, b := newMember("a", s, m), newMember("b", s, m)
+	for range 4 {
+		round(t, m, s, a, b)
+	}
+	for range 6 {
+		round(t, m, s, b)
+	}
+	c.Assert(a.Valid(), qt.IsFalse)
+	c.Assert(a.renew(t.Context()), qt.IsNil)
+	c.Assert(a.Valid(), qt.IsFalse, qt.Commentf("a broken lease was renewed"))
+	c.Assert(a.renew(t.Context()), qt.IsNil)
+	c.Assert(a.Valid(), qt.IsTrue)
+}
+
+// TestOutageBreaksNoLease: when the store was away for all, nobody is taken for dead on its return.
+func TestOutageBreaksNoLease(t *testing.T) {
+	c := qt.New(t)
+	s, m := memory.New(), &manual{now: time.Unix(1000, 0)}
+	a, b := newMember("a", s, m), newMember("b", s, m)
+	for range 4 {
+		round(t, m, s, a, b)
+	}
+	before := owned(a)
+	s.SetFault(func(memory.Op) memory.Fault { return memory.Refuse })
+	for range 10 {
+		round(t, m, s, a, b)
+	}
+	c.Assert(a.Valid(), qt.IsFalse)
+	s.SetFault(nil)
+	for range 3 {
+		round(t, m, s, b, a)
+	}
+	c.Assert(owned(a), qt.Equals, before)
+	c.Assert(a.Valid(), qt.IsTrue)
+}
+
+// TestLostRenewalIsSettled: a renewal whose answer was lost counts if the store has it.
+func TestLostRenewalIsSettled(t *testing.T) {
+	c := qt.New(t)
+	s, m := memory.New(), &manual{now: time.Unix(1000, 0)}
+	a := newMember("a", s, m)
+	c.Assert(a.renew(t.Context()), qt.IsNil)
+	s.SetFault(func(op memory.Op) memory.Fault {
+		if op.Verb == "replace" {
+			return memory.LoseAnswer
+		}
+		return memory.None
+	})
+	for range 5 {
+		m.now = m.now.Add(ownership.RenewEvery)
+		c.Assert(a.renew(t.Context()), qt.IsNil)
+		c.Assert(a.Valid(), qt.IsTrue)
+	}
+}
+
+func TestLeavingHostIsEmptied(t *testing.T) {
+	c := qt.New(t)
+	s, m := memory.New(), &manual{now: time.Unix(1000, 0)}
+	a, b := newMember("a", s, m), newMember("b", s, m)
+	for range 4 {
+		round(t, m, s, a, b)
+	}
+	b.Leave(true)
+	for range 2 {
+		round(t, m, s, b, a)
+	}
+	c.Assert(b.Empty(), qt.IsTrue)
+	c.Assert(owned(a), qt.Equals, len(AllUnits()))
+}
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -155,24 +155,26 @@
 	if !p.local && a.Class == dispatch.Online {
 		p.timer = time.AfterFunc(askTimeout, func() { c.unheard(p) })
 	}
+	own, sent := p.local, p.ask
 	c.mu.Unlock()
-	c.send(link, p)
+	c.send(link, own, sent)
 	defer p.stop()
 	select {
 	case r := <-p.reply:
-		return r.lease(p.ask.Ticket)
+		return r.lease(sent.Ticket)
 	case <-ctx.Done():
 	}
 	c.mu.Lock()
-	delete(c.pending, p.ask.Ticket)
+	delete(c.pending, sent.Ticket)
+	own = p.local
 	c.mu.Unlock()
 	select {
 	case r := <-p.reply:
-		if l, err := r.lease(p.ask.Ticket); err == nil {
+		if l, err := r.lease(sent.Ticket); err == nil {
 			c.Release(l, dispatch.Outcome{Verdict: dispatch.Left})
 		}
 	default:
-		c.end(link, p.local, dispatch.Outcome{Ticket: p.ask.Ticket, Verdict: dispatch.Left})
+		c.end(link, own, dispatch.Outcome{Ticket: sent.Ticket, Verdict: dispatch.Left})
 	}
 	return nil, ctx.Err()
 }
@@ -196,10 +198,10 @@
 		c.goAlone()
 	}
 	c.moveToLocal(p)
-	link := c.link
+	link, moved := c.link, p.ask
 	c.mu.Unlock()
-	c.end(link, false, dispatch.Outcome{Ticket: p.ask.Ticket, Verdict: dispatch.Left})
-	c.send(nil, p)
+	c.end(link, false, dispatch.Outcome{Ticket: moved.Ticket, Verdict: dispatch.Left})
+	c.send(nil, true, moved)
 	if link != nil {
 		time.AfterFunc(suspectTime, func() { c.closeIfSuspect(link) })
 	}
@@ -236,17 +238,17 @@
 	return &Lease{Server: r.server, Yielded: r.yielded, Waited: r.waited, Alone: r.alone, ticket: t}, nil
 }
 
-func (c *Client) send(link *hostlink.Link, p *pending) {
-	if p.local {
+func (c *Client) send(link *hostlink.Link, local bool, a dispatch.Ask) {
+	if local {
 		asksLocal.Inc()
-		c.local.Do(dispatch.Asked{Host: c.host, Ask: p.ask})
+		c.local.Do(dispatch.Asked{Host: c.host, Ask: a})
 		return
 	}
 	if link == nil {
 		return
 	}
 	asksRemote.Inc()
-	if err := link.Send(hostlink.Frame{Ask: &p.ask}); err != nil {
+	if err := link.Send(hostlink.Frame{Ask: &a}); err != nil {
 		link.Close() // the reader then asks this host's own machine
 	}
 }
@@ -324,7 +326,7 @@
 	c.link, c.heard, c.suspect = link, c.clock.Now(), false
 	for _, p := range c.pending {
 		if !p.local {
-			c.send(link, p)
+			c.send(link, false, p.ask)
 		}
 	}
 }
@@ -332,20 +334,20 @@
 // disconnected hands what waits to this host's own machine.
 func (c *Client) disconnected(link *hostlink.Link) {
 	c.mu.Lock()
-	var move []*pending
+	var move []dispatch.Ask
 	if c.link == link {
 		c.link = nil
 		c.goAlone()
 		for _, p := range c.pending {
 			if p.ask.Class == dispatch.Online && !p.local {
 				c.moveToLocal(p)
-				move = append(move, p)
+				move = append(move, p.ask)
 			}
 		}
 	}
 	c.mu.Unlock()
-	for _, p := range move {
-		c.send(nil, p)
+	for _, a := range move {
+		c.send(nil, true, a)
 	}
 }
 
--- /dev/null
+++ b/verbenad/internal/slots/client_test.go
@@ -0,0 +1,200 @@
+package slots
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/clock"
+	"verbenaledge.example/verbena/directory"
+	"verbenaledge.example/verbena/dispatch"
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/objects"
+	"verbenaledge.example/verbenad/internal/hostlink"
+	"verbenaledge.example/verbenad/internal/relay"
+)
+
+var twoServers = map[ids.BackendID]directory.Server{
+	"a": {ID: "a", Service: "llm", Slots: 1}, "b": {ID: "b", Service: "llm", Slots: 1},
+}
+
+func ask(class dispatch.Class) dispatch.Ask {
+	return dispatch.Ask{Service: "llm", Class: class, Objective: time.Second, Patience: 5 * time.Second, Whole: 5 * time.Second, Units: 1}
+}
+
+// dispatcher runs one on loopback. frozen makes it silent without closing anything.
+type dispatcher struct {
+	address string
+	frozen  atomic.Bool
+}
+
+func newDispatcher(t *testing.T) *dispatcher {
+	d := &dispatcher{address: freeAddress(t)}
+	s := NewServer(clock.System{}, relay.NewPublisher(func(objects.Kind) time.Duration { return -1 }))
+	go s.Run(t.Context())
+	s.SetServers(twoServers)
+	go func() {
+		_ = hostlink.Listen(t.Context(), d.address, func(string) bool { return true }, func(l *hostlink.Link, f hostlink.Frame) {
+			hostlink.Serve(t.Context(), l, f, &freezing{Server: s, frozen: &d.frozen}, nil)
+		})
+	}()
+	return d
+}
+
+// freezing drops all messages while it is frozen.
+type freezing struct {
+	*Server
+	frozen *atomic.Bool
+}
+
+func (f *freezing) Handle(l *hostlink.Link, host ids.HostID, m hostlink.Frame) {
+	if !f.frozen.Load() {
+		f.Server.Handle(l, host, m)
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { qt.Check(t, l.Close(), qt.IsNil) }()
+	return l.Addr().String()
+}
+
+func newClient(t *testing.T, name ids.HostID, address string) *Client {
+	c := NewClient(name, "z", "", clock.System{}, relay.NewFeed(clock.System{}), func() string { return address })
+	go c.Run(t.Context())
+	c.SetServers(twoServers)
+	return c
+}
+
+func connected(t *testing.T, c *Client) {
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if c.Connected() {
+			return
+		}
+	}
+	t.Fatal("the dispatcher was not reached")
+}
+
+func TestSlotsOverTwoHosts(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(t)
+	one, two := newClient(t, "one", d.address), newClient(t, "two", d.address)
+	connected(t, one)
+	connected(t, two)
+	a, err := one.Acquire(t.Context(), ask(dispatch.Online))
+	c.Assert(err, qt.IsNil)
+	b, err := two.Acquire(t.Context(), ask(dispatch.Batch))
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.Server.ID, qt.Not(qt.Equals), b.Server.ID)
+	c.Assert(a.Alone, qt.IsFalse)
+	third, err := one.Acquire(t.Context(), ask(dispatch.Online))
+	c.Assert(err, qt.IsNil)
+	c.Assert(third.Server.ID, qt.Equals, b.Server.ID)
+	select {
+	case <-b.Yielded:
+	case <-time.After(5 * time.Second):
+		c.Fatal("the batch item was not told to leave")
+	}
+	for _, l := range []*Lease{a, third} {
+		one.Release(l, dispatch.Outcome{Verdict: dispatch.Served})
+	}
+	two.Release(b, dispatch.Outcome{Verdict: dispatch.Left})
+}
+
+func TestRefusalNamesItsReason(t *testing.T) {
+	d := newDispatcher(t)
+	one := newClient(t, "one", d.address)
+	connected(t, one)
+	a := ask(dispatch.Online)
+	a.Service = "none"
+	_, err := one.Acquire(t.Context(), a)
+	r, ok := ReasonOf(err)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, r.Reason, qt.Equals, dispatch.NoServer)
+	qt.Assert(t, r.Later > 0, qt.IsTrue)
+}
+
+// TestSilentDispatcher: a host whose question brings no word decides alone within a fraction of an
+// objective, and later questions don't wait at all.
+func TestSilentDispatcher(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(t)
+	one := newClient(t, "one", d.address)
+	connected(t, one)
+	d.frozen.Store(true)
+	begin := time.Now()
+	l, err := one.Acquire(t.Context(), ask(dispatch.Online))
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Alone, qt.IsTrue)
+	c.Assert(time.Since(begin) < silence/2, qt.IsTrue)
+	one.Release(l, dispatch.Outcome{Verdict: dispatch.Served})
+	d.frozen.Store(false)
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		l, err := one.Acquire(t.Context(), ask(dispatch.Online))
+		c.Assert(err, qt.IsNil)
+		one.Release(l, dispatch.Outcome{Verdict: dispatch.Served})
+		if !l.Alone {
+			return
+		}
+		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the dispatcher is not used again"))
+	}
+}
+
+func TestWithoutDispatcher(t *testing.T) {
+	c := qt.New(t)
+	one := newClient(t, "one", "")
+	l, err := one.Acquire(t.Context(), ask(dispatch.Online))
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Alone, qt.IsTrue)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = one.Acquire(ctx, ask(dispatch.Batch))
+	c.Assert(err, qt.IsNotNil, qt.Commentf("batch waits for the host that sees which slots callers need"))
+}
+
+// TestHelper: a host that can't connect to the dispatcher itself reaches it over another one.
+func TestHelper(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(t)
+	helper := freeAddress(t)
+	go func() {
+		_ = hostlink.Listen(t.Context(), helper, func(a string) bool { return a == d.address }, func(l *hostlink.Link, _ hostlink.Frame) { l.Close() })
+	}()
+	var l *hostlink.Link
+	for end := time.Now().Add(10 * time.Second); l == nil && time.Now().Before(end); {
+		// The direct way is cut: nothing listens at the first address, and the helper passes on to the second.
+		l, _ = hostlink.Connect(t.Context(), d.address, []string{helper})
+	}
+	c.Assert(l, qt.IsNotNil)
+	l.Close()
+	_, err := hostlink.Connect(t.Context(), freeAddress(t), []string{helper})
+	c.Assert(err, qt.Equals, hostlink.ErrUnreachable, qt.Commentf("a helper passes on only to owners"))
+}
+
+// TestAloneKeepsRates: the parts of all hosts together are what was admitted before, and little more.
+func TestAloneKeepsRates(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	rates := map[ids.WorkspaceID]dispatch.Rate{"w": {PerSecond: 40, Burst: 40}}
+	total, burst := 0.0, 0.0
+	const hosts = 8
+	for h := range hosts {
+		u := newUsage()
+		for n := range 400 {
+			if n%hosts == h {
+				u.add(now.Add(time.Duration(n)*25*time.Millisecond), "w")
+			}
+		}
+		p := u.parts(now.Add(10*time.Second), rates, hosts)["w"]
+		total += p.PerSecond
+		burst += p.Burst
+	}
+	c.Assert(total >= 30, qt.IsTrue, qt.Commentf("%f", total))
+	c.Assert(total <= 40*(growth+evenPart), qt.IsTrue, qt.Commentf("%f", total))
+	c.Assert(burst <= 40*(growth+evenPart)*ownBurst.Seconds(), qt.IsTrue, qt.Commentf("%f", burst))
+}
