fix: a lease that lapsed and was renewed keeps its shards, and a new epoch reads them again

Change: an owner waits for its lease to hold again, which proves that nobody broke it; a lease taken anew is valid only once the map was read; units carry an epoch, and a host that has a unit again in a later epoch reads it again. Also: a line for each placement, with what it went by; verbenactl explain.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -32,21 +32,21 @@
 	}
 	w.due = w.due.Add(-p.firstTime())
 	if m.suspects.crashing(e.Ask.Fingerprint) {
-		m.out = append(m.out, Refuse{Key: w.key, Reason: Crashing, Later: clamp(latest, e.Ask.Patience)})
+		m.out = append(m.out, Refuse{Key: w.key, Reason: Crashing, Later: clamp(latest, e.Ask.Patience), Inputs: p.inputs(now)})
 		return
 	}
 	if !m.meter(now, w) {
 		return
 	}
 	if p.alive() == 0 {
-		m.refuse(w, NoServer, noServerPause)
+		m.refuse(now, w, NoServer, noServerPause)
 		return
 	}
 	if m.place(now, w) {
 		return
 	}
 	if later, hopeless := m.hopeless(now, p, w); hopeless {
-		m.refuse(w, Overload, later)
+		m.refuse(now, w, Overload, later)
 		return
 	}
 	p.online.add(w)
@@ -61,7 +61,7 @@
 		return true
 	}
 	if ok, wait := b.take(now); !ok {
-		m.out = append(m.out, Refuse{Key: w.key, Reason: OverRate, Later: clamp(wait, w.ask.Patience)})
+		m.out = append(m.out, Refuse{Key: w.key, Reason: OverRate, Later: clamp(wait, w.ask.Patience), Inputs: w.p.inputs(now)})
 		return false
 	}
 	return true
@@ -94,9 +94,9 @@
 	return min(max(d, soonest), most)
 }
 
-func (m *Machine) refuse(w *waiter, reason Reason, later time.Duration) {
+func (m *Machine) refuse(now time.Time, w *waiter, reason Reason, later time.Duration) {
 	m.giveBack(w.ask)
-	m.out = append(m.out, Refuse{Key: w.key, Reason: reason, Later: later})
+	m.out = append(m.out, Refuse{Key: w.key, Reason: reason, Later: later, Inputs: w.p.inputs(now)})
 }
 
 // place starts an online request at once: on a free slot, or on one that a batch item leaves for it.
@@ -112,8 +112,9 @@
 		m.out = append(m.out, Yield{Key: r.key})
 		s = r.server
 	}
+	in := w.p.inputs(now)
 	m.start(now, w, s)
-	m.out = append(m.out, Grant{Key: w.key, Server: s.Server, Waited: now.Sub(w.since)})
+	m.out = append(m.out, Grant{Key: w.key, Server: s.Server, Waited: now.Sub(w.since), Inputs: in})
 	return true
 }
 
@@ -157,9 +158,10 @@
 		if s == nil || p.freeSlots(now) <= p.reserve() {
 			return
 		}
+		in := p.inputs(now)
 		m.drop(w)
 		m.start(now, w, s)
-		m.out = append(m.out, Grant{Key: w.key, Server: s.Server, Waited: now.Sub(w.since)})
+		m.out = append(m.out, Grant{Key: w.key, Server: s.Server, Waited: now.Sub(w.since), Inputs: in})
 	}
 }
 
@@ -173,6 +175,6 @@
 			continue
 		}
 		m.drop(w)
-		m.refuse(w, TooLate, 0)
+		m.refuse(now, w, TooLate, 0)
 	}
 }
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -89,6 +89,11 @@
 	return n
 }
 
+// inputs is what a decision goes by.
+func (p *pool) inputs(now time.Time) Inputs {
+	return Inputs{Free: p.freeSlots(now), Slots: p.slots(now), Queue: len(p.online), Batch: len(p.batch)}
+}
+
 // reserve is how many slots stay free of batch: callers' requests vary by about the root of their
 // number, and an item that must leave at once has run for nothing.
 func (p *pool) reserve() int {
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -152,12 +152,23 @@
 // Command is something to tell a host.
 type Command interface{ command() }
 
+// Inputs are what a decision on an ask went by, for logs.
+type Inputs struct {
+	// Free and Slots count the slots of the service's servers that can take requests.
+	Free  int `cbor:"1,keyasint,omitempty"`
+	Slots int `cbor:"2,keyasint,omitempty"`
+	// Queue counts the callers' requests that wait, Batch the slots that batch holds.
+	Queue int `cbor:"3,keyasint,omitempty"`
+	Batch int `cbor:"4,keyasint,omitempty"`
+}
+
 // Grant gives an ask a slot.
 type Grant struct {
 	Key    Key
 	Server directory.Server
 	// Waited is how long the ask waited.
 	Waited time.Duration
+	Inputs Inputs
 }
 
 // Refuse turns an ask away.
@@ -165,7 +176,8 @@
 	Key    Key
 	Reason Reason
 	// Later is when the caller should come back.
-	Later time.Duration
+	Later  time.Duration
+	Inputs Inputs
 }
 
 // Wait tells that an ask waits for a slot.
--- a/verbena/ownership/ownership.go
+++ b/verbena/ownership/ownership.go
@@ -30,6 +30,8 @@
 type Owner struct {
 	Host    ids.HostID `json:"host"`
 	Address string     `json:"address"`
+	// Epoch counts the unit's owners: a host that has a unit again reads its state again.
+	Epoch ids.Epoch `json:"epoch"`
 }
 
 // Map names the owner of each unit.
@@ -112,7 +114,7 @@
 	for _, u := range w.units {
 		o, ok := current.Units[u]
 		if s, live := w.seen[o.Host]; ok && live && !s.Lease.Leaving {
-			next.Units[u] = Owner{Host: o.Host, Address: s.Lease.Address}
+			next.Units[u] = Owner{Host: o.Host, Address: s.Lease.Address, Epoch: o.Epoch}
 			count[o.Host]++
 		}
 	}
@@ -121,7 +123,7 @@
 			continue
 		}
 		host := least(hosts, count)
-		next.Units[u] = Owner{Host: host, Address: w.seen[host].Lease.Address}
+		next.Units[u] = Owner{Host: host, Address: w.seen[host].Lease.Address, Epoch: current.Units[u].Epoch + 1}
 		count[host]++
 	}
 	return next, !equal(current, next)
--- a/verbena/ownership/ownership_test.go
+++ b/verbena/ownership/ownership_test.go
@@ -64,6 +64,8 @@
 	c.Assert(changed, qt.IsTrue)
 	for u, o := range next.Units {
 		c.Assert(o.Host, qt.Equals, ids.HostID("a"), qt.Commentf("%s", u))
+		moved := m.Units[u].Host == "b"
+		c.Assert(o.Epoch > m.Units[u].Epoch, qt.Equals, moved, qt.Commentf("%s", u))
 	}
 }
 
--- a/verbenactl/cmd/exit.go
+++ b/verbenactl/cmd/exit.go
@@ -23,6 +23,7 @@
 
 var (
 	errUsage    = errors.New("wrong usage")
+	errNotFound = errors.New("not found")
 	errBadRules = errors.New("the rules file has faults; nothing was changed")
 )
 
@@ -36,6 +37,7 @@
 		{platform.ErrUnavailable, ExitUnavailable},
 		{ErrNotInForce, ExitNotInForce},
 		{platform.ErrNotFound, ExitNotFound},
+		{errNotFound, ExitNotFound},
 		{errUsage, ExitUsage},
 	} {
 		if errors.Is(err, known.err) {
--- a/verbenactl/cmd/root.go
+++ b/verbenactl/cmd/root.go
@@ -37,6 +37,7 @@
   verbenactl rules apply town.rules
   verbenactl key issue buying-desk
   verbenactl timeline --job batch_0f3a
+  verbenactl explain 9c41d07be2a35f68 front-1.log storage-1.log
 
 Exit codes:
   0 done, 1 failed, 2 wrong usage, 3 bad rules file, 4 conflict with another
@@ -85,6 +86,7 @@
 		}},
 		{"status", "Show every daemon's state", &statusCommand{}, nil},
 		{"timeline", "Show the events of all daemons in one line of time", &timelineCommand{}, nil},
+		{"explain", "Tell from the logs of all hosts what became of a request", &explainCommand{}, nil},
 		{"completion", "Write a completion script for bash", &completionCommand{}, nil},
 	} {
 		if err := add(parser.Command, e); err != nil {
--- /dev/null
+++ b/verbenactl/internal/loglines/story_test.go
@@ -0,0 +1,45 @@
+package loglines
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestStories explains the first word of each file's name, and expects the lines of the .want beside it.
+func TestStories(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.log")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) > 0, qt.IsTrue)
+	for _, name := range files {
+		f, err := os.Open(name)
+		qt.Assert(t, err, qt.IsNil)
+		lines, _, err := Read(f)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, f.Close(), qt.IsNil)
+		id, _, _ := strings.Cut(filepath.Base(name), ".")
+		s, found := Explain(lines, id, 2*time.Second)
+		qt.Assert(t, found, qt.IsTrue)
+		var got []string
+		for _, l := range s.Lines {
+			got = append(got, l.Host()+" "+l.Message)
+		}
+		got = append(got, "cause "+s.Cause[:strings.Index(s.Cause, ":")])
+		want, err := os.ReadFile(strings.TrimSuffix(name, ".log") + ".want")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, strings.Join(got, "\n")+"\n", qt.Equals, string(want), qt.Commentf("%s", name))
+	}
+}
+
+func TestUnknownIDAndForeignLines(t *testing.T) {
+	lines, skipped, err := Read(strings.NewReader("no json\n{\"message\":1}\n  1.5 host {\"message\":\"m\",\"fields\":{\"request_id\":\"a\"}}\n"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, skipped, qt.Equals, 2)
+	qt.Assert(t, lines, qt.HasLen, 1)
+	_, found := Explain(lines, "b", time.Second)
+	qt.Assert(t, found, qt.IsFalse)
+}
--- a/verbenad/cmd/platform.go
+++ b/verbenad/cmd/platform.go
@@ -33,12 +33,12 @@
 	}
 	lines := logs.NewWriter(os.Stdout)
 	defer lines.Close()
-	log.SetHandler(json.New(lines))
+	log.Log = (&log.Logger{Handler: json.New(lines), Level: log.InfoLevel}).WithField("host", s.Host)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go reloadOnHangup(ctx, s)
 	w := host.World{Settings: s, Store: metered.New(platform.NewStore(s.StoreAddress), clock.System{}), Source: platform.Source{}, Protocol: platform.Protocol{}}
-	log.WithFields(log.Fields{"role": name, "host": s.Host, "zone": s.Zone, "memory_mb": s.MemoryMB, "version": version()}).Info("started")
+	log.WithFields(log.Fields{"role": name, "zone": s.Zone, "memory_mb": s.MemoryMB, "version": version()}).Info("started")
 	if err := r(ctx, w); err != nil {
 		log.WithError(err).Error("stopped by a fault")
 		return ExitFailed
--- a/verbenad/internal/bulk/answer.go
+++ b/verbenad/internal/bulk/answer.go
@@ -73,14 +73,14 @@
 	}
 	r, _ := o.ledger.Job(q.Call.Job, q.Call.Workspace)
 	_, pending := o.submits[q.Call.Job]
-	return lookup{record: r, sure: o.lease.Valid() && !pending}
+	return lookup{record: r, sure: o.lease.Owns(q.Shard) && !pending}
 }
 
 // holds tells whether this host still is the shard's only owner: no successor can have read the
 // store before now.
 func (o *Owner) holds(s bulk.Shard) bool {
 	h, ok := o.shards[s]
-	return ok && h.ready && o.lease.Valid()
+	return ok && h.ready && o.lease.Owns(s)
 }
 
 // missing answers for a job that isn't there.
@@ -231,6 +231,9 @@
 	ctx, cancel := context.WithTimeout(o.ctx, settleFor)
 	defer cancel()
 	stored, code := o.writeJob(ctx, job, s)
+	if code == bulk.Done {
+		o.awaitLease(ctx, s)
+	}
 	o.post(func() {
 		delete(o.submits, job.ID)
 		if code == bulk.Done && !o.holds(s) {
@@ -251,7 +254,7 @@
 		}
 		log.WithFields(log.Fields{
 			"job": job.ID, "workspace": job.Workspace, "items": len(job.Items), "tokens": job.Tokens(),
-			"waiting_tokens": o.ledger.Waiting(job.Workspace, job.Route), "lease_valid": o.lease.Valid(), "outcome": code.String(),
+			"waiting_tokens": o.ledger.Waiting(job.Workspace, job.Route), "owns_shard": o.lease.Owns(s), "outcome": code.String(),
 		}).Info("job submitted")
 		sub.code = code
 		close(sub.done)
@@ -259,6 +262,20 @@
 	})
 }
 
+// awaitLease waits until this host's lease holds again, if it lapsed while the store was away. Nobody
+// broke it then, so nobody else owned the shard meanwhile.
+func (o *Owner) awaitLease(ctx context.Context, s bulk.Shard) {
+	for ctx.Err() == nil && !o.lease.Owns(s) {
+		if owned, ok := ask(ctx, o, func() bool { return o.shards[s] != nil }); !ok || !owned {
+			return
+		}
+		pause(ctx, leaseLook)
+	}
+}
+
+// leaseLook is the time between looks at a lease that has lapsed.
+const leaseLook = 50 * time.Millisecond
+
 // writeJob writes a job's parts and then its own object. Once a write had no answer, only an answer
 // that the object is there settles it.
 func (o *Owner) writeJob(ctx context.Context, job bulk.Job, s bulk.Shard) (found storedJob, code bulk.Code) {
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -49,6 +49,7 @@
 	events   int
 	last     string
 	failures int
+	yields   int
 	exclude  []ids.BackendID
 }
 
@@ -77,6 +78,7 @@
 			return bulk.Result{Item: i.item.ID, State: bulk.Errored}, true
 		case itemYielded:
 			itemsYielded.Inc()
+			i.yields++
 		case itemAgain:
 			itemsFailed.Inc()
 			pause(ctx, againAfter)
@@ -253,7 +255,8 @@
 func (i *itemRun) report(outcome string, l *slots.Lease) {
 	log.WithFields(log.Fields{
 		"job": i.record.Job.ID, "item": i.item.ID, "server": l.Server.ID, "workspace": i.record.Job.Workspace,
-		"events": i.events, "failures": i.failures, "due_in_ms": i.record.Job.Due.Sub(i.owner.clock.Now()).Milliseconds(), "outcome": outcome,
+		"events": i.events, "failures": i.failures, "due_in_ms": i.record.Job.Due.Sub(i.owner.clock.Now()).Milliseconds(),
+		"yields": i.yields, "slot_wait_ms": l.Waited.Milliseconds(), "free_slots": l.Inputs.Free, "slots": l.Inputs.Slots, "outcome": outcome,
 	}).Info("item ended")
 }
 
--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -29,9 +29,9 @@
 	checkEvery = 100 * time.Millisecond
 )
 
-// Lease tells whether this host may act as an owner.
+// Lease tells whether this host may act as the only owner of a shard at this moment.
 type Lease interface {
-	Valid() bool
+	Owns(s bulk.Shard) bool
 }
 
 // Owner runs the jobs of this host's shards. One goroutine owns its state.
@@ -66,6 +66,7 @@
 
 // shard is a part of the jobs that this host owns.
 type shard struct {
+	epoch ids.Epoch
 	ready bool
 	stop  context.CancelFunc
 	ctx   context.Context
@@ -112,23 +113,23 @@
 	o.post(func() { o.catalog = c })
 }
 
-// SetShards tells which shards this host owns.
-func (o *Owner) SetShards(owned map[bulk.Shard]bool) {
+// SetShards tells which shards this host owns, and in which epoch. In a new epoch a shard is read again.
+func (o *Owner) SetShards(owned map[bulk.Shard]ids.Epoch) {
 	o.post(func() {
 		for s, h := range o.shards {
-			if !owned[s] {
+			if epoch, ok := owned[s]; !ok || epoch != h.epoch {
 				log.WithField("shard", s).Info("shard given up")
 				h.stop()
 				delete(o.shards, s)
 				o.ledger.Drop(s)
 			}
 		}
-		for s := range owned {
+		for s, epoch := range owned {
 			if _, ok := o.shards[s]; ok {
 				continue
 			}
 			ctx, stop := context.WithCancel(o.ctx)
-			h := &shard{ctx: ctx, stop: stop}
+			h := &shard{epoch: epoch, ctx: ctx, stop: stop}
 			o.shards[s] = h
 			go o.load(ctx, s, h)
 		}
--- a/verbenad/internal/bulk/owner_test.go
+++ b/verbenad/internal/bulk/owner_test.go
@@ -23,7 +23,7 @@
 // switched is a lease that a test takes away.
 type switched struct{ lost atomic.Bool }
 
-func (s *switched) Valid() bool { return !s.lost.Load() }
+func (s *switched) Owns(bulk.Shard) bool { return !s.lost.Load() }
 
 // silent spells nothing: no item of these tests gets a slot.
 type silent struct{ exchange.Protocol }
@@ -47,7 +47,7 @@
 	go r.owner.Run()
 	route := catalog.Route{Name: "r", Kind: catalog.KindBatch, Targets: []catalog.Target{{Service: "llm", Weight: 1}}, MaxAttempts: 3}
 	r.owner.SetCatalog(catalog.New(1, []catalog.Route{route}, nil, nil, catalog.Limits{}))
-	r.owner.SetShards(map[bulk.Shard]bool{3: true})
+	r.owner.SetShards(map[bulk.Shard]ids.Epoch{3: 1})
 	r.eventually(func() bool { return r.call(bulk.Call{Op: bulk.Read, Job: "none"}).Code == bulk.Missing })
 	return r
 }
@@ -152,6 +152,31 @@
 	r.Assert(next.submit(job(1, 10)), qt.Equals, bulk.Done)
 }
 
+// TestLeaseBackAfterAccept: a lease that lapsed while the store was away and was renewed after all was
+// broken by nobody, so the job is accepted, though its caller may have left by then.
+func TestLeaseBackAfterAccept(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.store.SetFault(func(op memory.Op) memory.Fault {
+		if op.Verb == "create" {
+			r.lease.lost.Store(true)
+			time.AfterFunc(100*time.Millisecond, func() { r.lease.lost.Store(false) })
+		}
+		return memory.None
+	})
+	r.Assert(r.submit(job(2, 10)), qt.Equals, bulk.Done)
+	r.Assert(r.call(bulk.Call{Op: bulk.Read, Job: "a"}).Total, qt.Equals, 2)
+}
+
+// TestNewEpochIsReadAgain: a shard that was another host's meanwhile is read again.
+func TestNewEpochIsReadAgain(t *testing.T) {
+	r := newRig(t, memory.New())
+	other := newRig(t, r.store)
+	r.Assert(other.submit(job(1, 10)), qt.Equals, bulk.Done)
+	r.Assert(r.call(bulk.Call{Op: bulk.Read, Job: "a"}).Code, qt.Equals, bulk.Missing)
+	r.owner.SetShards(map[bulk.Shard]ids.Epoch{3: 3})
+	r.eventually(func() bool { return r.call(bulk.Call{Op: bulk.Read, Job: "a"}).Code == bulk.Done })
+}
+
 // TestLeaseLostDuringEnd: a successor may have read the job as open.
 func TestLeaseLostDuringEnd(t *testing.T) {
 	r := newRig(t, memory.New())
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -52,6 +52,7 @@
 	server    ids.BackendID
 	waited    time.Duration
 	alone     bool
+	inputs    dispatch.Inputs
 	reason    string
 	// kept is a server's own failure, passed on if no other server does better.
 	kept *keptAnswer
@@ -69,9 +70,10 @@
 			h.unplaced(ctx, q, j, err)
 			return
 		}
-		j.server, j.alone = lease.Server.ID, lease.Alone
+		j.server, j.alone, j.inputs = lease.Server.ID, lease.Alone, lease.Inputs
 		j.waited += lease.Waited
 		waited.Update(lease.Waited.Seconds())
+		h.placed(q, j)
 		next, outcome := h.attempt(ctx, q, j, lease)
 		h.slots.Release(lease, outcome)
 		switch next {
@@ -109,7 +111,7 @@
 		h.fail(ctx, q, j)
 		return
 	}
-	j.reason = r.Reason.String()
+	j.reason, j.alone, j.inputs = r.Reason.String(), r.Alone, r.Inputs
 	if j.ran || j.started {
 		h.fail(ctx, q, j)
 		return
@@ -118,7 +120,14 @@
 	if r.Reason == dispatch.OverRate {
 		status = http.StatusTooManyRequests
 	}
-	h.refuse(q, status, r.Later, j.reason)
+	h.refuse(q, status, r.Later, j.reason, inputFields(j)...)
+}
+
+// inputFields is what the decision on a slot went by.
+func inputFields(j *journey) []field {
+	return []field{
+		{"free_slots", j.inputs.Free}, {"slots", j.inputs.Slots}, {"queue", j.inputs.Queue}, {"batch_slots", j.inputs.Batch}, {"placed_alone", j.alone},
+	}
 }
 
 // attempt sends the request to one server.
@@ -235,15 +244,27 @@
 	}
 }
 
+// placed writes the line that tells where a request goes and why. If the process ends before the
+// request does, it is the last one.
+func (h *Handler) placed(q *request, j *journey) {
+	fields := log.Fields{
+		"request_id": q.call.ID, "workspace": q.workspaceID(), "service": q.service, "server": j.server,
+		"slot_wait_ms": j.waited.Milliseconds(), "resume_after": j.lastEvent, "outcome": "placed",
+	}
+	for _, f := range inputFields(j) {
+		fields[f.name] = f.value
+	}
+	log.WithFields(fields).Info("request placed")
+}
+
 // report writes the line that tells how a request ended.
 func (h *Handler) report(q *request, j *journey, outcome string) {
 	if outcome == "answered" {
 		served.Inc()
 	}
 	log.WithFields(log.Fields{
-		"request_id": q.call.ID, "workspace": q.workspaceID(), "route": q.route.Name, "service": q.service, "server": j.server,
-		"configuration": q.version, "sends": j.sends, "refusals": j.refusals, "slot_wait_ms": j.waited.Milliseconds(),
-		"placed_alone": j.alone, "events": j.events, "reason": j.reason, "outcome": outcome,
+		"request_id": q.call.ID, "route": q.route.Name, "server": j.server, "configuration": q.version,
+		"sends": j.sends, "refusals": j.refusals, "events": j.events, "reason": j.reason, "outcome": outcome,
 		"took_ms": h.clock.Now().Sub(q.start).Milliseconds(), "patience_ms": q.deadline.Sub(q.start).Milliseconds(),
 	}).Info("request ended")
 }
--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -260,14 +260,24 @@
 	}
 }
 
+// field is an input of a decision in a log line.
+type field struct {
+	name  string
+	value any
+}
+
 // refuse answers a request of which nothing has run.
-func (h *Handler) refuse(q *request, status int, later time.Duration, reason string) {
+func (h *Handler) refuse(q *request, status int, later time.Duration, reason string, inputs ...field) {
 	refused(reason).Inc()
-	log.WithFields(log.Fields{
+	fields := log.Fields{
 		"request_id": q.call.ID, "status": status, "reason": reason, "retry_after_ms": later.Milliseconds(),
 		"workspace": q.workspaceID(), "configuration": q.version, "held_ms": h.clock.Now().Sub(q.start).Milliseconds(),
 		"patience_ms": q.call.Patience.Milliseconds(), "outcome": "refused",
-	}).Info("request refused")
+	}
+	for _, f := range inputs {
+		fields[f.name] = f.value
+	}
+	log.WithFields(fields).Info("request refused")
 	h.protocol.Refuse(q.w, status, q.call.ID, later, reason)
 }
 
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -130,10 +130,10 @@
 			continue
 		}
 		seen = at
-		owned := make(map[jobs.Shard]bool)
+		owned := make(map[jobs.Shard]ids.Epoch)
 		for n := jobs.Shard(0); n < jobs.Shards; n++ {
-			if m.Units[ownership.Unit(n.Name())].Host == s.world.Settings.Host {
-				owned[n] = true
+			if o := m.Units[ownership.Unit(n.Name())]; o.Host == s.world.Settings.Host {
+				owned[n] = o.Epoch
 			}
 		}
 		s.owner.SetShards(owned)
--- a/verbenad/internal/host/world.go
+++ b/verbenad/internal/host/world.go
@@ -187,8 +187,15 @@
 	}
 }
 
+// manyServers is how many servers that come or go at once share a line.
+const manyServers = 5
+
 // logServers writes a line for each server that comes, goes or leaves.
 func logServers(old, now map[ids.BackendID]directory.Server, at objects.Revision) {
+	if len(now)-len(old) > manyServers || len(old)-len(now) > manyServers {
+		log.WithFields(log.Fields{"before": len(old), "servers": len(now), "revision": at}).Info("servers listed")
+		return
+	}
 	for id, s := range now {
 		if o, ok := old[id]; !ok || o.Draining != s.Draining {
 			log.WithFields(log.Fields{"server": id, "service": s.Service, "address": s.Address, "draining": s.Draining, "revision": at}).Info("server listed")
--- a/verbenad/internal/hostlink/frame.go
+++ b/verbenad/internal/hostlink/frame.go
@@ -62,6 +62,7 @@
 	Ticket dispatch.Ticket  `cbor:"1,keyasint"`
 	Server directory.Server `cbor:"2,keyasint"`
 	Waited time.Duration    `cbor:"3,keyasint,omitempty"`
+	Inputs dispatch.Inputs  `cbor:"4,keyasint"`
 }
 
 // Refusal turns a ticket away.
@@ -69,6 +70,7 @@
 	Ticket dispatch.Ticket `cbor:"1,keyasint"`
 	Reason dispatch.Reason `cbor:"2,keyasint"`
 	Later  time.Duration   `cbor:"3,keyasint,omitempty"`
+	Inputs dispatch.Inputs `cbor:"4,keyasint"`
 }
 
 // News are changes of the objects of a kind between two revisions, or all of them.
--- a/verbenad/internal/owners/keeper.go
+++ b/verbenad/internal/owners/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"verbenaledge.example/verbena/bulk"
 	"verbenaledge.example/verbena/clock"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/objects"
@@ -62,6 +63,12 @@
 	return at != 0 && k.boot.Now().Sub(time.Unix(0, at)) < ownership.HoldFor
 }
 
+// Owns tells whether this host may act as a shard's only owner: it is named in the map and its lease
+// holds at this moment.
+func (k *Keeper) Owns(s bulk.Shard) bool {
+	return k.Holds(ownership.Unit(s.Name())) && k.Valid()
+}
+
 // Holds tells whether this host owns a unit.
 func (k *Keeper) Holds(u ownership.Unit) bool {
 	o, ok := k.view.Owner(u)
@@ -126,6 +133,9 @@
 	o, err := k.write(ctx, l)
 	switch {
 	case err == nil:
+		if k.lease == 0 && !k.readMap(ctx) {
+			return nil // without the map a new lease says nothing; the next round tries again
+		}
 		k.lease = o.Revision
 		k.renewed.Store(start.UnixNano())
 		if !k.acquired {
@@ -143,6 +153,15 @@
 	return k.settle(ctx, l, start, err)
 }
 
+// readMap reads the map after a new lease was taken: units may have gone to others before.
+func (k *Keeper) readMap(ctx context.Context) bool {
+	o, err := k.store.Get(ctx, KindOwners, nameMap)
+	if err == nil {
+		k.view.take(o)
+	}
+	return err == nil || errors.Is(err, objects.ErrNotFound)
+}
+
 func (k *Keeper) write(ctx context.Context, l ownership.Lease) (objects.Object, error) {
 	name := string(k.host)
 	if k.lease > 0 {
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -44,6 +44,9 @@
 type Refused struct {
 	Reason dispatch.Reason
 	Later  time.Duration
+	Inputs dispatch.Inputs
+	// Alone tells that this host decided without the dispatching one.
+	Alone bool
 }
 
 // Error names the reason.
@@ -55,6 +58,7 @@
 	// Yielded is closed when the slot is taken back.
 	Yielded <-chan struct{}
 	Waited  time.Duration
+	Inputs  dispatch.Inputs
 	// Alone tells that this host decided without the dispatching one.
 	Alone  bool
 	ticket dispatch.Ticket
@@ -97,6 +101,7 @@
 type reply struct {
 	server  directory.Server
 	waited  time.Duration
+	inputs  dispatch.Inputs
 	alone   bool
 	refused *Refused
 	yielded chan struct{}
@@ -235,7 +240,7 @@
 	if r.refused != nil {
 		return nil, r.refused
 	}
-	return &Lease{Server: r.server, Yielded: r.yielded, Waited: r.waited, Alone: r.alone, ticket: t}, nil
+	return &Lease{Server: r.server, Yielded: r.yielded, Waited: r.waited, Inputs: r.inputs, Alone: r.alone, ticket: t}, nil
 }
 
 func (c *Client) send(link *hostlink.Link, local bool, a dispatch.Ask) {
@@ -380,9 +385,9 @@
 	}
 	switch {
 	case f.Grant != nil:
-		c.granted(link, f.Grant.Ticket, reply{server: f.Grant.Server, waited: f.Grant.Waited})
+		c.granted(link, f.Grant.Ticket, reply{server: f.Grant.Server, waited: f.Grant.Waited, inputs: f.Grant.Inputs})
 	case f.Refusal != nil:
-		c.refused(f.Refusal.Ticket, false, f.Refusal.Reason, f.Refusal.Later)
+		c.refused(f.Refusal.Ticket, Refused{Reason: f.Refusal.Reason, Later: f.Refusal.Later, Inputs: f.Refusal.Inputs})
 	case f.Wait != 0:
 		c.mu.Lock()
 		if p, ok := c.pending[f.Wait]; ok {
@@ -432,12 +437,12 @@
 	}
 }
 
-func (c *Client) refused(t dispatch.Ticket, alone bool, reason dispatch.Reason, later time.Duration) {
+func (c *Client) refused(t dispatch.Ticket, r Refused) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p, ok := c.pending[t]; ok && p.local == alone {
+	if p, ok := c.pending[t]; ok && p.local == r.Alone {
 		delete(c.pending, t)
-		p.reply <- reply{refused: &Refused{Reason: reason, Later: later}}
+		p.reply <- reply{refused: &r}
 	}
 }
 
@@ -455,9 +460,9 @@
 func (c *Client) localCommand(cmd dispatch.Command) {
 	switch cmd := cmd.(type) {
 	case dispatch.Grant:
-		c.granted(nil, cmd.Key.Ticket, reply{server: cmd.Server, waited: cmd.Waited, alone: true})
+		c.granted(nil, cmd.Key.Ticket, reply{server: cmd.Server, waited: cmd.Waited, inputs: cmd.Inputs, alone: true})
 	case dispatch.Refuse:
-		c.refused(cmd.Key.Ticket, true, cmd.Reason, cmd.Later)
+		c.refused(cmd.Key.Ticket, Refused{Reason: cmd.Reason, Later: cmd.Later, Inputs: cmd.Inputs, Alone: true})
 	case dispatch.Yield:
 		c.yield(cmd.Key.Ticket)
 	}
--- a/verbenad/internal/slots/server.go
+++ b/verbenad/internal/slots/server.go
@@ -153,10 +153,10 @@
 	case dispatch.Grant:
 		grants.Inc()
 		grantWait.Update(cmd.Waited.Seconds())
-		s.send(cmd.Key.Host, hostlink.Frame{Grant: &hostlink.Grant{Ticket: cmd.Key.Ticket, Server: cmd.Server, Waited: cmd.Waited}})
+		s.send(cmd.Key.Host, hostlink.Frame{Grant: &hostlink.Grant{Ticket: cmd.Key.Ticket, Server: cmd.Server, Waited: cmd.Waited, Inputs: cmd.Inputs}})
 	case dispatch.Refuse:
 		refusals.Inc()
-		s.send(cmd.Key.Host, hostlink.Frame{Refusal: &hostlink.Refusal{Ticket: cmd.Key.Ticket, Reason: cmd.Reason, Later: cmd.Later}})
+		s.send(cmd.Key.Host, hostlink.Frame{Refusal: &hostlink.Refusal{Ticket: cmd.Key.Ticket, Reason: cmd.Reason, Later: cmd.Later, Inputs: cmd.Inputs}})
 	case dispatch.Wait:
 		s.send(cmd.Key.Host, hostlink.Frame{Wait: cmd.Key.Ticket})
 	case dispatch.Yield:
