--- a/verbenactl/internal/loglines/story.go
+++ b/verbenactl/internal/loglines/story.go
@@ -60,7 +60,10 @@
 
 // causes say what an end means and where to go on.
 var causes = map[string]string{
-	"over_rate":            "the workspace was beyond its rate over all hosts; compare its rate with its use, or see placed_alone: a host that decides alone keeps only its part",
+	"over_rate": "the workspace was beyond its rate over all hosts; compare its rate with its use, " +
+		"or see placed_alone: a host that decides alone keeps only its part",
+	"cannot_be_done":       "the server said that the item can never be done; its caller has to change it",
+	"failed_too_often":     "the item failed at as many servers as its route allows",
 	"overload":             "no start in time was likely: free_slots, slots and queue tell the load at that moment; look for slow or lost servers before it",
 	"placed":               "no line tells of the request's end: it is on its way, or its host's process ended; look at the host",
 	"too_late":             "the caller's time ran out while the request waited for a slot",
--- a/verbenactl/internal/loglines/story_test.go
+++ b/verbenactl/internal/loglines/story_test.go
@@ -15,23 +15,24 @@
 	files, err := filepath.Glob("testdata/*.log")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, len(files) > 0, qt.IsTrue)
-	for _, name := range files {
-		f, err := os.Open(name)
+	for _, file := range files {
+		f, err := os.Open(file)
 		qt.Assert(t, err, qt.IsNil)
 		lines, _, err := Read(f)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, f.Close(), qt.IsNil)
-		id, _, _ := strings.Cut(filepath.Base(name), ".")
+		id, _, _ := strings.Cut(filepath.Base(file), ".")
 		s, found := Explain(lines, id, 2*time.Second)
 		qt.Assert(t, found, qt.IsTrue)
-		var got []string
+		got := make([]string, 0, len(s.Lines)+1)
 		for _, l := range s.Lines {
 			got = append(got, l.Host()+" "+l.Message)
 		}
-		got = append(got, "cause "+s.Cause[:strings.Index(s.Cause, ":")])
-		want, err := os.ReadFile(strings.TrimSuffix(name, ".log") + ".want")
+		name, _, _ := strings.Cut(s.Cause, ":")
+		got = append(got, "cause "+name)
+		want, err := os.ReadFile(strings.TrimSuffix(file, ".log") + ".want")
 		qt.Assert(t, err, qt.IsNil)
-		qt.Check(t, strings.Join(got, "\n")+"\n", qt.Equals, string(want), qt.Commentf("%s", name))
+		qt.Check(t, strings.Join(got, "\n")+"\n", qt.Equals, string(want), qt.Commentf("%s", file))
 	}
 }
 
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -50,7 +50,9 @@
 	last     string
 	failures int
 	yields   int
-	exclude  []ids.BackendID
+	// reason is why the item ends without a result.
+	reason  string
+	exclude []ids.BackendID
 }
 
 // run sends the item to servers until it has a result. done is false if it was stopped before.
@@ -71,6 +73,7 @@
 		case itemComplete:
 			itemsDone.Inc()
 			itemSeconds.Update(i.owner.clock.Now().Sub(start).Seconds())
+			i.reason = ""
 			i.report("completed", lease)
 			return bulk.Result{Item: i.item.ID, State: bulk.Completed, Output: string(i.text)}, true
 		case itemImpossible:
@@ -194,10 +197,12 @@
 		return dispatch.Broken, itemAgain
 	}
 	if a.Status == cannotBeDone {
+		i.reason = "cannot_be_done"
 		return dispatch.Served, itemImpossible
 	}
 	if a.Status == http.StatusInternalServerError {
 		i.failures++
+		i.reason = "failed_too_often"
 		if i.failures >= route.MaxAttempts {
 			return dispatch.Failed, itemImpossible
 		}
@@ -256,7 +261,7 @@
 	log.WithFields(log.Fields{
 		"job": i.record.Job.ID, "item": i.item.ID, "server": l.Server.ID, "workspace": i.record.Job.Workspace,
 		"events": i.events, "failures": i.failures, "due_in_ms": i.record.Job.Due.Sub(i.owner.clock.Now()).Milliseconds(),
-		"yields": i.yields, "slot_wait_ms": l.Waited.Milliseconds(), "free_slots": l.Inputs.Free, "slots": l.Inputs.Slots, "outcome": outcome,
+		"yields": i.yields, "slot_wait_ms": l.Waited.Milliseconds(), "free_slots": l.Inputs.Free, "slots": l.Inputs.Slots, "reason": i.reason, "outcome": outcome,
 	}).Info("item ended")
 }
 
