--- a/verbenactl/internal/loglines/story.go
+++ b/verbenactl/internal/loglines/story.go
@@ -65,6 +65,8 @@
 	"cannot_be_done":       "the server said that the item can never be done; its caller has to change it",
 	"failed_too_often":     "the item failed at as many servers as its route allows",
 	"overload":             "no start in time was likely: free_slots, slots and queue tell the load at that moment; look for slow or lost servers before it",
+	"answered":             "it was answered; took_ms and slot_wait_ms tell whether in time, and a gap before it whether its host stood still",
+	"completed":            "the item has its result; due_in_ms tells whether in time, yields how often it gave way",
 	"placed":               "no line tells of the request's end: it is on its way, or its host's process ended; look at the host",
 	"too_late":             "the caller's time ran out while the request waited for a slot",
 	"no_server":            "no server of the service could take requests; look at server lines before it",
