feat: a host that starts while the store is away learns the owners from other hosts

Cause: a host restarted in an outage of the store answered 503 until its end, though the dispatching host knew everything that it needed. Change: it asks the hosts of its settings who the owners are. TestFleetStartInOutage fails before.

--- a/verbena/node/settings.go
+++ b/verbena/node/settings.go
@@ -22,9 +22,11 @@
 	// PeerPort is where other hosts connect, MetricsPort where metrics are served.
 	PeerPort    int
 	MetricsPort int
-	MemoryMB    int
-	CPUShare    float64
-	Files       int
+	// Seeds are the peer addresses of a few hosts; they may be down.
+	Seeds    []string
+	MemoryMB int
+	CPUShare float64
+	Files    int
 	// First tells that the whole fleet starts for the first time.
 	First bool
 	// Grace is how long after SIGTERM a process is killed.
--- a/verbenad/cmd/fleet_test.go
+++ b/verbenad/cmd/fleet_test.go
@@ -40,6 +40,7 @@
 	address string
 	servers map[string]*standin.Server
 	fronts  []string
+	seeds   []string
 	stop    []context.CancelFunc
 	serial  atomic.Int64
 }
@@ -96,6 +97,8 @@
 		s.CallerAddress, s.ReadyAddress = fmt.Sprintf("127.0.0.1:%d", freePort(f.t)), fmt.Sprintf("127.0.0.1:%d", freePort(f.t))
 		f.fronts = append(f.fronts, s.CallerAddress)
 	}
+	s.Seeds = append([]string(nil), f.seeds...)
+	f.seeds = append(f.seeds, s.PeerAddress())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
@@ -288,6 +291,17 @@
 	})
 }
 
+// TestFleetStartInOutage: a host that starts while the store is away learns all from the others and serves.
+func TestFleetStartInOutage(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, 1000)
+	f.store.SetFault(func(memory.Op) memory.Fault { return memory.Refuse })
+	f.start("front-late", host.Front)
+	f.fronts = f.fronts[len(f.fronts)-1:]
+	f.eventually("the late host serves", func() bool { return f.call("GET", "/app/x", key, nil, nil).status == http.StatusOK })
+	c.Assert(f.call("GET", "/app/x", "unknown", nil, nil).status, qt.Equals, 401)
+}
+
 // TestFleetKeepsRates: over both entry hosts a workspace gets its burst and rate, and refusals say when to come back.
 func TestFleetKeepsRates(t *testing.T) {
 	c := qt.New(t)
--- a/verbenad/cmd/platform.go
+++ b/verbenad/cmd/platform.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 
 	"github.com/apex/log"
@@ -64,7 +65,7 @@
 			continue
 		}
 		host.Apply(s)
-		log.WithFields(log.Fields{"memory_mb": s.MemoryMB, "changed": s != current}).Info("settings read again")
+		log.WithFields(log.Fields{"memory_mb": s.MemoryMB, "changed": !reflect.DeepEqual(s, current)}).Info("settings read again")
 		current = s
 	}
 }
--- a/verbenad/internal/host/front.go
+++ b/verbenad/internal/host/front.go
@@ -62,6 +62,7 @@
 	})
 	known.run(work)
 	go passOn(work, w.Settings.PeerAddress(), &v)
+	go v.AskSeeds(work, w.Settings.Seeds)
 	if err := serveReady(work, w.Settings.ReadyAddress, handler); err != nil {
 		return err
 	}
@@ -137,7 +138,7 @@
 
 // passOn connects hosts that can't reach an owner themselves.
 func passOn(ctx context.Context, address string, v *owners.View) {
-	err := hostlink.Listen(ctx, address, v.IsOwner, func(l *hostlink.Link, _ hostlink.Frame) { l.Close() })
+	err := hostlink.Listen(ctx, address, v, func(l *hostlink.Link, _ hostlink.Frame) { l.Close() })
 	if err != nil {
 		log.WithError(err).WithField("address", address).Error("connections of other hosts are not passed on")
 	}
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -90,7 +90,7 @@
 			return
 		}
 		log.WithField("address", w.Settings.PeerAddress()).Info("taking hosts")
-		failed <- hostlink.Listen(work, w.Settings.PeerAddress(), s.view.IsOwner, func(l *hostlink.Link, first hostlink.Frame) {
+		failed <- hostlink.Listen(work, w.Settings.PeerAddress(), &s.view, func(l *hostlink.Link, first hostlink.Frame) {
 			hostlink.Serve(work, l, first, s.dispatcher, s.owner)
 		})
 	}()
--- a/verbenad/internal/hostlink/frame.go
+++ b/verbenad/internal/hostlink/frame.go
@@ -36,6 +36,8 @@
 	// Hosts is how many hosts ask for slots, Helpers the addresses of some that may pass a connection on.
 	Hosts   int      `cbor:"11,keyasint,omitempty"`
 	Helpers []string `cbor:"15,keyasint,omitempty"`
+	// Who asks for the map of owners; it is answered with news.
+	Who bool `cbor:"17,keyasint,omitempty"`
 	// Via asks the receiver to pass the connection on to an address.
 	Via string `cbor:"16,keyasint,omitempty"`
 	// News are changes of the store's objects, Ages how long ago the store confirmed them.
--- a/verbenad/internal/hostlink/listen.go
+++ b/verbenad/internal/hostlink/listen.go
@@ -20,9 +20,17 @@
 
 var passedOn = metrics.NewCounter("verbenad_host_connections_passed_on_total")
 
-// Listen accepts connections until the context ends. Each is handled with its first message, or
-// passed on to another host if the peer asks for that and allowed permits the address.
-func Listen(ctx context.Context, address string, allowed func(string) bool, handle func(*Link, Frame)) error {
+// Guide knows the owners of shared state.
+type Guide interface {
+	// IsOwner tells whether an owner is reached at an address.
+	IsOwner(address string) bool
+	// News is the map of owners; ok is false if it isn't known.
+	News() (n News, ok bool)
+}
+
+// Listen accepts connections until the context ends. Each is handled with its first message, told the
+// map of owners if it asks who they are, or passed on if it asks for an owner's address.
+func Listen(ctx context.Context, address string, g Guide, handle func(*Link, Frame)) error {
 	lc := net.ListenConfig{KeepAliveConfig: keepAlive}
 	ln, err := lc.Listen(ctx, "tcp", address)
 	if err != nil {
@@ -39,11 +47,11 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		go receive(ctx, c, allowed, handle)
+		go receive(ctx, c, g, handle)
 	}
 }
 
-func receive(ctx context.Context, c net.Conn, allowed func(string) bool, handle func(*Link, Frame)) {
+func receive(ctx context.Context, c net.Conn, g Guide, handle func(*Link, Frame)) {
 	r := bufio.NewReaderSize(c, readBuffer)
 	_ = c.SetReadDeadline(time.Now().Add(firstTimeout)) // fails only on a closed connection, as the read then does
 	first, err := decode(r)
@@ -52,18 +60,61 @@
 		return
 	}
 	_ = c.SetReadDeadline(time.Time{}) // as above
-	if first.Via == "" {
+	if first.Via == "" && !first.Who {
 		handle(newLink(c, r), first)
 		return
 	}
 	defer func() { _ = c.Close() }() // both ends are told by the close
-	if !allowed(first.Via) {
+	if first.Who {
+		tellOwners(c, g)
+		return
+	}
+	if !g.IsOwner(first.Via) {
 		log.WithField("address", first.Via).Warn("connection not passed on: not an owner's address")
 		return
 	}
 	passOn(ctx, c, r, first.Via)
 }
 
+func tellOwners(c net.Conn, g Guide) {
+	var f Frame
+	if n, ok := g.News(); ok {
+		f.News = &n
+	}
+	raw, err := encode(f)
+	if err == nil {
+		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection, as the write then does
+		_, err = c.Write(raw)
+	}
+	if err != nil {
+		log.WithError(err).Info("map of owners not told")
+	}
+}
+
+// AskOwners asks a host for the map of owners. ok is false if it doesn't know one.
+func AskOwners(ctx context.Context, address string) (n News, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout+confirmTimeout)
+	defer cancel()
+	c, err := dial(ctx, address)
+	if err != nil {
+		return n, false
+	}
+	defer func() { _ = c.Close() }() // all was read
+	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
+	raw, err := encode(Frame{Who: true})
+	if err != nil {
+		return n, false
+	}
+	if _, err := c.Write(raw); err != nil {
+		return n, false
+	}
+	f, err := decode(c)
+	if err != nil || f.News == nil {
+		return n, false
+	}
+	return *f.News, true
+}
+
 // passOn copies bytes both ways until either end closes.
 func passOn(ctx context.Context, c net.Conn, r io.Reader, address string) {
 	target, err := dial(ctx, address)
--- a/verbenad/internal/owners/view.go
+++ b/verbenad/internal/owners/view.go
@@ -2,14 +2,17 @@
 package owners
 
 import (
+	"context"
 	"encoding/json"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 
 	"verbenaledge.example/verbena/bulk"
 	"verbenaledge.example/verbena/objects"
 	"verbenaledge.example/verbena/ownership"
+	"verbenaledge.example/verbenad/internal/hostlink"
 )
 
 // The objects that hold leases and the map.
@@ -35,6 +38,7 @@
 
 type known struct {
 	owners   ownership.Map
+	object   objects.Object
 	revision objects.Revision
 }
 
@@ -49,7 +53,7 @@
 
 // take keeps the newer of two maps.
 func (v *View) take(o objects.Object) {
-	k := &known{revision: o.Revision}
+	k := &known{revision: o.Revision, object: o}
 	if err := json.Unmarshal(o.Spec, &k.owners); err != nil {
 		log.WithError(err).WithField("revision", o.Revision).Error("map of owners can't be read")
 		return
@@ -96,3 +100,37 @@
 	}
 	return false
 }
+
+// News is the map for a host that asks who the owners are.
+func (v *View) News() (n hostlink.News, ok bool) {
+	k := v.current.Load()
+	if k == nil {
+		return n, false
+	}
+	return hostlink.News{Kind: KindOwners, At: k.revision, Full: true, Objects: []objects.Object{k.object}}, true
+}
+
+const (
+	// seedsAfter is how long a host that starts waits for the store before it asks others.
+	seedsAfter = 300 * time.Millisecond
+	// seedsEvery is the time between rounds of questions.
+	seedsEvery = 500 * time.Millisecond
+)
+
+// AskSeeds asks other hosts for the map until one is known: the store may be away when a host starts.
+// An old map only leads to a host that dispatches no longer; the store's or the dispatcher's goes before it.
+func (v *View) AskSeeds(ctx context.Context, seeds []string) {
+	pause(ctx, seedsAfter)
+	for ctx.Err() == nil && v.current.Load() == nil {
+		for _, address := range seeds {
+			n, ok := hostlink.AskOwners(ctx, address)
+			if !ok || len(n.Objects) != 1 || n.Objects[0].Name != nameMap {
+				continue
+			}
+			v.take(n.Objects[0])
+			log.WithFields(log.Fields{"peer": address, "revision": n.At}).Info("map of owners learned from another host")
+			return
+		}
+		pause(ctx, seedsEvery)
+	}
+}
--- a/verbenad/internal/slots/client_test.go
+++ b/verbenad/internal/slots/client_test.go
@@ -38,13 +38,20 @@
 	go s.Run(t.Context())
 	s.SetServers(twoServers)
 	go func() {
-		_ = hostlink.Listen(t.Context(), d.address, func(string) bool { return true }, func(l *hostlink.Link, f hostlink.Frame) {
+		_ = hostlink.Listen(t.Context(), d.address, guide(""), func(l *hostlink.Link, f hostlink.Frame) {
 			hostlink.Serve(t.Context(), l, f, &freezing{Server: s, frozen: &d.frozen}, nil)
 		})
 	}()
 	return d
 }
 
+// guide knows one owner's address.
+type guide string
+
+func (g guide) IsOwner(address string) bool { return address == string(g) }
+
+func (g guide) News() (n hostlink.News, ok bool) { return n, false }
+
 // freezing drops all messages while it is frozen.
 type freezing struct {
 	*Server
@@ -163,7 +170,7 @@
 	d := newDispatcher(t)
 	helper := freeAddress(t)
 	go func() {
-		_ = hostlink.Listen(t.Context(), helper, func(a string) bool { return a == d.address }, func(l *hostlink.Link, _ hostlink.Frame) { l.Close() })
+		_ = hostlink.Listen(t.Context(), helper, guide(d.address), func(l *hostlink.Link, _ hostlink.Frame) { l.Close() })
 	}()
 	var l *hostlink.Link
 	for end := time.Now().Add(10 * time.Second); l == nil && time.Now().Before(end); {
