perf: news are gathered, encoded once for all hosts and compressed; one pass over the servers an ask

Each change was encoded for each host, and each host that joined got all servers anew. Change: as above; registrations are decoded once a revision.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -32,7 +32,7 @@
 	}
 	w.due = w.due.Add(-p.firstTime())
 	if m.suspects.crashing(e.Ask.Fingerprint) {
-		m.out = append(m.out, Refuse{Key: w.key, Reason: Crashing, Later: clamp(latest, e.Ask.Patience), Inputs: p.inputs(now)})
+		m.out = append(m.out, Refuse{Key: w.key, Reason: Crashing, Later: clamp(latest, e.Ask.Patience), Inputs: p.inputs(p.pick(now, e.Ask))})
 		return
 	}
 	if !m.meter(now, w) {
@@ -61,7 +61,7 @@
 		return true
 	}
 	if ok, wait := b.take(now); !ok {
-		m.out = append(m.out, Refuse{Key: w.key, Reason: OverRate, Later: clamp(wait, w.ask.Patience), Inputs: w.p.inputs(now)})
+		m.out = append(m.out, Refuse{Key: w.key, Reason: OverRate, Later: clamp(wait, w.ask.Patience), Inputs: w.p.inputs(w.p.pick(now, w.ask))})
 		return false
 	}
 	return true
@@ -96,12 +96,13 @@
 
 func (m *Machine) refuse(now time.Time, w *waiter, reason Reason, later time.Duration) {
 	m.giveBack(w.ask)
-	m.out = append(m.out, Refuse{Key: w.key, Reason: reason, Later: later, Inputs: w.p.inputs(now)})
+	m.out = append(m.out, Refuse{Key: w.key, Reason: reason, Later: later, Inputs: w.p.inputs(w.p.pick(now, w.ask))})
 }
 
 // place starts an online request at once: on a free slot, or on one that a batch item leaves for it.
 func (m *Machine) place(now time.Time, w *waiter) bool {
-	s := w.p.pick(now, w.ask)
+	v := w.p.pick(now, w.ask)
+	s := v.best
 	if s == nil {
 		r := w.p.victim(now, w.ask)
 		if r == nil {
@@ -112,7 +113,7 @@
 		m.out = append(m.out, Yield{Key: r.key})
 		s = r.server
 	}
-	in := w.p.inputs(now)
+	in := w.p.inputs(v)
 	m.start(now, w, s)
 	m.out = append(m.out, Grant{Key: w.key, Server: s.Server, Waited: now.Sub(w.since), Inputs: in})
 	return true
@@ -154,14 +155,14 @@
 	}
 	for len(p.waiting) > 0 {
 		w := p.waiting[0]
-		s := p.pick(now, w.ask)
-		if s == nil || p.freeSlots(now) <= p.reserve() {
+		v := p.pick(now, w.ask)
+		if v.best == nil || v.free <= p.reserve() {
 			return
 		}
-		in := p.inputs(now)
+		in := p.inputs(v)
 		m.drop(w)
-		m.start(now, w, s)
-		m.out = append(m.out, Grant{Key: w.key, Server: s.Server, Waited: now.Sub(w.since), Inputs: in})
+		m.start(now, w, v.best)
+		m.out = append(m.out, Grant{Key: w.key, Server: v.best.Server, Waited: now.Sub(w.since), Inputs: in})
 	}
 }
 
--- a/verbena/dispatch/machine.go
+++ b/verbena/dispatch/machine.go
@@ -97,6 +97,7 @@
 			}
 		}
 	}
+	joined := false
 	for id, d := range e.Servers {
 		s, ok := m.servers[id]
 		if ok && s.Service != d.Service {
@@ -111,9 +112,13 @@
 		if joins {
 			p := m.pool(d.Service)
 			p.servers = append(p.servers, s)
+			joined = true
 		}
 	}
 	for _, p := range m.pools {
+		if !joined {
+			break
+		}
 		sort.Slice(p.servers, func(i, j int) bool { return p.servers[i].before(p.servers[j]) })
 	}
 	m.pump(now)
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -36,6 +36,9 @@
 	running int
 	hold    float64
 	first   float64
+	// fastest is the least time for an event among the servers, as of fastestAt.
+	fastest   float64
+	fastestAt time.Time
 }
 
 func (p *pool) learn(a Ask, held time.Duration, o Outcome) {
@@ -79,19 +82,9 @@
 	return n
 }
 
-// freeSlots counts the slots that are free now.
-func (p *pool) freeSlots(now time.Time) (n int) {
-	for _, s := range p.servers {
-		if s.usable(now) {
-			n += max(0, s.free(now))
-		}
-	}
-	return n
-}
-
 // inputs is what a decision goes by.
-func (p *pool) inputs(now time.Time) Inputs {
-	return Inputs{Free: p.freeSlots(now), Slots: p.slots(now), Queue: len(p.online), Batch: len(p.batch)}
+func (p *pool) inputs(v survey) Inputs {
+	return Inputs{Free: v.free, Slots: v.slots, Queue: len(p.online), Batch: len(p.batch)}
 }
 
 // reserve is how many slots stay free of batch: callers' requests vary by about the root of their
@@ -110,22 +103,45 @@
 	return n
 }
 
+// survey is what one pass over the servers finds for an ask: with thousands of servers each further
+// pass would cost as much as all else.
+type survey struct {
+	best  *server
+	free  int
+	slots int
+}
+
 // pick chooses the cheapest server with a free slot.
-func (p *pool) pick(now time.Time, a Ask) (best *server) {
-	fastest := p.fastest(now)
+func (p *pool) pick(now time.Time, a Ask) (v survey) {
+	p.refreshFastest(now)
 	lowest := 0.0
 	for _, s := range p.servers {
-		if !s.usable(now) || s.free(now) <= 0 || excluded(a.Exclude, s.ID) {
+		if !s.usable(now) {
+			continue
+		}
+		free := max(0, s.free(now))
+		v.free += free
+		v.slots += s.Slots
+		if free == 0 || excluded(a.Exclude, s.ID) {
 			continue
 		}
-		if c := s.cost(now, a.Zone, fastest); best == nil || c < lowest {
-			best, lowest = s, c
+		if c := s.cost(now, a.Zone, p.fastest); v.best == nil || c < lowest {
+			v.best, lowest = s, c
 		}
 	}
-	return best
+	return v
+}
+
+// fastestFor is how long the fastest server is taken to be the same.
+const fastestFor = 100 * time.Millisecond
+
+func (p *pool) refreshFastest(now time.Time) {
+	if now.Sub(p.fastestAt) >= fastestFor || p.fastest == 0 {
+		p.fastest, p.fastestAt = p.findFastest(now), now
+	}
 }
 
-func (p *pool) fastest(now time.Time) (unit float64) {
+func (p *pool) findFastest(now time.Time) (unit float64) {
 	for _, s := range p.servers {
 		if s.usable(now) && s.unit > 0 && (unit == 0 || s.unit < unit) {
 			unit = s.unit
--- a/verbenad/internal/host/world.go
+++ b/verbenad/internal/host/world.go
@@ -166,19 +166,31 @@
 
 // servers decodes registrations. An entry that can't be read names no server and is logged once a revision.
 func (w World) servers(on func(map[ids.BackendID]directory.Server)) func(map[string]objects.Object, objects.Revision) {
-	bad := make(map[string]objects.Revision)
+	type decoded struct {
+		at     objects.Revision
+		server directory.Server
+		err    error
+	}
+	cache := make(map[string]decoded)
 	known := make(map[ids.BackendID]directory.Server)
 	return func(all map[string]objects.Object, at objects.Revision) {
 		list := make(map[ids.BackendID]directory.Server, len(all))
 		for name, o := range all {
-			s, err := w.Source.Server(o)
-			if err == nil {
-				list[s.ID] = s
-				continue
+			d, ok := cache[name]
+			if !ok || d.at != o.Revision {
+				d.at = o.Revision
+				if d.server, d.err = w.Source.Server(o); d.err != nil {
+					log.WithError(d.err).Warn("registration left out")
+				}
+				cache[name] = d
+			}
+			if d.err == nil {
+				list[d.server.ID] = d.server
 			}
-			if bad[name] != o.Revision {
-				bad[name] = o.Revision
-				log.WithError(err).Warn("registration left out")
+		}
+		for name := range cache {
+			if _, ok := all[name]; !ok {
+				delete(cache, name)
 			}
 		}
 		logServers(known, list, at)
--- a/verbenad/internal/hostlink/frame.go
+++ b/verbenad/internal/hostlink/frame.go
@@ -2,7 +2,10 @@
 package hostlink
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -91,17 +94,59 @@
 	Call  bulk.Call  `cbor:"2,keyasint"`
 }
 
-// encode returns a frame with its length before it.
-func encode(f Frame) (raw []byte, err error) {
+// packAbove is the size from which a message is compressed: lists of servers shrink to a tenth.
+const packAbove = 16 << 10
+
+// packed marks the length of a compressed message.
+const packed = 1 << 31
+
+// Encode returns a frame with its length before it. The bytes may be sent to many hosts.
+func Encode(f Frame) (raw []byte, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("encode frame: %w", err)
+		}
+	}()
 	body, err := cbor.Marshal(f)
 	if err != nil {
-		return nil, fmt.Errorf("encode frame: %w", err)
+		return nil, err
+	}
+	mark := uint32(0)
+	if len(body) > packAbove {
+		if body, err = pack(body); err != nil {
+			return nil, err
+		}
+		mark = packed
 	}
 	raw = make([]byte, 4, 4+len(body))
-	binary.BigEndian.PutUint32(raw, uint32(len(body)))
+	binary.BigEndian.PutUint32(raw, uint32(len(body))|mark)
 	return append(raw, body...), nil
 }
 
+func pack(body []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(body); err != nil {
+		return nil, err
+	}
+	err = w.Close()
+	return b.Bytes(), err
+}
+
+func unpack(body []byte) (out []byte, err error) {
+	r := flate.NewReader(bytes.NewReader(body))
+	out, err = io.ReadAll(io.LimitReader(r, maxFrame+1))
+	if err == nil && len(out) > maxFrame {
+		err = errTooLong
+	}
+	return out, err
+}
+
+var errTooLong = errors.New("message is over the limit")
+
 // decode reads one frame.
 func decode(r io.Reader) (f Frame, err error) {
 	defer func() {
@@ -113,13 +158,19 @@
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return f, err
 	}
-	size := binary.BigEndian.Uint32(head[:])
+	mark := binary.BigEndian.Uint32(head[:])
+	size := mark &^ packed
 	if size > maxFrame {
-		return f, fmt.Errorf("%d bytes are over the limit of %d", size, maxFrame)
+		return f, errTooLong
 	}
 	body := make([]byte, size)
 	if _, err := io.ReadFull(r, body); err != nil {
 		return f, err
 	}
+	if mark&packed != 0 {
+		if body, err = unpack(body); err != nil {
+			return f, err
+		}
+	}
 	return f, cbor.Unmarshal(body, &f)
 }
--- /dev/null
+++ b/verbenad/internal/hostlink/frame_test.go
@@ -0,0 +1,43 @@
+package hostlink
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/dispatch"
+	"verbenaledge.example/verbena/objects"
+)
+
+func TestFramesComeBack(t *testing.T) {
+	big := News{Kind: "k", At: 7, Full: true}
+	for n := range 2000 {
+		big.Objects = append(big.Objects, objects.Object{Name: fmt.Sprintf("server-%d", n), Revision: 3, Spec: []byte(`{"address":"10.0.0.1:80"}`)})
+	}
+	for _, f := range []Frame{
+		{Ping: true}, {Ask: &dispatch.Ask{Ticket: 9, Service: "llm"}}, {Via: "10.0.0.1:80"}, {News: &big},
+	} {
+		raw, err := Encode(f)
+		qt.Assert(t, err, qt.IsNil)
+		got, err := decode(bytes.NewReader(raw))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.DeepEquals, f)
+	}
+	raw, err := Encode(Frame{News: &big})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(raw) < 40_000, qt.IsTrue, qt.Commentf("%d bytes", len(raw)))
+}
+
+// FuzzFrames: no bytes of a peer make a host panic or take more than the limit.
+func FuzzFrames(f *testing.F) {
+	raw, err := Encode(Frame{Ping: true})
+	qt.Assert(f, err, qt.IsNil)
+	f.Add(raw)
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
+	f.Add([]byte{0x80, 0, 0, 3, 1, 2, 3})
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		_, _ = decode(bytes.NewReader(raw))
+	})
+}
--- a/verbenad/internal/hostlink/link.go
+++ b/verbenad/internal/hostlink/link.go
@@ -58,10 +58,15 @@
 
 // Send queues a message. It never blocks: a peer that lets the queue fill loses the connection.
 func (l *Link) Send(f Frame) error {
-	raw, err := encode(f)
+	raw, err := Encode(f)
 	if err != nil {
 		return err
 	}
+	return l.SendEncoded(raw)
+}
+
+// SendEncoded queues a message that is encoded already.
+func (l *Link) SendEncoded(raw []byte) error {
 	select {
 	case <-l.closed:
 		return ErrClosed
--- a/verbenad/internal/hostlink/listen.go
+++ b/verbenad/internal/hostlink/listen.go
@@ -81,7 +81,7 @@
 	if n, ok := g.News(); ok {
 		f.News = &n
 	}
-	raw, err := encode(f)
+	raw, err := Encode(f)
 	if err == nil {
 		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection, as the write then does
 		_, err = c.Write(raw)
@@ -101,7 +101,7 @@
 	}
 	defer func() { _ = c.Close() }() // all was read
 	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
-	raw, err := encode(Frame{Who: true})
+	raw, err := Encode(Frame{Who: true})
 	if err != nil {
 		return n, false
 	}
--- a/verbenad/internal/relay/publisher.go
+++ b/verbenad/internal/relay/publisher.go
@@ -7,17 +7,32 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"verbenaledge.example/verbena/objects"
 	"verbenaledge.example/verbenad/internal/hostlink"
 )
 
+// gatherEach is the time for which changes are gathered, a host: it bounds the messages that one
+// host sends, however many hosts there are and however fast objects change.
+const gatherEach = time.Millisecond
+
 // Publisher passes objects on to the hosts that are connected.
 type Publisher struct {
 	age func(objects.Kind) time.Duration
 
-	mu     sync.Mutex
-	states map[objects.Kind]state
-	links  map[*hostlink.Link]bool
+	mu    sync.Mutex
+	kinds map[objects.Kind]*topic
+	links map[*hostlink.Link]bool
+}
+
+// topic is a kind as it is known, and as it was sent last.
+type topic struct {
+	known state
+	sent  state
+	// full is the encoded message with all that was sent, made when a host joins.
+	full  []byte
+	timer bool
 }
 
 // state is all objects of a kind at a revision.
@@ -28,7 +43,7 @@
 
 // NewPublisher returns a publisher. age tells how long ago the store last confirmed a kind.
 func NewPublisher(age func(objects.Kind) time.Duration) *Publisher {
-	return &Publisher{age: age, states: make(map[objects.Kind]state), links: make(map[*hostlink.Link]bool)}
+	return &Publisher{age: age, kinds: make(map[objects.Kind]*topic), links: make(map[*hostlink.Link]bool)}
 }
 
 // Publish takes the newest objects of a kind and sends what changed.
@@ -39,11 +54,38 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	news := difference(p.states[kind], next)
+	t, ok := p.kinds[kind]
+	if !ok {
+		t = &topic{}
+		p.kinds[kind] = t
+	}
+	t.known = next
+	if len(p.links) == 0 {
+		t.sent, t.full = next, nil
+		return
+	}
+	if !t.timer {
+		t.timer = true
+		time.AfterFunc(time.Duration(len(p.links))*gatherEach, func() { p.flush(kind) })
+	}
+}
+
+// flush sends what changed since the last time, encoded once for all hosts.
+func (p *Publisher) flush(kind objects.Kind) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.kinds[kind]
+	t.timer = false
+	news := difference(t.sent, t.known)
 	news.Kind = kind
-	p.states[kind] = next
+	t.sent, t.full = t.known, nil
+	raw, err := hostlink.Encode(hostlink.Frame{News: &news})
+	if err != nil {
+		log.WithError(err).WithField("kind", kind).Error("news not sent; hosts read the store")
+		return
+	}
 	for l := range p.links {
-		_ = l.Send(hostlink.Frame{News: &news}) // a closed connection ends its reader
+		_ = l.SendEncoded(raw) // a closed connection ends its reader
 	}
 }
 
@@ -62,15 +104,23 @@
 	return n
 }
 
-// Add sends all that is known to a host, and from then on what changes.
+// Add sends all that was sent to the others to a host, and from then on what changes.
 func (p *Publisher) Add(l *hostlink.Link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.links[l] = true
-	for kind, s := range p.states {
-		news := difference(state{}, s)
-		news.Kind, news.Full = kind, true
-		_ = l.Send(hostlink.Frame{News: &news}) // a closed connection ends its reader
+	for kind, t := range p.kinds {
+		if t.full == nil {
+			news := difference(state{}, t.sent)
+			news.Kind, news.Full = kind, true
+			raw, err := hostlink.Encode(hostlink.Frame{News: &news})
+			if err != nil {
+				log.WithError(err).WithField("kind", kind).Error("news not sent; hosts read the store")
+				continue
+			}
+			t.full = raw
+		}
+		_ = l.SendEncoded(t.full) // a closed connection ends its reader
 	}
 }
 
@@ -84,8 +134,8 @@
 // Ages tells how old what this host knows is, by kind.
 func (p *Publisher) Ages() map[objects.Kind]time.Duration {
 	p.mu.Lock()
-	kinds := make([]objects.Kind, 0, len(p.states))
-	for k := range p.states {
+	kinds := make([]objects.Kind, 0, len(p.kinds))
+	for k := range p.kinds {
 		kinds = append(kinds, k)
 	}
 	p.mu.Unlock()
--- a/verbenad/internal/view/view.go
+++ b/verbenad/internal/view/view.go
@@ -20,6 +20,8 @@
 	watchWait = 2 * time.Second
 	// passingWait is how long a watch of the host waits that passes news on to others: its age is theirs.
 	passingWait = time.Second
+	// passingGather is the least time between two watches of the host that passes news on.
+	passingGather = 30 * time.Millisecond
 	// gather is the least time between two watches of a host that only reads for itself: changes that
 	// come close together, as in a release, take one priced call.
 	gather = 400 * time.Millisecond
@@ -212,13 +214,12 @@
 		k.list(l)
 		return nil
 	}
-	span := watchWait
+	span, between := watchWait, gather
 	if k.direct != nil && k.direct() {
-		span = passingWait
-	} else {
-		sleep(ctx, gather-k.clock.Now().Sub(k.last))
-		k.last = k.clock.Now()
+		span, between = passingWait, passingGather
 	}
+	sleep(ctx, between-k.clock.Now().Sub(k.last))
+	k.last = k.clock.Now()
 	if len(k.missing) > 0 {
 		span = max(50*time.Millisecond, returnTime-k.clock.Now().Sub(k.back))
 	}
