--- /dev/null
+++ b/verbenad/cmd/serves_test.go
@@ -0,0 +1,143 @@
+package cmd
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/platform/standin"
+	"verbenaledge.example/verbena/objects/memory"
+	"verbenaledge.example/verbenad/internal/host"
+)
+
+func TestFleetServes(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, 1000)
+
+	c.Run("whole answers", func(c *qt.C) {
+		r := f.call("POST", "/app/x?a=%2F", key, nil, []byte("question"))
+		c.Assert(r.status, qt.Equals, 200)
+		c.Assert(r.body, qt.Equals, "answer to question")
+		c.Assert(r.header.Get("X-Verbenaledge-Response-Signature"), qt.Equals, "signed")
+		c.Assert(r.header.Get("X-Verbenaledge-Request-Id"), qt.Equals, r.id)
+	})
+	c.Run("streams", func(c *qt.C) {
+		r := f.call("POST", "/stream/x", key, tokens, nil)
+		c.Assert(r.err, qt.IsNil)
+		c.Assert(r.body, qt.Equals, stream(r.id, 12))
+	})
+	c.Run("keys", func(c *qt.C) {
+		c.Assert(f.call("GET", "/app/x", "unknown", nil, nil).status, qt.Equals, 401)
+		c.Assert(f.call("GET", "/app/x", "", nil, nil).status, qt.Equals, 401)
+		c.Assert(f.call("GET", "/none/x", key, nil, nil).status, qt.Equals, 404)
+		for _, s := range f.servers {
+			_, keys := s.Total()
+			c.Assert(keys, qt.Equals, 0)
+		}
+	})
+	c.Run("an idempotent request runs again", func(c *qt.C) {
+		f.faults("app", 1, standin.Break)
+		r := f.call("POST", "/app/x", key, nil, []byte("q"))
+		c.Assert(r.status, qt.Equals, 200)
+		c.Assert(f.ran(r.id), qt.Equals, 2)
+	})
+	c.Run("a foreign answer is not passed on", func(c *qt.C) {
+		f.faults("app", 1, standin.Foreign)
+		r := f.call("POST", "/app/x", key, nil, []byte("q"))
+		c.Assert(r.status, qt.Equals, 200)
+		c.Assert(r.header.Get("X-Verbenaledge-Request-Id"), qt.Equals, r.id)
+	})
+	c.Run("a request that runs once is not repeated", func(c *qt.C) {
+		f.faults("app", 1, standin.Break)
+		r := f.call("POST", "/once/x", key, nil, []byte("q"))
+		c.Assert(r.status, qt.Equals, 502)
+		c.Assert(f.ran(r.id), qt.Equals, 1)
+	})
+	c.Run("a stream goes on at another server", func(c *qt.C) {
+		f.faults("llm", 1, standin.Cut)
+		r := f.call("POST", "/resume/x", key, tokens, nil)
+		c.Assert(r.err, qt.IsNil)
+		c.Assert(r.body, qt.Equals, stream(r.id, 12))
+		c.Assert(f.ran(r.id), qt.Equals, 2)
+	})
+	c.Run("a stream that may not go on doesn't look complete", func(c *qt.C) {
+		f.faults("llm", 1, standin.Cut)
+		r := f.call("POST", "/stream/x", key, tokens, nil)
+		c.Assert(r.err, qt.IsNotNil)
+		c.Assert(strings.HasPrefix(stream(r.id, 12), r.body), qt.IsTrue)
+		c.Assert(f.ran(r.id), qt.Equals, 1)
+	})
+	c.Run("a server's own failure is passed on unchanged", func(c *qt.C) {
+		f.faults("app", 9, standin.Error)
+		r := f.call("POST", "/app/x", key, nil, nil)
+		c.Assert(r.status, qt.Equals, 500)
+		c.Assert(r.header.Get("X-Verbenaledge-Response-Signature"), qt.Equals, "signed")
+		c.Assert(f.ran(r.id), qt.Equals, 3)
+		f.faults("app", 0, standin.Sound)
+	})
+	c.Run("a caller that leaves ends the server's work", func(c *qt.C) {
+		f.faults("llm", 0, standin.Sound)
+		ctx, cancel := context.WithCancel(c.Context())
+		q, err := http.NewRequestWithContext(ctx, "POST", "http://"+f.fronts[0]+"/stream/x", nil)
+		c.Assert(err, qt.IsNil)
+		q.Host = "host.example"
+		q.Header = http.Header{"Authorization": {"Bearer " + key}, "X-Verbenaledge-Request-Id": {"leaver"}, "X-Verbenaledge-Token-Usage": {"1,1"}}
+		a, err := http.DefaultClient.Do(q)
+		c.Assert(err, qt.IsNil)
+		cancel()
+		_ = a.Body.Close()
+		f.eventually("no server works", func() bool {
+			running := 0
+			for _, s := range f.servers {
+				running += s.Running()
+			}
+			return running == 0
+		})
+	})
+	c.Run("a new configuration is in force", func(c *qt.C) {
+		c.Assert(standin.Configure(f.store, standin.Configuration(5, map[string]string{"new": "w"}, 1000)), qt.IsNil)
+		f.eventually("the old key is refused", func() bool {
+			first, second := f.call("GET", "/app/x", key, nil, nil), f.call("GET", "/app/x", key, nil, nil)
+			return first.status == 401 && second.status == 401
+		})
+		c.Assert(f.call("GET", "/app/x", "new", nil, nil).status, qt.Equals, 200)
+	})
+}
+
+// TestFleetStartInOutage: a host that starts while the store is away learns all from the others and serves.
+func TestFleetStartInOutage(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, 1000)
+	f.store.SetFault(func(memory.Op) memory.Fault { return memory.Refuse })
+	f.start("front-late", host.Front)
+	f.fronts = f.fronts[len(f.fronts)-1:]
+	f.eventually("the late host serves", func() bool { return f.call("GET", "/app/x", key, nil, nil).status == http.StatusOK })
+	c.Assert(f.call("GET", "/app/x", "unknown", nil, nil).status, qt.Equals, 401)
+}
+
+// TestFleetKeepsRates: over both entry hosts a workspace gets its burst and rate, and refusals say when to come back.
+func TestFleetKeepsRates(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, 5)
+	begin := time.Now()
+	served, refused := 0, 0
+	for time.Since(begin) < 2*time.Second {
+		switch r := f.call("GET", "/app/x", "key-of-v", nil, nil); r.status {
+		case 200:
+			served++
+		case 429:
+			refused++
+			c.Assert(r.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		default:
+			c.Fatalf("status %d", r.status)
+		}
+	}
+	most := 5 + 5*time.Since(begin).Seconds() + 1
+	c.Assert(float64(served) <= most, qt.IsTrue, qt.Commentf("%d served, %f allowed", served, most))
+	c.Assert(served > 5, qt.IsTrue)
+	c.Assert(refused > 0, qt.IsTrue)
+}
--- a/verbenad/internal/bulk/commit.go
+++ b/verbenad/internal/bulk/commit.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"time"
 
+	"verbenaledge.example/verbena/clock"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
@@ -61,7 +63,7 @@
 	number, wait := r.Segments, c.pause
 	ctx := o.shards[r.Shard].ctx
 	go func() {
-		pause(ctx, wait)
+		clock.Sleep(ctx, wait)
 		written, err := o.writeSegment(ctx, r, number, segment)
 		o.post(func() { o.wrote(r, c, number, written, err) })
 	}()
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"verbenaledge.example/verbena/clock"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
@@ -65,7 +67,7 @@
 		}
 		lease, err := i.owner.slots.Acquire(ctx, i.ask(service))
 		if err != nil {
-			pause(ctx, againAfter)
+			clock.Sleep(ctx, againAfter)
 			continue
 		}
 		verdict := i.send(ctx, route, lease)
@@ -84,7 +86,7 @@
 			i.yields++
 		case itemAgain:
 			itemsFailed.Inc()
-			pause(ctx, againAfter)
+			clock.Sleep(ctx, againAfter)
 		}
 	}
 	return result, false
@@ -264,12 +266,3 @@
 		"yields": i.yields, "slot_wait_ms": l.Waited.Milliseconds(), "free_slots": l.Inputs.Free, "slots": l.Inputs.Slots, "reason": i.reason, "outcome": outcome,
 	}).Info("item ended")
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/verbenad/internal/bulk/load.go
+++ b/verbenad/internal/bulk/load.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 
+	"verbenaledge.example/verbena/clock"
+
 	"github.com/apex/log"
 
 	"verbenaledge.example/verbena/bulk"
@@ -30,7 +32,7 @@
 			return
 		}
 		log.WithError(err).WithField("shard", s).Warn("shard not loaded yet")
-		pause(ctx, retryAfter)
+		clock.Sleep(ctx, retryAfter)
 	}
 }
 
--- a/verbenad/internal/owners/jobs.go
+++ b/verbenad/internal/owners/jobs.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"verbenaledge.example/verbena/clock"
+
 	"verbenaledge.example/verbena/bulk"
 	"verbenaledge.example/verbena/ownership"
 	"verbenaledge.example/verbenad/internal/hostlink"
@@ -49,7 +51,7 @@
 		if ctx.Err() != nil || !unsettled && time.Since(start) > awayFor {
 			return j.giveUp(call, unsettled)
 		}
-		pause(ctx, askAgain)
+		clock.Sleep(ctx, askAgain)
 	}
 }
 
@@ -59,12 +61,3 @@
 	}
 	return bulk.Reply{Code: bulk.Unavailable, Later: awayFor}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/verbenad/internal/owners/view.go
+++ b/verbenad/internal/owners/view.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"verbenaledge.example/verbena/clock"
+
 	"github.com/apex/log"
 
 	"verbenaledge.example/verbena/bulk"
@@ -120,7 +122,7 @@
 // AskSeeds asks other hosts for the map until one is known: the store may be away when a host starts.
 // An old map only leads to a host that dispatches no longer; the store's or the dispatcher's goes before it.
 func (v *View) AskSeeds(ctx context.Context, seeds []string) {
-	pause(ctx, seedsAfter)
+	clock.Sleep(ctx, seedsAfter)
 	for ctx.Err() == nil && v.current.Load() == nil {
 		for _, address := range seeds {
 			n, ok := hostlink.AskOwners(ctx, address)
@@ -131,6 +133,6 @@
 			log.WithFields(log.Fields{"peer": address, "revision": n.At}).Info("map of owners learned from another host")
 			return
 		}
-		pause(ctx, seedsEvery)
+		clock.Sleep(ctx, seedsEvery)
 	}
 }
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/apex/log"
 
 	"verbenaledge.example/verbena/clock"
 	"verbenaledge.example/verbena/directory"
@@ -190,52 +189,6 @@
 	}
 }
 
-// unheard moves an ask on which no word came to this host's own machine.
-func (c *Client) unheard(p *pending) {
-	c.mu.Lock()
-	if c.pending[p.ask.Ticket] != p || p.local {
-		c.mu.Unlock()
-		return
-	}
-	if !c.suspect {
-		c.suspect = true
-		log.WithField("silent_ms", c.clock.Now().Sub(c.heard).Milliseconds()).Warn("dispatching host is silent; this host decides alone")
-		c.goAlone()
-	}
-	c.moveToLocal(p)
-	link, moved := c.link, p.ask
-	c.mu.Unlock()
-	c.end(link, false, dispatch.Outcome{Ticket: moved.Ticket, Verdict: dispatch.Left})
-	c.send(nil, true, moved)
-	if link != nil {
-		time.AfterFunc(suspectTime, func() { c.closeIfSuspect(link) })
-	}
-}
-
-// closeIfSuspect gives a silent connection up, so that another way to the dispatching host is tried.
-func (c *Client) closeIfSuspect(link *hostlink.Link) {
-	c.mu.Lock()
-	silent := c.suspect && c.link == link
-	c.mu.Unlock()
-	if silent {
-		link.Close()
-	}
-}
-
-// goAlone tells this host's own machine its part of the rates as of now.
-func (c *Client) goAlone() {
-	e := c.ownRates()
-	go c.local.Do(e)
-}
-
-// moveToLocal makes an ask this host's own, with the time that is left.
-func (c *Client) moveToLocal(p *pending) {
-	p.local = true
-	spent := c.clock.Now().Sub(p.sent)
-	p.ask.Objective -= spent
-	p.ask.Patience -= spent
-}
-
 func (r reply) lease(t dispatch.Ticket) (*Lease, error) {
 	if r.refused != nil {
 		return nil, r.refused
@@ -281,135 +234,6 @@
 	}
 }
 
-// Connected tells whether the dispatching host answers.
-func (c *Client) Connected() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.link != nil
-}
-
-// Run keeps a connection to the dispatching host until the context ends.
-func (c *Client) Run(ctx context.Context) {
-	go c.local.Run(ctx)
-	for ctx.Err() == nil {
-		if address := c.address(); address != "" {
-			if link, err := hostlink.Connect(ctx, address, c.Helpers()); err == nil {
-				c.serve(ctx, link, address)
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(redialPause):
-		}
-	}
-}
-
-func (c *Client) serve(ctx context.Context, link *hostlink.Link, address string) {
-	c.connected(link)
-	log.WithFields(log.Fields{"address": address}).Info("dispatching host reached")
-	stop := context.AfterFunc(ctx, link.Close)
-	defer stop()
-	go c.watch(link, address)
-	err := link.Read(func(f hostlink.Frame) { c.handle(link, f) })
-	log.WithError(err).WithField("address", address).Warn("dispatching host lost; this host decides alone")
-	linkLosses.Inc()
-	c.feed.Down()
-	c.disconnected(link)
-}
-
-// connected tells the dispatching host what is held and what waits.
-func (c *Client) connected(link *hostlink.Link) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	hello := hostlink.Hello{Host: c.host, Zone: c.zone, Slots: true, Address: c.passes}
-	for _, h := range c.held {
-		hello.Held = append(hello.Held, h.held)
-	}
-	if err := link.Send(hostlink.Frame{Hello: &hello}); err != nil {
-		return
-	}
-	c.link, c.heard, c.suspect = link, c.clock.Now(), false
-	for _, p := range c.pending {
-		if !p.local {
-			c.send(link, false, p.ask)
-		}
-	}
-}
-
-// disconnected hands what waits to this host's own machine.
-func (c *Client) disconnected(link *hostlink.Link) {
-	c.mu.Lock()
-	var move []dispatch.Ask
-	if c.link == link {
-		c.link = nil
-		c.goAlone()
-		for _, p := range c.pending {
-			if p.ask.Class == dispatch.Online && !p.local {
-				c.moveToLocal(p)
-				move = append(move, p.ask)
-			}
-		}
-	}
-	c.mu.Unlock()
-	for _, a := range move {
-		c.send(nil, true, a)
-	}
-}
-
-// watch ends a connection on which nothing is heard, or whose host dispatches no longer.
-func (c *Client) watch(link *hostlink.Link, address string) {
-	t := time.NewTicker(pingEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-link.Closed():
-			return
-		case <-t.C:
-		}
-		c.mu.Lock()
-		quiet := c.clock.Now().Sub(c.heard)
-		c.mu.Unlock()
-		if quiet > silence || c.address() != address || link.Send(hostlink.Frame{Ping: true}) != nil {
-			link.Close()
-			return
-		}
-	}
-}
-
-func (c *Client) handle(link *hostlink.Link, f hostlink.Frame) {
-	c.mu.Lock()
-	c.heard, c.suspect = c.clock.Now(), false
-	c.mu.Unlock()
-	if f.Hosts > 0 {
-		c.setHosts(f)
-	}
-	switch {
-	case f.Grant != nil:
-		c.granted(link, f.Grant.Ticket, reply{server: f.Grant.Server, waited: f.Grant.Waited, inputs: f.Grant.Inputs})
-	case f.Refusal != nil:
-		c.refused(f.Refusal.Ticket, Refused{Reason: f.Refusal.Reason, Later: f.Refusal.Later, Inputs: f.Refusal.Inputs})
-	case f.Wait != 0:
-		c.mu.Lock()
-		if p, ok := c.pending[f.Wait]; ok {
-			p.stop()
-		}
-		c.mu.Unlock()
-	case f.Yield != 0:
-		c.yield(f.Yield)
-	case f.News != nil:
-		c.feed.Take(*f.News)
-	case f.Ages != nil:
-		c.feed.Heard(f.Ages)
-	}
-}
-
-func (c *Client) setHosts(f hostlink.Frame) {
-	c.mu.Lock()
-	c.hosts, c.helpers = f.Hosts, f.Helpers
-	c.mu.Unlock()
-	c.local.Do(dispatch.Peers{Count: f.Hosts})
-}
-
 // Helpers names hosts that may pass connections on.
 func (c *Client) Helpers() []string {
 	c.mu.Lock()
@@ -456,18 +280,6 @@
 	}
 }
 
-// localCommand carries out what this host's own machine decided.
-func (c *Client) localCommand(cmd dispatch.Command) {
-	switch cmd := cmd.(type) {
-	case dispatch.Grant:
-		c.granted(nil, cmd.Key.Ticket, reply{server: cmd.Server, waited: cmd.Waited, inputs: cmd.Inputs, alone: true})
-	case dispatch.Refuse:
-		c.refused(cmd.Key.Ticket, Refused{Reason: cmd.Reason, Later: cmd.Later, Inputs: cmd.Inputs, Alone: true})
-	case dispatch.Yield:
-		c.yield(cmd.Key.Ticket)
-	}
-}
-
 // ReasonOf returns why an ask was refused.
 func ReasonOf(err error) (r *Refused, ok bool) {
 	return r, errors.As(err, &r)
--- a/verbenad/internal/view/view.go
+++ b/verbenad/internal/view/view.go
@@ -111,7 +111,7 @@
 		if k.direct() || k.fed(ctx) {
 			break
 		}
-		sleep(ctx, feedWait/10)
+		clock.Sleep(ctx, feedWait/10)
 	}
 	for ctx.Err() == nil {
 		if k.fed(ctx) {
@@ -155,7 +155,7 @@
 				stop()
 				return
 			}
-			sleep(reading, feedWait/3)
+			clock.Sleep(reading, feedWait/3)
 		}
 	}()
 	err = k.step(reading)
@@ -218,7 +218,7 @@
 	if k.direct != nil && k.direct() {
 		span, between = passingWait, passingGather
 	}
-	sleep(ctx, between-k.clock.Now().Sub(k.last))
+	clock.Sleep(ctx, between-k.clock.Now().Sub(k.last))
 	k.last = k.clock.Now()
 	if len(k.missing) > 0 {
 		span = max(50*time.Millisecond, returnTime-k.clock.Now().Sub(k.back))
@@ -278,15 +278,3 @@
 		k.changed(k.all, k.at)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/verbenad/internal/view/view_test.go
+++ b/verbenad/internal/view/view_test.go
@@ -120,7 +120,7 @@
 func (f *fed) Wait(ctx context.Context, _ objects.Kind, after objects.Revision, _ time.Duration) (
 	all map[string]objects.Object, at objects.Revision, changed, fresh bool,
 ) {
-	sleep(ctx, time.Millisecond)
+	clock.Sleep(ctx, time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.all, f.at, f.at > after, f.fresh
