perf: servers are read from the store only after 2 s without another host's news

Cause: after all processes of 300 hosts were killed, each host listed 3,000 servers (7 pages) within half a second of its start, beside the owners' own reads; service was back after 30 s or more.

--- a/verbenad/internal/host/world.go
+++ b/verbenad/internal/host/world.go
@@ -103,8 +103,11 @@
 }
 
 const (
-	// feedPatience is how long a host that starts waits for others to tell it what they know.
-	feedPatience = 500 * time.Millisecond
+	// feedPatience is how long a host without news of others waits for them before it reads the configuration.
+	feedPatience = 300 * time.Millisecond
+	// serversPatience is the same for the servers, which a host needs only while it decides alone. With
+	// thousands of servers a listing is many calls; a server that leaves serves on for as long.
+	serversPatience = 2 * time.Second
 	// firstPatience is the same at the start of the whole fleet, when owners are still to be found.
 	firstPatience = 4 * time.Second
 )
@@ -118,6 +121,8 @@
 		patience = 0
 	case k.world.Settings.First:
 		patience = firstPatience
+	case kind == k.world.Source.ServerKind():
+		patience = serversPatience
 	}
 	changed := func(all map[string]objects.Object, at objects.Revision) {
 		k.news.Publish(kind, all, at)
--- a/verbenad/internal/view/view.go
+++ b/verbenad/internal/view/view.go
@@ -44,8 +44,9 @@
 	// feed is another host's knowledge, used in place of the store's unless direct says otherwise.
 	feed   Feed
 	direct func() bool
-	// patience is how long the first state is awaited from another host.
+	// patience is how long another host's news are awaited before the store is read.
 	patience time.Duration
+	unfed    time.Time
 	last     time.Time
 	// lenient keeps entries that are missing after an outage until they had the time to come back.
 	lenient bool
@@ -76,7 +77,7 @@
 }
 
 // Through uses another host's knowledge except while direct holds: then this host passes its own on.
-// The first state is awaited from it for the given time.
+// Without its news the store is read after the given time.
 func Through(f Feed, direct func() bool, patience time.Duration) Option {
 	return func(k *Kind) { k.feed, k.direct, k.patience = f, direct, patience }
 }
@@ -107,14 +108,14 @@
 
 // Run follows the kind until the context ends.
 func (k *Kind) Run(ctx context.Context) {
-	for end := k.clock.Now().Add(k.patience); k.clock.Now().Before(end) && ctx.Err() == nil; {
-		if k.direct() || k.fed(ctx) {
-			break
-		}
-		clock.Sleep(ctx, feedWait/10)
-	}
+	k.unfed = k.clock.Now()
 	for ctx.Err() == nil {
 		if k.fed(ctx) {
+			k.unfed = k.clock.Now()
+			continue
+		}
+		if k.feed != nil && !k.direct() && k.clock.Now().Sub(k.unfed) < k.patience {
+			clock.Sleep(ctx, feedWait/10)
 			continue
 		}
 		if !k.gate.Enter(ctx) {
