fix: the long wait of a first start holds only for the first state

Cause: seen on reading the last change: a process of the fleet's first start would have waited 4 s for another host's news whenever they stayed away, longer than a configuration may take. TestLongStartIsNotLongLater fails before.

--- a/verbenad/internal/host/world.go
+++ b/verbenad/internal/host/world.go
@@ -116,19 +116,21 @@
 // host that passes the others on.
 func (k *knowledge) follow(kind objects.Kind, on func(map[string]objects.Object, objects.Revision), options ...view.Option) {
 	patience := feedPatience
-	switch {
-	case kind == owners.KindOwners:
+	switch kind {
+	case owners.KindOwners:
 		patience = 0
-	case k.world.Settings.First:
-		patience = firstPatience
-	case kind == k.world.Source.ServerKind():
+	case k.world.Source.ServerKind():
 		patience = serversPatience
 	}
+	starting := patience
+	if k.world.Settings.First && kind != owners.KindOwners {
+		starting = firstPatience
+	}
 	changed := func(all map[string]objects.Object, at objects.Revision) {
 		k.news.Publish(kind, all, at)
 		on(all, at)
 	}
-	options = append(options, view.Through(k.feed, k.direct, patience))
+	options = append(options, view.Through(k.feed, k.direct, starting, patience))
 	k.kinds[kind] = view.NewKind(kind, k.world.Store, clock.System{}, k.gate, changed, options...)
 }
 
--- a/verbenad/internal/view/view.go
+++ b/verbenad/internal/view/view.go
@@ -44,7 +44,9 @@
 	// feed is another host's knowledge, used in place of the store's unless direct says otherwise.
 	feed   Feed
 	direct func() bool
-	// patience is how long another host's news are awaited before the store is read.
+	// starting is how long another host's news are awaited for the first state before the store is read,
+	// patience how long when they stay away later.
+	starting time.Duration
 	patience time.Duration
 	unfed    time.Time
 	last     time.Time
@@ -77,9 +79,9 @@
 }
 
 // Through uses another host's knowledge except while direct holds: then this host passes its own on.
-// Without its news the store is read after the given time.
-func Through(f Feed, direct func() bool, patience time.Duration) Option {
-	return func(k *Kind) { k.feed, k.direct, k.patience = f, direct, patience }
+// Without its news the store is read: after one time for the first state, after another one later.
+func Through(f Feed, direct func() bool, starting, patience time.Duration) Option {
+	return func(k *Kind) { k.feed, k.direct, k.starting, k.patience = f, direct, starting, patience }
 }
 
 // NewKind returns a follower of a kind.
@@ -114,7 +116,7 @@
 			k.unfed = k.clock.Now()
 			continue
 		}
-		if k.feed != nil && !k.direct() && k.clock.Now().Sub(k.unfed) < k.patience {
+		if k.waitsForNews() {
 			clock.Sleep(ctx, feedWait/10)
 			continue
 		}
@@ -139,6 +141,18 @@
 	}
 }
 
+// waitsForNews tells whether another host's news may still come before the store has to be read.
+func (k *Kind) waitsForNews() bool {
+	if k.feed == nil || k.direct() {
+		return false
+	}
+	patience := k.patience
+	if !k.listed && k.at == 0 {
+		patience = k.starting
+	}
+	return k.clock.Now().Sub(k.unfed) < patience
+}
+
 // stepUnlessFed reads the store, but leaves off when another host has newer news: a watch that the
 // store forgot would hold them up.
 func (k *Kind) stepUnlessFed(ctx context.Context) (overtaken bool, err error) {
--- a/verbenad/internal/view/view_test.go
+++ b/verbenad/internal/view/view_test.go
@@ -141,19 +141,31 @@
 	create(t, s, "direct")
 	var f fed
 	f.set(5, true, "fed")
-	got := follow(t, s, Through(&f, func() bool { return false }, 0))
+	got := follow(t, s, Through(&f, func() bool { return false }, 0, 0))
 	eventually(t, "the feed is used", func() bool { return got.has("fed") })
 	qt.Assert(t, s.Calls("list")+s.Calls("watch"), qt.Equals, 0)
 	f.set(5, false)
 	eventually(t, "the store is used", func() bool { return s.Calls("watch") > 0 })
 }
 
+// TestLongStartIsNotLongLater: the time for which the first state is awaited doesn't hold up later reads.
+func TestLongStartIsNotLongLater(t *testing.T) {
+	s := memory.New()
+	create(t, s, "direct")
+	var f fed
+	f.set(5, true, "fed")
+	got := follow(t, s, Through(&f, func() bool { return false }, time.Hour, 20*time.Millisecond))
+	eventually(t, "the feed is used", func() bool { return got.has("fed") })
+	f.set(5, false)
+	eventually(t, "the store is used", func() bool { return s.Calls("watch") > 0 })
+}
+
 // TestNewerFeedEndsHangingWatch: a watch that the store forgot doesn't hold up what another host knows.
 func TestNewerFeedEndsHangingWatch(t *testing.T) {
 	s := memory.New()
 	create(t, s, "a")
 	var f fed
-	got := follow(t, s, Through(&f, func() bool { return false }, 0))
+	got := follow(t, s, Through(&f, func() bool { return false }, 0, 0))
 	eventually(t, "a is listed", func() bool { return got.has("a") })
 	eventually(t, "a watch waits", func() bool { return s.Calls("watch") > 0 })
 	begin := time.Now()
