fix: results are shown, and called absent, only while the lease holds

Cause: a write of results that waited for the store took effect after the lease was broken and the successor had read the shard; its writer showed them all the same, the successor had nothing at their positions until it wrote there itself.

Tests: TestResultsOfFormerOwnerStayHidden, TestFormerOwnerGivesNoEmptyRead, failing first.

Conclusion: whatever a caller may come to rely on is told only after the lease is seen to hold.

--- a/verbenad/internal/bulk/answer.go
+++ b/verbenad/internal/bulk/answer.go
@@ -90,18 +90,30 @@
 	reply   bulk.Reply
 	changed <-chan struct{}
 	open    bool
+	// held tells that no successor can have made more results visible.
+	held bool
+}
+
+// answer returns what may be said. That there is nothing at a position yet is for the only owner to
+// say: a former one doesn't know what its successor has shown.
+func (v readView) answer() bulk.Reply {
+	if len(v.reply.Results) == 0 && !v.held {
+		return unavailable
+	}
+	return v.reply
 }
 
 func (o *Owner) readResults(ctx context.Context, q hostlink.JobsCall) bulk.Reply {
 	wait := time.NewTimer(q.Call.Wait)
 	defer wait.Stop()
+	over := q.Call.Wait <= 0
 	for {
 		v, ok := ask(ctx, o, func() (v readView) {
 			v.lookup = o.find(q)
 			if r := v.record; r != nil {
 				v.reply = bulk.Reply{Code: bulk.Done, Total: len(r.Job.Items)}
 				v.reply.Results, v.reply.Next = r.Slice(q.Call.After, readBytes)
-				v.changed, v.open = r.Changed(), r.Open()
+				v.changed, v.open, v.held = r.Changed(), r.Open(), o.holds(q.Shard)
 			}
 			return v
 		})
@@ -111,15 +123,15 @@
 		if v.record == nil {
 			return v.missing()
 		}
-		if len(v.reply.Results) > 0 || !v.open || q.Call.Wait <= 0 {
-			return v.reply
+		if len(v.reply.Results) > 0 || !v.open || over {
+			return v.answer()
 		}
 		select {
 		case <-v.changed:
 		case <-wait.C:
-			return v.reply
+			over = true // once more: the lease may have gone meanwhile
 		case <-ctx.Done():
-			return v.reply
+			return unavailable
 		}
 	}
 }
--- a/verbenad/internal/bulk/commit.go
+++ b/verbenad/internal/bulk/commit.go
@@ -55,6 +55,9 @@
 		delete(o.commits, r.Job.ID)
 		return
 	}
+	if !o.holds(r.Shard) {
+		return // the results wait for the lease or for the shard to be given up
+	}
 	if !r.Finished() && now.Sub(c.since) < commitAfter && r.Job.Due.Sub(now) > commitBeforeDue {
 		return
 	}
@@ -118,6 +121,12 @@
 		log.WithError(err).WithFields(log.Fields{"job": r.Job.ID, "segment": number, "results": len(r.Pending)}).Warn("results not written yet")
 		return
 	}
+	if !o.holds(r.Shard) {
+		// A successor may have listed the segments before this one took effect, so it isn't shown. If nobody
+		// broke the lease, the next write finds it in its place.
+		log.WithFields(log.Fields{"job": r.Job.ID, "segment": number, "owns_shard": false, "outcome": "hidden"}).Warn("results written without the lease")
+		return
+	}
 	c.pause = 0
 	c.since = o.clock.Now()
 	if r.Segments == number {
--- a/verbenad/internal/bulk/owner_test.go
+++ b/verbenad/internal/bulk/owner_test.go
@@ -210,3 +210,56 @@
 	r.Assert(r.call(bulk.Call{Op: bulk.Body, Job: "a", Item: "aa"}).Code, qt.Equals, bulk.Missing)
 	r.Assert(newRig(t, r.store).call(bulk.Call{Op: bulk.Body, Job: "a", Item: "aa"}).Code, qt.Equals, bulk.Missing)
 }
+
+// TestFormerOwnerGivesNoEmptyRead: results that a successor made visible are not in a former owner's log,
+// so only the shard's owner says that there is nothing at a position yet.
+func TestFormerOwnerGivesNoEmptyRead(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.Assert(r.submit(job(2, 10)), qt.Equals, bulk.Done)
+	r.Assert(r.call(bulk.Call{Op: bulk.Read, Job: "a"}).Code, qt.Equals, bulk.Done)
+	r.lease.lost.Store(true)
+	r.Assert(r.call(bulk.Call{Op: bulk.Read, Job: "a"}).Code, qt.Equals, bulk.Unavailable)
+	// A read that has waited asks for the lease when it answers, not when it came.
+	r.lease.lost.Store(false)
+	time.AfterFunc(50*time.Millisecond, func() { r.lease.lost.Store(true) })
+	r.Assert(r.call(bulk.Call{Op: bulk.Read, Job: "a", Wait: 200 * time.Millisecond}).Code, qt.Equals, bulk.Unavailable)
+}
+
+// TestResultsOfFormerOwnerStayHidden: a successor may have listed the results before a write took effect,
+// so its writer shows them only while nobody else can own the shard.
+func TestResultsOfFormerOwnerStayHidden(t *testing.T) {
+	r := newRig(t, memory.New())
+	r.Assert(r.submit(job(2, 10)), qt.Equals, bulk.Done)
+	r.store.SetFault(func(op memory.Op) memory.Fault {
+		if op.Verb == "create" {
+			r.lease.lost.Store(true)
+		}
+		return memory.None
+	})
+	r.finish("aa")
+	r.eventually(func() bool { return r.written() == 1 })
+	time.Sleep(2 * retryAfter)
+	reply := r.call(bulk.Call{Op: bulk.Read, Job: "a"})
+	r.Assert(reply.Results, qt.HasLen, 0)
+	r.Assert(reply.Code, qt.Equals, bulk.Unavailable)
+	// Nobody broke the lease: the same results become visible, once.
+	r.store.SetFault(nil)
+	r.lease.lost.Store(false)
+	r.eventually(func() bool { return len(r.call(bulk.Call{Op: bulk.Read, Job: "a"}).Results) == 1 })
+	r.Assert(r.written(), qt.Equals, 1)
+}
+
+// finish gives an item a result as its run would.
+func (r *rig) finish(item bulk.ItemID) {
+	r.owner.post(func() {
+		record, _ := r.owner.ledger.Job("a", "w")
+		r.owner.finish(record, bulk.Result{Item: item, State: bulk.Completed, Output: "x"})
+	})
+}
+
+// written counts the segments in the store.
+func (r *rig) written() int {
+	l, err := r.store.List(context.Background(), kindResults(3), false)
+	r.Assert(err, qt.IsNil)
+	return len(l.Objects)
+}
