fix: a crash report that meets a moving shard is given again

Ruled out: the engine stand-in (it cuts once by design), the second attempt (none was made). Now the report is given again for a second, which outlasts a move; a lost owner's lease still fails the request.

--- a/verbenad/internal/backend/runner.go
+++ b/verbenad/internal/backend/runner.go
@@ -172,14 +172,16 @@
 
 // reportCrash tells the fleet of the crash before the caller can send again.
 func (x *execution) reportCrash(ctx context.Context, routed core.Routed) *refusal.Refusal {
-	cmd, err := x.runner.loop.Ask(context.WithoutCancel(ctx), func(t core.Ticket) core.Event {
-		return core.CrashSeen{Ticket: t, Workspace: x.job.Workspace, Fingerprint: x.job.Fingerprint, Backend: routed.Server.ID}
+	judged, err := settled(context.WithoutCancel(ctx), func(ctx context.Context) (core.Judged, error) {
+		cmd, err := x.runner.loop.Ask(ctx, func(t core.Ticket) core.Event {
+			return core.CrashSeen{Ticket: t, Workspace: x.job.Workspace, Fingerprint: x.job.Fingerprint, Backend: routed.Server.ID}
+		})
+		judged, _ := cmd.(core.Judged)
+		return judged, err
 	})
-	if err != nil {
-		return x.failure(refusal.BackendFailed)
-	}
-	judged, _ := cmd.(core.Judged)
 	switch {
+	case err != nil:
+		return x.failure(refusal.BackendFailed)
 	case judged.Verdict == poison.Poisonous:
 		r := refusal.New(refusal.Poisonous, 0, "this request has taken down %d backend servers and isn't run again", poison.MaxBackends)
 		return r.WithRun(refusal.Ran)
