feat: metrics by route, service, server and outcome; a rate for each kind of line

Added: verbenad_requests_total by route, service, outcome and reason; verbenad_sends_total by service, server and outcome; first byte and slot wait by service; gauges for slots, use, batch, waiting, servers and ejected ones of each service at the dispatcher and at a host alone; age of each view; shards, open jobs and items by state. Families keep within a number of series; the rest counts as "other".

Lines: each kind has half of a second's lines, so that a flood of requests doesn't crowd out the lines that say why some failed; what is left out is counted by kind and said.

--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -75,6 +75,27 @@
 	Failed
 )
 
+// String names the verdict for metrics.
+func (v Verdict) String() string {
+	switch v {
+	case Served:
+		return "served"
+	case Left:
+		return "left"
+	case Full:
+		return "full"
+	case Gone:
+		return "gone"
+	case Unreachable:
+		return "unreachable"
+	case Broken:
+		return "broken"
+	case Failed:
+		return "failed"
+	}
+	return "unknown"
+}
+
 // Outcome tells the end of a send.
 type Outcome struct {
 	Ticket  Ticket  `cbor:"1,keyasint"`
--- a/verbenad/cmd/platform.go
+++ b/verbenad/cmd/platform.go
@@ -34,7 +34,8 @@
 	}
 	lines := logs.NewWriter(os.Stdout)
 	defer lines.Close()
-	log.Log = (&log.Logger{Handler: json.New(lines), Level: log.InfoLevel}).WithField("host", s.Host)
+	limited := logs.NewLimiter(json.New(lines), clock.System{})
+	log.Log = (&log.Logger{Handler: limited, Level: log.InfoLevel}).WithField("host", s.Host)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go reloadOnHangup(ctx, s)
--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -55,6 +55,7 @@
 	commits map[ids.JobID]*commit
 	submits map[ids.JobID]*submission
 	kept    time.Duration
+	shown   time.Time
 }
 
 // Protocol spells the requests of items.
@@ -152,6 +153,7 @@
 			o.expire(now, r)
 		}
 	}
+	o.show(now)
 	o.start()
 }
 
--- a/verbenad/internal/entry/answer.go
+++ b/verbenad/internal/entry/answer.go
@@ -75,7 +75,7 @@
 		length = int(a.Length)
 	}
 	h.head(q, a.Status, a.Header, length)
-	firstByte.Update(h.clock.Now().Sub(q.start).Seconds())
+	firstByte.With(string(q.service)).Update(h.clock.Now().Sub(q.start).Seconds())
 	_, _ = q.w.Write(body) // the caller may be gone; its server closes the connection
 	o.Verdict, o.Units, o.Elapsed = dispatch.Served, plainUnits, a.First
 	if a.Status >= http.StatusInternalServerError {
@@ -144,7 +144,7 @@
 		return
 	}
 	j.started = true
-	firstByte.Update(h.clock.Now().Sub(q.start).Seconds())
+	firstByte.With(string(q.service)).Update(h.clock.Now().Sub(q.start).Seconds())
 	h.head(q, a.Status, a.Header, -1)
 }
 
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -74,7 +74,7 @@
 		}
 		j.server, j.alone, j.inputs = lease.Server.ID, lease.Alone, lease.Inputs
 		j.waited += lease.Waited
-		waited.Update(lease.Waited.Seconds())
+		waited.With(string(q.service)).Update(lease.Waited.Seconds())
 		h.placed(q, j)
 		next, outcome := h.attempt(ctx, q, j, lease)
 		h.slots.Release(lease, outcome)
@@ -266,6 +266,7 @@
 	if outcome == "answered" {
 		served.Inc()
 	}
+	requests.With(q.routeName(), string(q.service), outcome, j.reason).Inc()
 	log.WithFields(log.Fields{
 		"request_id": q.call.ID, "route": q.route.Name, "server": j.server, "configuration": q.version,
 		"sends": j.sends, "refusals": j.refusals, "events": j.events, "reason": j.reason, "outcome": outcome,
--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -269,6 +269,7 @@
 // refuse answers a request of which nothing has run.
 func (h *Handler) refuse(q *request, status int, later time.Duration, reason string, inputs ...field) {
 	refused(reason).Inc()
+	requests.With(q.routeName(), string(q.service), "refused", reason).Inc()
 	fields := log.Fields{
 		"request_id": q.call.ID, "status": status, "reason": reason, "retry_after_ms": later.Milliseconds(),
 		"workspace": q.workspaceID(), "configuration": q.version, "held_ms": h.clock.Now().Sub(q.start).Milliseconds(),
@@ -281,6 +282,14 @@
 	h.protocol.Refuse(q.w, status, q.call.ID, later, reason)
 }
 
+// routeName is empty for a request that no route takes.
+func (q *request) routeName() string {
+	if q.route == nil {
+		return ""
+	}
+	return q.route.Name
+}
+
 // fingerprint tells requests with the same caller, path and body.
 func (q *request) fingerprint() uint64 {
 	d := xxhash.New()
--- a/verbenad/internal/host/world.go
+++ b/verbenad/internal/host/world.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -131,7 +132,9 @@
 		on(all, at)
 	}
 	options = append(options, view.Through(k.feed, k.direct, starting, patience))
-	k.kinds[kind] = view.NewKind(kind, k.world.Store, clock.System{}, k.gate, changed, options...)
+	followed := view.NewKind(kind, k.world.Store, clock.System{}, k.gate, changed, options...)
+	k.kinds[kind] = followed
+	metrics.GetOrCreateGauge(fmt.Sprintf("verbenad_view_age_seconds{kind=%q}", kind), func() float64 { return followed.Age().Seconds() })
 }
 
 func (k *knowledge) run(ctx context.Context) {
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -12,6 +12,7 @@
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/dispatch"
 	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbenad/internal/bounded"
 	"verbenaledge.example/verbenad/internal/hostlink"
 	"verbenaledge.example/verbenad/internal/relay"
 )
@@ -36,6 +37,8 @@
 	asksRemote = metrics.NewCounter("verbenad_slot_asks_total{by=\"dispatcher\"}")
 	asksLocal  = metrics.NewCounter("verbenad_slot_asks_total{by=\"host\"}")
 	yields     = metrics.NewCounter("verbenad_slot_yields_total")
+	// A host sends to some 3,000 servers at the two-year size, with a few outcomes each; the busiest are seen first.
+	sends      = bounded.Counters("verbenad_sends_total", 2000, "service", "server", "outcome")
 	linkLosses = metrics.NewCounter("verbenad_dispatcher_losses_total")
 )
 
@@ -214,6 +217,7 @@
 // Release gives a slot back with what was seen of its server.
 func (c *Client) Release(l *Lease, o dispatch.Outcome) {
 	o.Ticket = l.ticket
+	sends.With(string(l.Server.Service), string(l.Server.ID), o.Verdict.String()).Inc()
 	c.mu.Lock()
 	h, ok := c.held[l.ticket]
 	delete(c.held, l.ticket)
--- a/verbenad/internal/slots/runner.go
+++ b/verbenad/internal/slots/runner.go
@@ -23,11 +23,16 @@
 	clock   clock.Clock
 	events  chan dispatch.Event
 	emit    func(dispatch.Command)
+	gauges  gauges
 }
 
 // NewRunner returns a runner that hands commands to emit, which must not block. salt is the machine's.
 func NewRunner(c clock.Clock, salt string, emit func(dispatch.Command)) *Runner {
-	return &Runner{machine: dispatch.New(salt), clock: c, events: make(chan dispatch.Event, eventBuffer), emit: emit}
+	by := "host"
+	if salt == "" {
+		by = "dispatcher"
+	}
+	return &Runner{machine: dispatch.New(salt), clock: c, events: make(chan dispatch.Event, eventBuffer), emit: emit, gauges: gauges{by: by}}
 }
 
 // Do applies an event.
@@ -58,7 +63,9 @@
 }
 
 func (r *Runner) apply(e dispatch.Event) {
-	for _, c := range r.machine.Step(r.clock.Now(), e) {
+	now := r.clock.Now()
+	for _, c := range r.machine.Step(now, e) {
 		r.emit(c)
 	}
+	r.gauges.show(now, r.machine)
 }
