refactor: one client for the store

The daemon with settings of its own spoke to the store through a client and a protocol that we had made up, the hosts on the users' platform through the adapter's. Now there is one client, the adapter's; the daemon's view of the store (values under names, marks that settle lost answers, the host list) is a layer over it in verbena/platform, without input or output of its own. The lab's platform stand-in serves the published protocol through platform/standin, over the one store in memory; the other store in memory, its B-tree and the made-up protocol are gone.

Entry points of the programs choose the adapter, nobody else (TestPlatformStaysInItsFolder; it now looks at each program's cmd in the same way). The largest value is 700 kB in place of 1 MB, since values grow in JSON. TestLostAnswers checks what it did, over the new layer; TestNamesAndPrefixes, TestWatch and TestHosts are new.

--- /dev/null
+++ b/verbena/platform/over_test.go
@@ -0,0 +1,128 @@
+package platform_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/backend"
+	objects "verbenaledge.example/verbena/objects/memory"
+	"verbenaledge.example/verbena/platform"
+	"verbenaledge.example/verbena/platform/memory"
+)
+
+// losing makes the answers of the next writes get lost after they have taken effect.
+func losing(s *memory.Store, n int) {
+	s.Objects.SetFault(func(op objects.Op) objects.Fault {
+		if op.Verb == "get" || n == 0 {
+			return objects.None
+		}
+		n--
+		return objects.LoseAnswer
+	})
+}
+
+// TestLostAnswers settles writes whose answers were lost by their marks: this writer's
+// own count as done, another's as a conflict.
+func TestLostAnswers(t *testing.T) {
+	c := qt.New(t)
+	s := memory.New()
+	ctx := context.Background()
+	for lose := range 4 {
+		name := "object/" + strings.Repeat("x", lose+1)
+		losing(s, lose)
+		v, err := s.Create(ctx, name, []byte("one"))
+		c.Assert(err, qt.IsNil)
+		losing(s, lose)
+		v2, err := s.Update(ctx, name, v, []byte("two"))
+		c.Assert(err, qt.IsNil)
+		o, err := s.Get(ctx, name)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(o.Value), qt.Equals, "two")
+		c.Assert(o.Version, qt.Equals, v2)
+		_, err = s.Update(ctx, name, v, []byte("late"))
+		c.Assert(err, qt.ErrorIs, platform.ErrConflict)
+		losing(s, 1)
+		_, err = s.Update(ctx, name, v, []byte("late, and the answer lost"))
+		c.Assert(err, qt.ErrorIs, platform.ErrConflict)
+		losing(s, min(lose, 2))
+		c.Assert(s.Delete(ctx, name, v2), qt.IsNil)
+		_, err = s.Get(ctx, name)
+		c.Assert(err, qt.ErrorIs, platform.ErrNotFound)
+		c.Assert(s.Delete(ctx, name, v2), qt.ErrorIs, platform.ErrNotFound)
+	}
+}
+
+// TestNamesAndPrefixes: names with slashes and tildes come back as they were, under their prefix alone.
+func TestNamesAndPrefixes(t *testing.T) {
+	c := qt.New(t)
+	s := memory.New()
+	ctx := context.Background()
+	for _, name := range []string{"jobs/3/a~1", "jobs/3/b", "jobs/30/c", "leases/h/1"} {
+		_, err := s.Create(ctx, name, []byte(name))
+		c.Assert(err, qt.IsNil)
+		o, err := s.Get(ctx, name)
+		c.Assert(err, qt.IsNil)
+		c.Assert(o.Name, qt.Equals, name)
+		c.Assert(string(o.Value), qt.Equals, name)
+	}
+	l, err := s.List(ctx, "jobs/3/", true)
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Objects, qt.HasLen, 2)
+	c.Assert(l.Objects[0].Name, qt.Equals, "jobs/3/a~1")
+	_, err = s.Create(ctx, "jobs/3/b", nil)
+	c.Assert(err, qt.ErrorIs, platform.ErrConflict)
+	_, err = s.Create(ctx, "jobs/3/large", make([]byte, platform.MaxValueBytes+1))
+	c.Assert(err, qt.ErrorIs, platform.ErrTooLarge)
+}
+
+// TestWatch tells of changes and deletions after a version, and of all once the history is gone.
+func TestWatch(t *testing.T) {
+	c := qt.New(t)
+	s := memory.New()
+	ctx := context.Background()
+	v, err := s.Create(ctx, "config/a", []byte("one"))
+	c.Assert(err, qt.IsNil)
+	l, err := s.Watch(ctx, "config/", 0, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Objects, qt.HasLen, 1)
+	l, err = s.Watch(ctx, "config/", l.Revision, 10*time.Millisecond)
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Objects, qt.HasLen, 0)
+	c.Assert(s.Delete(ctx, "config/a", v), qt.IsNil)
+	l, err = s.Watch(ctx, "config/", v, time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Objects, qt.HasLen, 1)
+	c.Assert(l.Objects[0].Deleted, qt.IsTrue)
+	_, err = s.Create(ctx, "config/b", nil)
+	c.Assert(err, qt.IsNil)
+	s.Objects.Compact()
+	l, err = s.Watch(ctx, "config/", v, time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Objects, qt.HasLen, 1)
+	s.SetDown(true)
+	_, err = s.Watch(ctx, "config/", v, 0)
+	c.Assert(err, qt.ErrorIs, platform.ErrUnavailable)
+}
+
+// TestHosts lists hosts anew only after a change.
+func TestHosts(t *testing.T) {
+	c := qt.New(t)
+	s := memory.New()
+	ctx := context.Background()
+	c.Assert(memory.ListHost(ctx, s.Objects, backend.Server{ID: "a", Address: "127.0.0.1:1"}), qt.IsNil)
+	l, err := s.Hosts(ctx, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Servers, qt.HasLen, 1)
+	same, err := s.Hosts(ctx, l.Version)
+	c.Assert(err, qt.IsNil)
+	c.Assert(same, qt.DeepEquals, platform.HostList{Version: l.Version})
+	c.Assert(memory.ListHost(ctx, s.Objects, backend.Server{ID: "a", Address: "127.0.0.1:2"}), qt.IsNil)
+	next, err := s.Hosts(ctx, l.Version)
+	c.Assert(err, qt.IsNil)
+	c.Assert(next.Servers[0].Address, qt.Equals, "127.0.0.1:2")
+	c.Assert(next.Version > l.Version, qt.IsTrue)
+}
--- a/verbena/platform/store.go
+++ b/verbena/platform/store.go
@@ -1,5 +1,5 @@
-// Package platform speaks to the platform's object API: objects with versions,
-// conditional updates, watches and the host list.
+// Package platform is the daemon's view of the platform's store: values with versions under names,
+// conditional updates, watches and the host list. It speaks through the one client for objects.
 package platform
 
 import (
@@ -10,8 +10,8 @@
 	"verbenaledge.example/verbena/ids"
 )
 
-// MaxValueBytes is the platform's limit for one value, less room for the writer's mark.
-const MaxValueBytes = 1_000_000 - markBytes
+// MaxValueBytes is the most that a value may hold: the store takes 1 MB, and a value grows by a third in JSON.
+const MaxValueBytes = 700_000
 
 // Store is what the daemons and tools need of the platform.
 type Store interface {
--- a/verbenactl/cmd/root.go
+++ b/verbenactl/cmd/root.go
@@ -14,6 +14,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	adapter "verbenaledge.example/platform"
 	"verbenaledge.example/verbena/platform"
 	"verbenaledge.example/verbenactl/internal/daemon"
 )
@@ -113,7 +114,7 @@
 	if global.Platform == "" {
 		return nil, fmt.Errorf("%w: --platform IP:PORT is missing", errUsage)
 	}
-	return platform.NewClient(global.Platform), nil
+	return platform.NewStore(adapter.NewStore(global.Platform)), nil
 }
 
 // daemons returns clients of the daemons that were named, or of all in the host list.
--- a/verbenad/cmd/boundary_test.go
+++ b/verbenad/cmd/boundary_test.go
@@ -20,15 +20,15 @@
 		`portRange|seedNodes|historyTtlS|serializable|hasMore|coldMs)"`)
 
 // TestPlatformStaysInItsFolder: the library and the inside of the daemon don't import the adapter, and
-// the platform's names stand only in it. The fault soak plays the platform, so it imports the stand-ins,
-// and them alone.
+// the platform's names stand only in it. The entry points of the programs choose it. The fault soak plays
+// the platform, so it imports the stand-ins, and them alone.
 func TestPlatformStaysInItsFolder(t *testing.T) {
 	for _, module := range []string{"verbena", "verbenad", "verbenactl", "verbenalab"} {
 		err := filepath.WalkDir(filepath.Join("..", "..", module), func(path string, d fs.DirEntry, err error) error {
 			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") {
 				return err
 			}
-			if !strings.Contains(path, filepath.Join("verbenad", "cmd")) {
+			if !strings.Contains(path, filepath.Join(module, "cmd")) {
 				checkImports(t, path)
 			}
 			if filepath.Base(path) == "boundary_test.go" {
--- a/verbenad/cmd/root.go
+++ b/verbenad/cmd/root.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log/handlers/text"
 	"github.com/jessevdk/go-flags"
 
+	"verbenaledge.example/platform"
 	"verbenaledge.example/verbenad/internal/daemon"
 	"verbenaledge.example/verbenad/internal/settings"
 )
@@ -76,7 +77,7 @@
 	setLog(s.Log)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := daemon.New(s).Run(ctx); err != nil {
+	if err := daemon.New(s, platform.NewStore(s.Platform.Address)).Run(ctx); err != nil {
 		log.WithError(err).Error("stopped by a fault")
 		return ExitFailed
 	}
--- a/verbenad/internal/daemon/daemon.go
+++ b/verbenad/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"verbenaledge.example/verbena/clock"
 	"verbenaledge.example/verbena/core"
 	"verbenaledge.example/verbena/hlc"
+	"verbenaledge.example/verbena/objects"
 	api "verbenaledge.example/verbena/platform"
 	"verbenaledge.example/verbena/timeline"
 	"verbenaledge.example/verbenad/internal/caller"
@@ -29,6 +30,7 @@
 	stamps   *hlc.Clock
 
 	timeline  *timeline.Recorder
+	objects   objects.Client
 	store     api.Store
 	files     *tlsfiles.Files
 	loop      *control.Loop
@@ -41,10 +43,10 @@
 	failed    chan error
 }
 
-// New returns a daemon; Run makes it work.
-func New(s settings.Settings) *Daemon {
+// New returns a daemon before a store; Run makes it work.
+func New(s settings.Settings, o objects.Client) *Daemon {
 	c := clock.System{}
-	return &Daemon{settings: s, clock: c, stamps: hlc.New(c), failed: make(chan error, 8)}
+	return &Daemon{settings: s, objects: o, clock: c, stamps: hlc.New(c), failed: make(chan error, 8)}
 }
 
 // Run serves until the context ends, and then stops without cutting a request.
--- a/verbenad/internal/daemon/steps.go
+++ b/verbenad/internal/daemon/steps.go
@@ -87,8 +87,7 @@
 func (openPlatform) String() string { return "open the platform" }
 
 func (openPlatform) Run(_ context.Context, d *Daemon) error {
-	d.store = api.NewClient(d.settings.Platform.Address,
-		api.WithTimeout(time.Duration(d.settings.Platform.Timeout)), api.WithCallHook(metric.PlatformCall))
+	d.store = api.NewStore(d.objects, api.WithTimeout(time.Duration(d.settings.Platform.Timeout)), api.WithCallHook(metric.PlatformCall))
 	return nil
 }
 
--- a/verbenalab/cmd/platform.go
+++ b/verbenalab/cmd/platform.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 
+	"verbenaledge.example/platform/standin"
+	"verbenaledge.example/verbena/objects/memory"
 	"verbenaledge.example/verbenalab/internal/platform"
 )
 
@@ -14,7 +16,8 @@
 
 // Execute serves until it is interrupted.
 func (c *platformCommand) Execute([]string) error {
-	return serve(c.Listen, platform.NewServer(platform.WithLimits(c.Writes, c.Reads)).Handler())
+	store := memory.New()
+	return serve(c.Listen, platform.NewServer(store, &standin.Store{Store: store}, platform.WithLimits(c.Writes, c.Reads)).Handler())
 }
 
 func serve(address string, h http.Handler) error {
--- a/verbenalab/internal/platform/server.go
+++ b/verbenalab/internal/platform/server.go
@@ -1,38 +1,34 @@
-// Package platform is a small stand-in for the platform's object API.
+// Package platform is a stand-in for the platform as a process: its store, the list of hosts, and pages
+// on which a test tells it what to get wrong.
 package platform
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
-	"slices"
-	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
 
 	"verbenaledge.example/verbena/backend"
-	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/objects"
+	"verbenaledge.example/verbena/objects/memory"
 	api "verbenaledge.example/verbena/platform"
-	"verbenaledge.example/verbena/platform/memory"
+	hosts "verbenaledge.example/verbena/platform/memory"
 )
 
-const maxBodyBytes = 2 << 20
-
-// Server serves an object API from memory and does as it is told by /control.
+// Server serves a store and does as it is told by /control.
 type Server struct {
-	store  *memory.Store
-	writes *rate.Limiter
-	reads  *rate.Limiter
+	store   *memory.Store
+	objects http.Handler
+	writes  *rate.Limiter
+	reads   *rate.Limiter
 
 	mu     sync.Mutex
 	faults Faults
 	calls  map[string]int
-	hosts  map[ids.BackendID]backend.Server
 }
 
 // Option changes how a server is built.
@@ -46,14 +42,14 @@
 	}
 }
 
-// NewServer returns a server with an empty store.
-func NewServer(opts ...Option) *Server {
+// NewServer returns a server of a store that a handler serves by the platform's protocol.
+func NewServer(store *memory.Store, served http.Handler, opts ...Option) *Server {
 	s := &Server{
-		store:  memory.New(),
-		writes: rate.NewLimiter(rate.Inf, 0),
-		reads:  rate.NewLimiter(rate.Inf, 0),
-		calls:  map[string]int{},
-		hosts:  map[ids.BackendID]backend.Server{},
+		store:   store,
+		objects: served,
+		writes:  rate.NewLimiter(rate.Inf, 0),
+		reads:   rate.NewLimiter(rate.Inf, 0),
+		calls:   map[string]int{},
 	}
 	for _, o := range opts {
 		o(s)
@@ -61,15 +57,10 @@
 	return s
 }
 
-// Handler returns the API and the control pages.
+// Handler returns the store and the control pages.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/objects/{name...}", s.guard("get", s.get))
-	mux.HandleFunc("PUT /v1/objects/{name...}", s.guard("write", s.put))
-	mux.HandleFunc("DELETE /v1/objects/{name...}", s.guard("delete", s.remove))
-	mux.HandleFunc("GET /v1/list", s.guard("list", s.list))
-	mux.HandleFunc("GET /v1/watch", s.guard("watch", s.watch))
-	mux.HandleFunc("GET /v1/hosts", s.guard("hosts", s.listHosts))
+	mux.HandleFunc("/", s.guard)
 	mux.HandleFunc("PUT /control/faults", s.setFaults)
 	mux.HandleFunc("PUT /control/hosts/{id}", s.putHost)
 	mux.HandleFunc("DELETE /control/hosts/{id}", s.removeHost)
@@ -78,31 +69,20 @@
 }
 
 // guard counts a call against the limits and applies the faults.
-func (s *Server) guard(op string, next http.HandlerFunc) http.HandlerFunc {
-	limiter := s.reads
-	isWrite := op == "write" || op == "delete"
-	if isWrite {
-		limiter = s.writes
+func (s *Server) guard(w http.ResponseWriter, r *http.Request) {
+	limiter, op := s.writes, strings.ToLower(r.Method)
+	if r.Method == http.MethodGet {
+		limiter = s.reads
 	}
-	return func(w http.ResponseWriter, r *http.Request) {
-		faults := s.count(op)
-		if faults.Slow > 0 {
-			sleep(r.Context(), faults.Slow)
-		}
-		if faults.Down {
-			http.Error(w, "down", http.StatusServiceUnavailable)
-			return
-		}
-		if !limiter.Allow() {
-			http.Error(w, "over the rate limit", http.StatusTooManyRequests)
-			return
-		}
-		if isWrite && s.takeLoss() {
-			next(discard{http.Header{}}, r)
-			panic(http.ErrAbortHandler)
-		}
-		next(w, r)
+	faults := s.count(op)
+	if faults.Slow > 0 {
+		sleep(r.Context(), faults.Slow)
 	}
+	if !limiter.Allow() {
+		http.Error(w, "over the rate limit", http.StatusTooManyRequests)
+		return
+	}
+	s.objects.ServeHTTP(w, r)
 }
 
 func (s *Server) count(op string) Faults {
@@ -112,53 +92,22 @@
 	return s.faults
 }
 
-func (s *Server) takeLoss() bool {
+// fault says what the store does with a call.
+func (s *Server) fault(op memory.Op) memory.Fault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.faults.LoseAnswers == 0 {
-		return false
-	}
-	s.faults.LoseAnswers--
-	return true
-}
-
-func (s *Server) get(w http.ResponseWriter, r *http.Request) {
-	o, err := s.store.Get(r.Context(), r.PathValue("name"))
-	reply(w, o, err)
-}
-
-func (s *Server) put(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		http.Error(w, "value can't be read", http.StatusBadRequest)
-		return
+	switch {
+	case s.faults.Down:
+		return memory.Refuse
+	case s.faults.LoseAnswers > 0 && op.Kind != api.KindHosts && writes[op.Verb]:
+		s.faults.LoseAnswers--
+		return memory.LoseAnswer
 	}
-	v, err := s.store.Put(r.PathValue("name"), number(r, "if_version"), value)
-	reply(w, struct {
-		Version ids.Version `json:"version"`
-	}{v}, err)
+	return memory.None
 }
 
-func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
-	err := s.store.Delete(r.Context(), r.PathValue("name"), number(r, "if_version"))
-	reply(w, struct{}{}, err)
-}
-
-func (s *Server) list(w http.ResponseWriter, r *http.Request) {
-	l, err := s.store.List(r.Context(), r.FormValue("prefix"), r.FormValue("values") == "true")
-	reply(w, l, err)
-}
-
-func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
-	wait := time.Duration(number(r, "wait_ms")) * time.Millisecond
-	l, err := s.store.Watch(r.Context(), r.FormValue("prefix"), number(r, "after"), wait)
-	reply(w, l, err)
-}
-
-func (s *Server) listHosts(w http.ResponseWriter, r *http.Request) {
-	l, err := s.store.Hosts(r.Context(), number(r, "after"))
-	reply(w, l, err)
-}
+// writes are the verbs whose answers can be lost.
+var writes = map[string]bool{"create": true, "replace": true, "status": true, "delete": true}
 
 func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
@@ -169,7 +118,7 @@
 	s.mu.Lock()
 	s.faults = f
 	s.mu.Unlock()
-	s.store.SetDown(f.Down)
+	s.store.SetFault(s.fault)
 }
 
 func (s *Server) putHost(w http.ResponseWriter, r *http.Request) {
@@ -178,60 +127,41 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.mu.Lock()
-	s.hosts[b.ID] = b
-	s.mu.Unlock()
-	s.publishHosts()
+	s.afterLag(func(ctx context.Context) error { return hosts.ListHost(ctx, s.store, b) })
 }
 
 func (s *Server) removeHost(_ http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	delete(s.hosts, ids.BackendID(r.PathValue("id")))
-	s.mu.Unlock()
-	s.publishHosts()
+	id := r.PathValue("id")
+	s.afterLag(func(ctx context.Context) error { return s.store.Delete(ctx, api.KindHosts, id, objects.Revision(0)) })
 }
 
-// publishHosts makes the list of this moment visible after the lag.
-func (s *Server) publishHosts() {
+// changeTime bounds how long a change of the host list waits for the store to be up.
+const changeTime = 30 * time.Second
+
+// afterLag makes a change of the host list visible after the lag.
+func (s *Server) afterLag(change func(context.Context) error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := make([]backend.Server, 0, len(s.hosts))
-	for _, b := range s.hosts {
-		list = append(list, b)
+	lag := s.faults.HostLag
+	s.mu.Unlock()
+	apply := func() {
+		ctx, cancel := context.WithTimeout(context.Background(), changeTime)
+		defer cancel()
+		for change(ctx) != nil && ctx.Err() == nil {
+			sleep(ctx, 50*time.Millisecond) // the store is told to be down
+		}
 	}
-	slices.SortFunc(list, func(x, y backend.Server) int { return cmp.Compare(x.ID, y.ID) })
-	if s.faults.HostLag == 0 {
-		s.store.SetHosts(list)
+	if lag == 0 {
+		apply()
 		return
 	}
-	time.AfterFunc(s.faults.HostLag, func() { s.store.SetHosts(list) })
+	time.AfterFunc(lag, apply)
 }
 
 func (s *Server) showCalls(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reply(w, s.calls, nil)
-}
-
-func reply(w http.ResponseWriter, body any, err error) {
-	switch {
-	case err == nil:
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(body) // the caller has gone if this fails
-	case errors.Is(err, api.ErrNotFound):
-		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, api.ErrConflict):
-		http.Error(w, err.Error(), http.StatusConflict)
-	case errors.Is(err, api.ErrTooLarge):
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
-	default:
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-	}
-}
-
-func number(r *http.Request, name string) ids.Version {
-	n, _ := strconv.ParseUint(r.FormValue(name), 10, 64) // absent stands for 0
-	return ids.Version(n)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.calls) // the caller has gone if this fails
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -240,10 +170,3 @@
 	case <-time.After(d):
 	}
 }
-
-// discard takes an answer that is to be lost.
-type discard struct{ header http.Header }
-
-func (d discard) Header() http.Header         { return d.header }
-func (d discard) Write(p []byte) (int, error) { return len(p), nil }
-func (d discard) WriteHeader(int)             {}
