--- a/verbena/dispatch/script_test.go
+++ b/verbena/dispatch/script_test.go
@@ -1,11 +1,7 @@
 package dispatch
 
 import (
-	"bufio"
 	"fmt"
-	"os"
-	"path/filepath"
-	"sort"
 	"strconv"
 	"strings"
 	"testing"
@@ -15,17 +11,19 @@
 
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/scripted"
 )
 
 // TestScripts replays the loads of testdata: a line an event with its time, and after it a line with
 // "> " for each command that must follow, in any order.
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, len(files) > 0, qt.IsTrue)
-	for _, f := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) { runScript(t, f) })
-	}
+	scripted.Run(t, func() scripted.Step {
+		s := &script{
+			machine: New(""), servers: make(map[ids.BackendID]directory.Server), rates: make(map[ids.WorkspaceID]Rate),
+			start: time.Unix(1000, 0),
+		}
+		return func(t *testing.T, words scripted.Words) []string { return s.step(t, words) }
+	})
 }
 
 type script struct {
@@ -36,40 +34,6 @@
 	now     time.Time
 }
 
-func runScript(t *testing.T, file string) {
-	f, err := os.Open(file)
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { qt.Check(t, f.Close(), qt.IsNil) }()
-	s := &script{
-		machine: New(""), servers: make(map[ids.BackendID]directory.Server), rates: make(map[ids.WorkspaceID]Rate),
-		start: time.Unix(1000, 0),
-	}
-	var got, want []string
-	line, at := 0, ""
-	check := func() {
-		sort.Strings(got)
-		sort.Strings(want)
-		qt.Assert(t, strings.Join(got, "\n"), qt.Equals, strings.Join(want, "\n"), qt.Commentf("%s:%d %s", file, line, at))
-		got, want = nil, nil
-	}
-	lines := bufio.NewScanner(f)
-	for lines.Scan() {
-		line++
-		text := strings.TrimSpace(strings.SplitN(lines.Text(), "#", 2)[0])
-		if text == "" {
-			continue
-		}
-		if w, ok := strings.CutPrefix(text, "> "); ok {
-			want = append(want, w)
-			continue
-		}
-		check()
-		at = text
-		got = s.step(t, strings.Fields(text))
-	}
-	check()
-}
-
 func (s *script) step(t *testing.T, words []string) (got []string) {
 	ms, err := strconv.Atoi(words[0])
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%v", words))
--- /dev/null
+++ b/verbena/gossip/set_test.go
@@ -0,0 +1,62 @@
+package gossip_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"verbenaledge.example/verbena/gossip"
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/scripted"
+)
+
+// host is what one host knows of documents and of its peers.
+type host struct {
+	set     *gossip.Set
+	contact *gossip.Contact
+}
+
+func TestScripts(t *testing.T) {
+	scripted.Run(t, func() scripted.Step {
+		h := &host{set: gossip.NewSet(), contact: gossip.NewContact(3*time.Second, time.Unix(1000, 0))}
+		return h.step
+	})
+}
+
+func (h *host) step(t *testing.T, words scripted.Words) []string {
+	now, name := words.Time(), words.At(2)
+	switch words.At(1) {
+	case "offer":
+		return []string{fmt.Sprint(h.set.Offer(gossip.Document{Name: gossip.Name(name), Version: ids.Version(words.Number(3))}))}
+	case "version":
+		return []string{fmt.Sprint(h.set.Version(gossip.Name(name)))}
+	case "sends":
+		docs := h.set.NewerThan(gossip.Digest{gossip.Name(name): ids.Version(words.Number(3))})
+		list := make([]string, 0, len(docs))
+		for _, d := range docs {
+			list = append(list, fmt.Sprint(d.Name, " ", d.Version))
+		}
+		return list
+	case "wants":
+		return []string{fmt.Sprint(h.set.Wants(gossip.Digest{gossip.Name(name): ids.Version(words.Number(3))}))}
+	case "confirm":
+		h.set.Confirm(now)
+	case "age":
+		return []string{h.set.Age(now).String()}
+	case "peers":
+		peers := make([]ids.HostID, 0, len(words))
+		for _, p := range words[2:] {
+			peers = append(peers, ids.HostID(p))
+		}
+		h.contact.SetPeers(peers, now)
+	case "peer":
+		h.contact.HeardPeer(ids.HostID(name), now)
+	case "platform":
+		h.contact.HeardPlatform(now)
+	case "isolated":
+		return []string{fmt.Sprint(h.contact.Isolated(now))}
+	default:
+		t.Fatalf("%v is unknown", words)
+	}
+	return nil
+}
--- /dev/null
+++ b/verbena/poison/registry_test.go
@@ -0,0 +1,66 @@
+package poison_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/poison"
+	"verbenaledge.example/verbena/scripted"
+)
+
+var verdicts = map[poison.Verdict]string{poison.Clean: "clean", poison.Suspect: "suspect", poison.Poisonous: "poisonous"}
+
+func TestScripts(t *testing.T) {
+	scripted.Run(t, func() scripted.Step {
+		r := poison.NewRegistry()
+		return func(t *testing.T, words scripted.Words) []string {
+			now, f := words.Time(), poison.Fingerprint(words.At(2))
+			switch words.At(1) {
+			case "crash":
+				r.Crashed(now, f, ids.BackendID(words.At(3)))
+			case "heard":
+				rec := poison.Record{Fingerprint: f}
+				for _, b := range words[3:] {
+					rec.Backends = append(rec.Backends, ids.BackendID(b))
+				}
+				r.Merge(now, rec)
+			case "clear":
+				return []string{fmt.Sprint(r.Cleared(f))}
+			case "judge":
+				return []string{verdicts[r.Judge(now, f)]}
+			default:
+				t.Fatalf("%v is unknown", words)
+			}
+			return nil
+		}
+	})
+}
+
+// TestRegistryIsBounded: with many crashing requests the oldest is forgotten, never the newest.
+func TestRegistryIsBounded(t *testing.T) {
+	c := qt.New(t)
+	r, now := poison.NewRegistry(), time.Unix(1000, 0)
+	for n := range 5000 {
+		now = now.Add(time.Millisecond)
+		r.Crashed(now, poison.Fingerprint(fmt.Sprint(n)), "b")
+	}
+	c.Assert(r.Len() <= 4096, qt.IsTrue)
+	c.Assert(r.Judge(now, "4999"), qt.Equals, poison.Suspect)
+	c.Assert(r.Judge(now, "0"), qt.Equals, poison.Clean)
+}
+
+// TestFingerprint: the same request has the same one, and another workspace's never does.
+func TestFingerprint(t *testing.T) {
+	c := qt.New(t)
+	f := poison.Of("w", "/x", []byte("body"))
+	c.Assert(poison.Of("w", "/x", []byte("body")), qt.Equals, f)
+	for _, other := range []poison.Fingerprint{poison.Of("v", "/x", []byte("body")), poison.Of("w", "/y", []byte("body")), poison.Of("w", "/xbody", nil)} {
+		c.Assert(other, qt.Not(qt.Equals), f)
+	}
+	c.Assert(strings.Contains(string(f), "body"), qt.IsFalse)
+}
