feat: compare ways of placing requests on a recorded load

verbenalab place plays a recorded load against the decisions that the programs run and a model of the servers, for hosts alone, for peers' counts pushed at a stated age, and for one owner of the slots; with refusal at once and with waiting.

--- /dev/null
+++ b/verbenalab/internal/placing/callers.go
@@ -0,0 +1,173 @@
+package placing
+
+import (
+	"slices"
+	"time"
+
+	"verbenaledge.example/verbena/dispatch"
+	"verbenaledge.example/verbena/ids"
+)
+
+// mostAttempts is how often a caller asks in all.
+const mostAttempts = 5
+
+func sortHosts(list []ids.HostID) { slices.Sort(list) }
+
+// arrive begins a caller's request.
+func (p *play) arrive(a Arrival) {
+	p.result.Requests++
+	r := &request{arrival: a, leaves: a.At + p.setup.Patience}
+	p.attempt(r)
+	p.time.after(p.setup.Patience, func() { p.settle(r, false) })
+}
+
+// settle notes the moment at which a caller knows.
+func (p *play) settle(r *request, answered bool) {
+	if r.settled {
+		return
+	}
+	r.settled = true
+	word := p.time.now - r.arrival.At
+	p.result.Words = append(p.result.Words, word)
+	if !answered {
+		p.result.WordsUnanswered = append(p.result.WordsUnanswered, word)
+		p.giveUp(r)
+		return
+	}
+	p.result.Answered++
+	if word <= p.setup.Objective {
+		p.result.InTime++
+	}
+}
+
+// giveUp takes back what runs or waits for a caller that has gone.
+func (p *play) giveUp(r *request) {
+	for _, a := range p.open() {
+		if a.request == r {
+			p.end(a, dispatch.Outcome{Verdict: dispatch.Left})
+		}
+	}
+}
+
+// open are the asks that run or wait, in a stable order.
+func (p *play) open() (list []*ask) {
+	for _, a := range p.asks {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(x, y *ask) int { return int(x.key.Ticket) - int(y.key.Ticket) })
+	return list
+}
+
+// attempt sends a caller's request once; a refusal says when to come back.
+func (p *play) attempt(r *request) {
+	if r.settled {
+		return
+	}
+	left := r.leaves - p.time.now
+	objective := p.setup.Objective - (p.time.now - r.arrival.At)
+	if p.setup.Waits {
+		objective = left
+	}
+	p.send(&ask{request: r, events: r.arrival.Events, key: p.key(hostOf(r.arrival.Host))}, dispatch.Ask{
+		Objective: objective, Patience: left, Whole: p.setup.Patience, Units: r.arrival.Events,
+	})
+}
+
+func (p *play) key(h ids.HostID) dispatch.Key {
+	p.serial++
+	return dispatch.Key{Host: h, Ticket: p.serial}
+}
+
+func (p *play) send(a *ask, q dispatch.Ask) {
+	q.Ticket, q.Service = a.key.Ticket, service
+	p.asks[a.key] = a
+	p.tell(a.key.Host, dispatch.Asked{Host: a.key.Host, Ask: q})
+}
+
+// item offers a batch item; when it is done or gives way, another takes its place.
+func (p *play) item() {
+	p.send(&ask{events: p.setup.ItemEvents, key: p.key(batchHost)}, dispatch.Ask{
+		Class: dispatch.Batch, Objective: time.Minute, Patience: time.Hour, Units: p.setup.ItemEvents,
+	})
+}
+
+// obey carries a machine's command out.
+func (p *play) obey(c dispatch.Command) {
+	switch c := c.(type) {
+	case dispatch.Grant:
+		p.granted(c)
+	case dispatch.Refuse:
+		p.refused(c)
+	case dispatch.Yield:
+		if a, ok := p.asks[c.Key]; ok {
+			p.cut(a)
+		}
+	case dispatch.Wait:
+	}
+}
+
+func (p *play) granted(c dispatch.Grant) {
+	a, ok := p.asks[c.Key]
+	if !ok {
+		// It was taken back meanwhile: the machine hears of the end that it was told.
+		return
+	}
+	a.server = c.Server.ID
+	p.used[a.key.Host][a.server]++
+	begin := p.time.now
+	a.send = &send{
+		events:  a.events,
+		started: func(time.Duration) { p.started(a) },
+		ended: func(at time.Duration) {
+			p.result.ItemsDone += p.isItem(a)
+			p.end(a, dispatch.Outcome{Verdict: dispatch.Served, Units: a.events, Elapsed: at - begin, First: firstTime})
+			if a.request == nil {
+				p.item()
+			}
+		},
+	}
+	p.servers[a.server].take(&p.time, a.send)
+}
+
+func (p *play) started(a *ask) {
+	if a.request != nil {
+		p.settle(a.request, true)
+	}
+}
+
+func (p *play) isItem(a *ask) int {
+	if a.request == nil {
+		return 1
+	}
+	return 0
+}
+
+func (p *play) refused(c dispatch.Refuse) {
+	a, ok := p.asks[c.Key]
+	if !ok {
+		return
+	}
+	delete(p.asks, c.Key)
+	r := a.request
+	if r == nil {
+		p.item()
+		return
+	}
+	r.attempts++
+	if c.Later <= 0 || r.attempts >= mostAttempts || p.time.now+c.Later >= r.leaves {
+		p.settle(r, false)
+		return
+	}
+	p.time.after(c.Later, func() { p.attempt(r) })
+}
+
+// end takes an ask from its server and tells its machine.
+func (p *play) end(a *ask, o dispatch.Outcome) {
+	delete(p.asks, a.key)
+	if a.send != nil {
+		p.used[a.key.Host][a.server]--
+		p.servers[a.server].leave(&p.time, a.send)
+	}
+	o.Ticket = a.key.Ticket
+	p.tell(a.key.Host, dispatch.Ended{Host: a.key.Host, Outcome: o})
+}
