--- a/verbenalab/cmd/root.go
+++ b/verbenalab/cmd/root.go
@@ -43,6 +43,7 @@
 		{"scale", "Measure what control costs a number of daemons", &scaleCommand{}},
 		{"harm", "Measure online delay without and with a batch beside it", &harmCommand{}},
 		{"soak", "Run the programs under faults and check what is promised", &soakCommand{}},
+		{"recover", "Measure what each trouble costs callers", &recoverCommand{}},
 		{"place", "Compare ways of placing requests on a recorded load", &placeCommand{}},
 		{"demo", "Run a small fleet through a day in a minute", &demoCommand{}},
 	} {
--- a/verbenalab/internal/soak/callers.go
+++ b/verbenalab/internal/soak/callers.go
@@ -77,6 +77,8 @@
 	callers *Callers
 	random  *rand.Rand
 	http    *http.Client
+	// stays tells that it never leaves in the middle.
+	stays bool
 }
 
 func (a *agent) usual() {
@@ -101,11 +103,11 @@
 	a.requestTo(a.callers.town.hosts[a.random.IntN(fronts)], route, key)
 }
 
-func (a *agent) requestTo(h *host, route Route, key string) (status int) {
-	c := Call{ID: fmt.Sprintf("call-%d", a.callers.serial.Add(1)), Route: route, Key: key, Sent: time.Now()}
+func (a *agent) requestTo(h *host, route Route, key string) (c Call) {
+	c = Call{ID: fmt.Sprintf("call-%d", a.callers.serial.Add(1)), Route: route, Key: key, Sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
-	if a.random.IntN(leaveShare) == 0 {
+	if !a.stays && a.random.IntN(leaveShare) == 0 {
 		leave := time.AfterFunc(time.Duration(a.random.IntN(100))*time.Millisecond, cancel)
 		defer leave.Stop()
 	}
@@ -125,7 +127,7 @@
 		c.Life = life
 	}
 	a.callers.journal.call(c)
-	return c.Status
+	return c
 }
 
 func (a *agent) send(
--- a/verbenalab/internal/soak/explain_test.go
+++ b/verbenalab/internal/soak/explain_test.go
@@ -59,9 +59,8 @@
 // until sends requests until one is answered with a status, and returns its id.
 func (a *agent) until(c *qt.C, r Route, status int) string {
 	for end := time.Now().Add(startTime); time.Now().Before(end); {
-		if a.requestTo(a.callers.town.hosts[0], r, keyUsual) == status {
-			list := a.callers.journal.calls
-			return list[len(list)-1].ID
+		if call := a.requestTo(a.callers.town.hosts[0], r, keyUsual); call.Status == status {
+			return call.ID
 		}
 	}
 	c.Fatalf("no answer with status %d", status)
--- /dev/null
+++ b/verbenalab/internal/soak/recover.go
@@ -0,0 +1,136 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// probeCallers send one request each probeEvery, half of them plain and half streams.
+	probeCallers = 10
+	probeEvery   = 200 * time.Millisecond
+	// probeRate is far above what the probes ask.
+	probeRate = 10_000
+	// troubleTime is how long each trouble lasts, afterTime how long is looked at afterwards: a lease is
+	// broken after three seconds and taken over within another.
+	troubleTime = 4 * time.Second
+	afterTime   = 5 * time.Second
+)
+
+// Recovery is what one trouble cost callers.
+type Recovery struct {
+	Kind  Kind
+	Asked int
+	// Lost counts requests without a whole answer, after one more try at the other host.
+	Lost int
+	// FirstSecond is the share that was answered of what was sent in the first second.
+	FirstSecond float64
+	// BackAfter is when the last request that was lost had been sent, after the beginning; 0 if none was.
+	BackAfter time.Duration
+	// Slowest is the longest time to a whole answer.
+	Slowest time.Duration
+}
+
+// Recoveries plays one trouble after another, each alone, beside steady callers.
+func Recoveries(ctx context.Context, o Options, kinds []Kind) (list []Recovery, err error) {
+	o.Rate = probeRate
+	t, err := NewTown(o)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = t.Close() }() // all that it started ends with this process
+	c := &Callers{town: t}
+	for _, k := range kinds {
+		t.heal()
+		if !t.eventually(ctx, startTime, "start", "every host serves", c.serves) {
+			return list, ctx.Err()
+		}
+		list = append(list, t.recovery(ctx, c, k))
+	}
+	return list, ctx.Err()
+}
+
+// probe is a request of a steady caller.
+type probe struct {
+	sent, ended time.Time
+	answered    bool
+}
+
+func (t *Town) recovery(ctx context.Context, c *Callers, k Kind) (r Recovery) {
+	calling, hangUp := context.WithCancel(ctx)
+	var (
+		mu     sync.Mutex
+		probes []probe
+		all    sync.WaitGroup
+		serial atomic.Uint64
+	)
+	for range probeCallers {
+		all.Go(func() {
+			a := &agent{callers: c, stays: true, random: rand.New(rand.NewPCG(t.options.Seed, serial.Add(1))), http: &http.Client{Transport: &http.Transport{}}}
+			defer a.http.CloseIdleConnections()
+			for calling.Err() == nil {
+				p := a.probe()
+				mu.Lock()
+				probes = append(probes, p)
+				mu.Unlock()
+				time.Sleep(time.Until(p.sent.Add(probeEvery)))
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	begin := time.Now()
+	troubles[k].begin(t, 0)
+	time.Sleep(troubleTime)
+	troubles[k].end(t, 0)
+	time.Sleep(afterTime)
+	hangUp()
+	all.Wait()
+	return sum(k, begin, probes)
+}
+
+// probe sends one request, and again to the other host if the first broke it off.
+func (a *agent) probe() (p probe) {
+	p.sent = time.Now()
+	route := []Route{RouteApp, RouteResume}[a.random.IntN(2)]
+	first := a.random.IntN(fronts)
+	for try := range fronts {
+		c := a.requestTo(a.callers.town.hosts[(first+try)%fronts], route, keyUsual)
+		if p.answered = c.Status == http.StatusOK && c.Whole; p.answered || c.Status > 0 {
+			break
+		}
+	}
+	p.ended = time.Now()
+	return p
+}
+
+func sum(k Kind, begin time.Time, probes []probe) (r Recovery) {
+	r.Kind = k
+	first, firstAnswered := 0, 0
+	slices.SortFunc(probes, func(x, y probe) int { return x.sent.Compare(y.sent) })
+	for _, p := range probes {
+		after := p.sent.Sub(begin)
+		if after < 0 {
+			continue
+		}
+		r.Asked++
+		if after < time.Second {
+			first++
+		}
+		if !p.answered {
+			r.Lost++
+			r.BackAfter = after
+			continue
+		}
+		if after < time.Second {
+			firstAnswered++
+		}
+		r.Slowest = max(r.Slowest, p.ended.Sub(p.sent))
+	}
+	r.FirstSecond = float64(firstAnswered) / float64(max(1, first))
+	return r
+}
--- a/verbenalab/internal/soak/run.go
+++ b/verbenalab/internal/soak/run.go
@@ -93,8 +93,8 @@
 	defer a.http.CloseIdleConnections()
 	t.configure(true)
 	t.eventually(ctx, calmTime, "keys", "every host refuses a withdrawn key", func() bool {
-		return a.requestTo(t.hosts[0], RouteApp, keyWithdrawn) == http.StatusUnauthorized &&
-			a.requestTo(t.hosts[1], RouteApp, keyWithdrawn) == http.StatusUnauthorized
+		return a.requestTo(t.hosts[0], RouteApp, keyWithdrawn).Status == http.StatusUnauthorized &&
+			a.requestTo(t.hosts[1], RouteApp, keyWithdrawn).Status == http.StatusUnauthorized
 	})
 	e.CalmFrom = time.Now()
 	for _, job := range c.journal.accepted() {
@@ -132,7 +132,7 @@
 	a.callers.serial.Store(time.Now().UnixNano())
 	defer a.http.CloseIdleConnections()
 	for _, h := range c.town.hosts[:fronts] {
-		if a.requestTo(h, RouteApp, keyUsual) != http.StatusOK || a.read(h, "none", 0).Status != http.StatusNotFound {
+		if a.requestTo(h, RouteApp, keyUsual).Status != http.StatusOK || a.read(h, "none", 0).Status != http.StatusNotFound {
 			return false
 		}
 	}
--- a/verbenalab/internal/soak/town.go
+++ b/verbenalab/internal/soak/town.go
@@ -56,6 +56,8 @@
 	Seed          uint64
 	// Length is how long troubles begin.
 	Length time.Duration
+	// Rate is each workspace's requests a second, the usual ones if 0.
+	Rate float64
 	// Subnet is the middle of the loopback addresses of this run, "64.1" for instance; no two runs at once may share it.
 	Subnet string
 }
@@ -196,7 +198,11 @@
 	if !t.withdrawn {
 		keys[keyWithdrawn] = workspaceUsual
 	}
-	return standin.Configuration(t.version, keys, rate)
+	limit := t.options.Rate
+	if limit == 0 {
+		limit = rate
+	}
+	return standin.Configuration(t.version, keys, limit)
 }
 
 // configure writes a newer configuration, without one of the keys from the first withdrawal on.
