fix: at most half of a service's servers are left alone at once

Now the one that would be beyond half goes on with one request at a time. many_ill and lone_ill failed before.

--- a/verbena/dispatch/machine.go
+++ b/verbena/dispatch/machine.go
@@ -190,6 +190,7 @@
 	}
 	m.release(r)
 	r.server.learn(now, o)
+	p.boundEjection(now, r.server)
 	m.suspects.note(now, r.ask.Fingerprint, o.Verdict)
 	if o.Verdict == Served {
 		p.learn(r.ask, now.Sub(r.start), o)
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -22,6 +22,9 @@
 	coldCost = 1.0
 	// reserveShare is how many roots of the number of callers' requests stay free of batch.
 	reserveShare = 0.5
+	// mostEjected is the share of a service's servers that may be left alone at once. When more fail, the
+	// cause is more likely on the way to them or in what is asked, and a service must not be emptied by it.
+	mostEjected = 0.5
 	// slowCost puts servers that are much slower than the fastest behind all others.
 	slowCost = 10.0
 )
@@ -103,6 +106,23 @@
 	return n
 }
 
+// boundEjection takes back a server's ejection if too many others are left alone already. It goes on
+// with one request at a time, as each server that failed.
+func (p *pool) boundEjection(now time.Time, s *server) {
+	if !now.Before(s.ejectedUntil) {
+		return
+	}
+	ejected := 0
+	for _, o := range p.servers {
+		if !o.gone && !o.Draining && now.Before(o.ejectedUntil) {
+			ejected++
+		}
+	}
+	if float64(ejected) > mostEjected*float64(p.alive()) {
+		s.ejectedUntil = time.Time{}
+	}
+}
+
 // survey is what one pass over the servers finds for an ask: with thousands of servers each further
 // pass would cost as much as all else.
 type survey struct {
