--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -166,15 +166,27 @@
 	}
 }
 
-// expire refuses what can't be answered any more before its caller leaves.
+// expire refuses what can't be answered any more before its caller leaves: what has no time left, and
+// what is late already and has too many ahead of it. It is told at once; waiting longer would only keep
+// its caller from knowing.
 func (m *Machine) expire(now time.Time, p *pool) {
 	least := p.firstTime()
+	slots := time.Duration(p.slots(now))
+	ahead := p.online.inTime(now)
 	for i := 0; i < len(p.online); {
 		w := p.online[i]
-		if now.Add(least).Before(w.leave) {
+		wait := time.Duration(0)
+		if now.After(w.due) && slots > 0 {
+			ahead++
+			wait = p.holdTime() * time.Duration(ahead) / slots
+		}
+		if now.Add(least + wait).Before(w.leave) {
 			i++
 			continue
 		}
+		if now.After(w.due) {
+			ahead--
+		}
 		m.drop(w)
 		m.refuse(now, w, TooLate, 0)
 	}
--- a/verbena/dispatch/queue.go
+++ b/verbena/dispatch/queue.go
@@ -58,3 +58,13 @@
 	}
 	return nil
 }
+
+// inTime counts those that can still start in time; they go before all others.
+func (q queue) inTime(now time.Time) (n int) {
+	for _, w := range q {
+		if !now.After(w.due) {
+			n++
+		}
+	}
+	return n
+}
