--- a/verbena/node/settings.go
+++ b/verbena/node/settings.go
@@ -32,9 +32,7 @@
 	// Grace is how long after SIGTERM a process is killed.
 	Grace time.Duration
 	// ResultsKept is how long after its submission a batch job's results stay readable.
-	ResultsKept time.Duration
-	// RateSlack is how many requests beyond its rate a workspace may have in a window.
-	RateSlack       float64
+	ResultsKept     time.Duration
 	StoreAddress    string
 	StoreValueBytes int
 }
--- a/verbenalab/internal/soak/callers.go
+++ b/verbenalab/internal/soak/callers.go
@@ -83,11 +83,11 @@
 
 func (a *agent) usual() {
 	switch n := a.random.IntN(20); {
-	case n < 7:
+	case n < 6:
 		a.request(RouteStream, keyUsual)
-	case n < 12:
+	case n < 10:
 		a.request(RouteResume, keyUsual)
-	case n < 15:
+	case n < 13:
 		a.request(RouteApp, keyUsual)
 	case n < 17:
 		a.request(RouteOnce, keyUsual)
--- a/verbenalab/internal/soak/trouble.go
+++ b/verbenalab/internal/soak/trouble.go
@@ -25,7 +25,7 @@
 	// slowBy is how much each piece is delayed on a slow link.
 	slowBy = 120 * time.Millisecond
 	// faultyShare is one in how many requests a faulty server harms, and calls a faulty store.
-	faultyShare = 3
+	faultyShare = 2
 )
 
 // none ends a trouble that is over at once.
