fix: a leaving host stops acting before its units are others'

TestLeavingHostActsForNobody failed before ("jobs-00").

Now the leaving host hands over itself and acts for nothing from before its write until the outcome is known.

Ruled out: broken leases (the holder stops 0.5 s before its lease can be broken), late writes (TestLostHandOver).

--- a/verbena/ownership/ownership.go
+++ b/verbena/ownership/ownership.go
@@ -103,7 +103,8 @@
 }
 
 // Plan returns the map that should hold, and whether it differs from the one that does. The first
-// live host by name writes it; the others take its place when its lease is gone.
+// live host by name writes it; the others take its place when its lease is gone. A host that leaves keeps
+// its units until it hands them over itself: nobody else knows when it has stopped acting for them.
 func (w *Watcher) Plan(current Map) (next Map, changed bool) {
 	hosts := w.takers()
 	if len(hosts) == 0 || w.first() != w.self {
@@ -113,7 +114,7 @@
 	count := make(map[ids.HostID]int, len(hosts))
 	for _, u := range w.units {
 		o, ok := current.Units[u]
-		if s, live := w.seen[o.Host]; ok && live && !s.Lease.Leaving {
+		if s, live := w.seen[o.Host]; ok && live {
 			next.Units[u] = Owner{Host: o.Host, Address: s.Lease.Address, Epoch: o.Epoch}
 			count[o.Host]++
 		}
@@ -129,6 +130,38 @@
 	return next, !equal(current, next)
 }
 
+// HandOver returns the map in which this host's units are others', and whether there are any. The host
+// must have stopped acting for them before it writes this map.
+func (w *Watcher) HandOver(current Map) (next Map, changed bool) {
+	var hosts []ids.HostID
+	for _, h := range w.takers() {
+		if h != w.self {
+			hosts = append(hosts, h)
+		}
+	}
+	if len(hosts) == 0 {
+		return current, false
+	}
+	count := make(map[ids.HostID]int, len(hosts))
+	for _, o := range current.Units {
+		count[o.Host]++
+	}
+	next = Map{Units: make(map[Unit]Owner, len(current.Units))}
+	for _, u := range w.units {
+		o, ok := current.Units[u]
+		if ok && o.Host == w.self {
+			host := least(hosts, count)
+			o = Owner{Host: host, Address: w.seen[host].Lease.Address, Epoch: o.Epoch + 1}
+			count[host]++
+			changed = true
+		}
+		if ok {
+			next.Units[u] = o
+		}
+	}
+	return next, changed
+}
+
 // first is the first live host by name.
 func (w *Watcher) first() (host ids.HostID) {
 	for h := range w.seen {
--- a/verbenad/internal/owners/keeper.go
+++ b/verbenad/internal/owners/keeper.go
@@ -39,11 +39,13 @@
 	view    *View
 	watcher *ownership.Watcher
 
-	lease    objects.Revision
-	beat     uint64
-	listed   time.Time
-	renewed  atomic.Int64
-	leaving  atomic.Bool
+	lease   objects.Revision
+	beat    uint64
+	listed  time.Time
+	renewed atomic.Int64
+	leaving atomic.Bool
+	// handing is set from before this host writes a map without its units until it knows what became of it.
+	handing  atomic.Bool
 	nudge    chan struct{}
 	acquired bool
 	started  time.Time
@@ -63,10 +65,10 @@
 	return at != 0 && k.boot.Now().Sub(time.Unix(0, at)) < ownership.HoldFor
 }
 
-// Owns tells whether this host may act as a shard's only owner: it is named in the map and its lease
-// holds at this moment.
+// Owns tells whether this host may act as a shard's only owner: it is named in the map, its lease holds
+// at this moment, and it isn't handing its units over.
 func (k *Keeper) Owns(s bulk.Shard) bool {
-	return k.Holds(ownership.Unit(s.Name())) && k.Valid()
+	return !k.handing.Load() && k.Holds(ownership.Unit(s.Name())) && k.Valid()
 }
 
 // Holds tells whether this host owns a unit.
@@ -122,9 +124,47 @@
 	if err := k.look(ctx); err != nil {
 		return err
 	}
+	switch {
+	case k.leaving.Load():
+		return k.handOver(ctx)
+	case k.handing.Load():
+		return k.stay(ctx)
+	}
 	return k.plan(ctx)
 }
 
+// handOver gives this host's units to others. From before the write until its outcome is known the host
+// acts for none of them: a successor may have read the store by then.
+func (k *Keeper) handOver(ctx context.Context) error {
+	current, at := k.view.Map()
+	next, changed := k.watcher.HandOver(current)
+	if !changed || at == 0 {
+		return k.plan(ctx)
+	}
+	before := k.handing.Swap(true)
+	err := k.settleMap(ctx, next, at)
+	if !before && errors.Is(err, objects.ErrRefused) {
+		k.handing.Store(false) // nothing was executed, now or earlier
+	}
+	return err
+}
+
+// stay writes the map as it is, since an earlier write that hands the units over may still take effect.
+// Once the map has another revision it can't.
+func (k *Keeper) stay(ctx context.Context) error {
+	current, at := k.view.Map()
+	return k.settleMap(ctx, current, at)
+}
+
+// settleMap writes a map, and lets the host act again if it knows which one holds.
+func (k *Keeper) settleMap(ctx context.Context, next ownership.Map, at objects.Revision) error {
+	settled, err := k.writeMap(ctx, next, at)
+	if settled {
+		k.handing.Store(false)
+	}
+	return err
+}
+
 // renew writes the lease on the condition that nobody broke it.
 func (k *Keeper) renew(ctx context.Context) error {
 	start := k.boot.Now()
@@ -251,8 +291,14 @@
 	if !changed || at == 0 && k.boot.Now().Sub(k.started) < firstPlan {
 		return nil
 	}
+	_, err := k.writeMap(ctx, next, at)
+	return err
+}
+
+// writeMap writes a map on the condition that nobody else has written one since. settled tells that this
+// host knows the map that holds now, and that this write can't take effect any more.
+func (k *Keeper) writeMap(ctx context.Context, next ownership.Map, at objects.Revision) (settled bool, err error) {
 	var o objects.Object
-	var err error
 	if at == 0 {
 		o, err = k.store.Create(ctx, KindOwners, nameMap, next)
 	} else {
@@ -263,13 +309,15 @@
 		mapsWritten.Inc()
 		log.WithField("revision", o.Revision).Info("map of owners written")
 		k.view.take(o)
-		return nil
+		return true, nil
 	case errors.Is(err, objects.ErrConflict):
 		log.WithField("revision", at).Info("map of owners was written by another host")
-		if o, err := k.store.Get(ctx, KindOwners, nameMap); err == nil {
-			k.view.take(o)
+		o, err := k.store.Get(ctx, KindOwners, nameMap)
+		if err != nil {
+			return false, err
 		}
-		return nil
+		k.view.take(o)
+		return true, nil
 	}
-	return err
+	return false, err
 }
--- a/verbenad/internal/owners/keeper_test.go
+++ b/verbenad/internal/owners/keeper_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"verbenaledge.example/verbena/bulk"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/objects/memory"
 	"verbenaledge.example/verbena/ownership"
@@ -164,3 +165,85 @@
 	c.Assert(b.Empty(), qt.IsTrue)
 	c.Assert(owned(a), qt.Equals, len(AllUnits()))
 }
+
+// TestLeavingHostActsForNobody: a host that leaves hears late of its successors. From the moment at which
+// the map may name another owner it accepts, denies and shows nothing.
+func TestLeavingHostActsForNobody(t *testing.T) {
+	c := qt.New(t)
+	s, m := memory.New(), &manual{now: time.Unix(1000, 0)}
+	a, b := newMember("a", s, m), newMember("b", s, m)
+	for range 4 {
+		round(t, m, s, a, b)
+	}
+	c.Assert(owned(b) > 0, qt.IsTrue)
+	b.Leave(true)
+	for range 5 {
+		m.now = m.now.Add(ownership.RenewEvery)
+		for _, h := range []*member{b, a} {
+			c.Assert(h.round(t.Context()), qt.IsNil)
+			c.Assert(actsWithout(t, s, b), qt.Equals, "")
+		}
+	}
+	o, err := s.Get(t.Context(), KindOwners, nameMap)
+	c.Assert(err, qt.IsNil)
+	a.view.take(o)
+	c.Assert(owned(a), qt.Equals, len(AllUnits()))
+}
+
+// TestLostHandOver: the write that hands units over may take effect without an answer, or late. Until it
+// is settled the host acts for none of them; if it stays after all, nothing can move them any more.
+func TestLostHandOver(t *testing.T) {
+	for _, faults := range [][]memory.Fault{{memory.LoseAnswer}, {memory.LoseCall}, {memory.Refuse}, {memory.LoseAnswer, memory.Refuse}} {
+		c := qt.New(t)
+		s, m := memory.New(), &manual{now: time.Unix(1000, 0)}
+		a, b := newMember("a", s, m), newMember("b", s, m)
+		for range 4 {
+			round(t, m, s, a, b)
+		}
+		writes := 0
+		s.SetFault(func(op memory.Op) memory.Fault {
+			if op.Kind == KindOwners && op.Verb == "replace" {
+				return faults[min(len(faults)-1, writes)]
+			}
+			return memory.None
+		})
+		b.Leave(true)
+		for ; writes < len(faults); writes++ {
+			m.now = m.now.Add(ownership.RenewEvery)
+			_ = b.round(t.Context()) // its write fails
+			c.Assert(actsWithout(t, s, b), qt.Equals, "")
+		}
+		b.Leave(false)
+		_ = b.round(t.Context())
+		c.Assert(actsWithout(t, s, b), qt.Equals, "")
+		s.SetFault(nil)
+		for range 3 {
+			round(t, m, s, a, b)
+			c.Assert(actsWithout(t, s, b), qt.Equals, "")
+		}
+		acts := 0
+		for _, u := range AllUnits() {
+			if b.Holds(u) {
+				c.Assert(b.Valid(), qt.IsTrue, qt.Commentf("it stays, and never acts again"))
+				acts++
+			}
+		}
+		if faults[0] != memory.LoseAnswer {
+			c.Assert(acts > 0, qt.IsTrue)
+		}
+	}
+}
+
+// actsWithout names a shard for which a host acts, though the map names another owner.
+func actsWithout(t *testing.T, s *memory.Store, h *member) string {
+	o, err := s.Get(t.Context(), KindOwners, nameMap)
+	qt.Assert(t, err, qt.IsNil)
+	truth := &View{}
+	truth.take(o)
+	for n := bulk.Shard(0); n < bulk.Shards; n++ {
+		if owner, _ := truth.Owner(ownership.Unit(n.Name())); owner.Host != h.host && h.Owns(n) {
+			return n.Name()
+		}
+	}
+	return ""
+}
