fix: a request to a silent server goes on at another one once it is late

Now a request that may run again, or a stream that may be resumed, goes on at another server when nothing came for its route's objective (at least 0.6 s), within a tenth of the answered requests, so that servers that are all slow don't get everything several times. A request that may run once waits.

Tests: three cases of TestFleetServes, with stand-ins that say nothing or fall silent; the soak plays both.

--- a/verbenad/cmd/fleet_test.go
+++ b/verbenad/cmd/fleet_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -41,19 +40,35 @@
 	seeds   []string
 	stop    []context.CancelFunc
 	serial  atomic.Int64
+	// number tells the fleets of this process apart, hosts counts those of one.
+	number, hosts int
 }
 
 const key = "key-of-w"
 
+// eventsOfStream is the length of each stream.
+const eventsOfStream = 12
+
+// The ports of each host on a loopback address of its own: ports that are found free on a shared address
+// may be taken by an outgoing connection before they are used.
+const (
+	peerPort = 7440 + iota
+	metricsPort
+	callerPort
+	readyPort
+)
+
+var fleets atomic.Int64
+
 // newFleet starts two entry hosts, three storage hosts, three model servers and two plain ones.
 func newFleet(t *testing.T, rate float64) *fleet {
-	f := &fleet{t: t, store: memory.New(), servers: make(map[string]*standin.Server)}
+	f := &fleet{t: t, store: memory.New(), servers: make(map[string]*standin.Server), number: int(fleets.Add(1))}
 	web := httptest.NewServer(&standin.Store{Store: f.store})
 	t.Cleanup(web.Close)
 	f.address = strings.TrimPrefix(web.URL, "http://")
 	qt.Assert(t, standin.Configure(f.store, standin.Configuration(2, map[string]string{key: "w", "key-of-v": "v"}, rate)), qt.IsNil)
 	for n := range 3 {
-		f.addServer(&standin.Server{ID: fmt.Sprintf("llm-%d", n), Service: "llm", Slots: 4, Events: 12})
+		f.addServer(&standin.Server{ID: fmt.Sprintf("llm-%d", n), Service: "llm", Slots: 4, Events: eventsOfStream})
 	}
 	f.pause(2 * time.Millisecond)
 	for n := range 2 {
@@ -79,20 +94,15 @@
 	qt.Assert(f.t, standin.Register(f.store, s, strings.TrimPrefix(web.URL, "http://"), "z", "ready"), qt.IsNil)
 }
 
-func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
-}
-
 func (f *fleet) start(name string, r role) {
+	f.hosts++
+	ip := fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%50, f.number, f.hosts)
 	s := node.Settings{
-		Host: ids.HostID(name), Zone: "z", IP: "127.0.0.1", PeerPort: freePort(f.t), MetricsPort: freePort(f.t), Grace: time.Second,
+		Host: ids.HostID(name), Zone: "z", IP: ip, PeerPort: peerPort, MetricsPort: metricsPort, Grace: time.Second,
 		StoreAddress: f.address, StoreValueBytes: 1 << 20, ResultsKept: time.Minute,
 	}
 	if strings.HasPrefix(name, "front") {
-		s.CallerAddress, s.ReadyAddress = fmt.Sprintf("127.0.0.1:%d", freePort(f.t)), fmt.Sprintf("127.0.0.1:%d", freePort(f.t))
+		s.CallerAddress, s.ReadyAddress = fmt.Sprintf("%s:%d", ip, callerPort), fmt.Sprintf("%s:%d", ip, readyPort)
 		f.fronts = append(f.fronts, s.CallerAddress)
 	}
 	s.Seeds = append([]string(nil), f.seeds...)
@@ -157,9 +167,9 @@
 
 var tokens = standin.Generation()
 
-func stream(id string, events int) string {
+func stream(id string) string {
 	var b strings.Builder
-	for n := 1; n <= events; n++ {
+	for n := 1; n <= eventsOfStream; n++ {
 		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", n, standin.EventText(id, n))
 	}
 	return b.String()
--- a/verbenad/cmd/serves_test.go
+++ b/verbenad/cmd/serves_test.go
@@ -29,7 +29,7 @@
 	c.Run("streams", func(c *qt.C) {
 		r := f.call("POST", "/stream/x", key, tokens, nil)
 		c.Assert(r.err, qt.IsNil)
-		c.Assert(r.body, qt.Equals, stream(r.id, 12))
+		c.Assert(r.body, qt.Equals, stream(r.id))
 	})
 	c.Run("keys", func(c *qt.C) {
 		c.Assert(f.call("GET", "/app/x", "unknown", nil, nil).status, qt.Equals, 401)
@@ -62,14 +62,36 @@
 		f.faults("llm", 1, standin.Cut)
 		r := f.call("POST", "/resume/x", key, tokens, nil)
 		c.Assert(r.err, qt.IsNil)
-		c.Assert(r.body, qt.Equals, stream(r.id, 12))
+		c.Assert(r.body, qt.Equals, stream(r.id))
 		c.Assert(f.ran(r.id), qt.Equals, 2)
 	})
+	c.Run("a request to a silent server goes on elsewhere, once it is late", func(c *qt.C) {
+		f.faults("app", 1, standin.Silent)
+		begin := time.Now()
+		r := f.call("POST", "/app/x", key, nil, []byte("q"))
+		c.Assert(r.status, qt.Equals, 200)
+		c.Assert(f.ran(r.id), qt.Equals, 2)
+		c.Assert(time.Since(begin) < 3*time.Second, qt.IsTrue, qt.Commentf("%s; the route's objective is a second, its time-out five", time.Since(begin)))
+	})
+	c.Run("a stream that falls silent goes on at another server", func(c *qt.C) {
+		f.faults("llm", 1, standin.Stall)
+		begin := time.Now()
+		r := f.call("POST", "/resume/x", key, tokens, nil)
+		c.Assert(r.err, qt.IsNil)
+		c.Assert(r.body, qt.Equals, stream(r.id))
+		c.Assert(time.Since(begin) < 3*time.Second, qt.IsTrue)
+	})
+	c.Run("a request that runs once waits for its silent server", func(c *qt.C) {
+		f.faults("app", 1, standin.Silent)
+		r := f.call("POST", "/once/x", key, nil, []byte("q"))
+		c.Assert(r.status, qt.Equals, 504)
+		c.Assert(f.ran(r.id), qt.Equals, 1)
+	})
 	c.Run("a stream that may not go on doesn't look complete", func(c *qt.C) {
 		f.faults("llm", 1, standin.Cut)
 		r := f.call("POST", "/stream/x", key, tokens, nil)
 		c.Assert(r.err, qt.IsNotNil)
-		c.Assert(strings.HasPrefix(stream(r.id, 12), r.body), qt.IsTrue)
+		c.Assert(strings.HasPrefix(stream(r.id), r.body), qt.IsTrue)
 		c.Assert(f.ran(r.id), qt.Equals, 1)
 	})
 	c.Run("a server's own failure is passed on unchanged", func(c *qt.C) {
--- a/verbenad/internal/entry/answer.go
+++ b/verbenad/internal/entry/answer.go
@@ -103,7 +103,9 @@
 }
 
 // stream passes whole events on as they arrive.
-func (h *Handler) stream(ctx context.Context, q *request, j *journey, a *upstream.Answer, o dispatch.Outcome) (step, dispatch.Outcome) {
+func (h *Handler) stream(
+	ctx context.Context, q *request, j *journey, a *upstream.Answer, o dispatch.Outcome, quiet *silence,
+) (step, dispatch.Outcome) {
 	events := upstream.NewEvents(a)
 	start := h.clock.Now()
 	flusher := http.NewResponseController(q.w)
@@ -115,8 +117,9 @@
 			return finished, o
 		}
 		if err != nil {
-			return h.streamBroken(ctx, q, j, o, err)
+			return h.streamBroken(ctx, q, j, o, err, quiet)
 		}
+		quiet.heard()
 		if !follows(j.lastEvent, upstream.FirstID(batch)) {
 			j.reason = "events_out_of_order"
 			o.Verdict = dispatch.Broken
@@ -148,9 +151,14 @@
 	h.head(q, a.Status, a.Header, -1)
 }
 
-func (h *Handler) streamBroken(ctx context.Context, q *request, j *journey, o dispatch.Outcome, err error) (step, dispatch.Outcome) {
+func (h *Handler) streamBroken(
+	ctx context.Context, q *request, j *journey, o dispatch.Outcome, err error, quiet *silence,
+) (step, dispatch.Outcome) {
 	o.Verdict = dispatch.Broken
 	j.reason = "stream_cut"
+	if quiet.ended.Load() {
+		j.reason = "server_silent"
+	}
 	if errors.Is(err, upstream.ErrLongEvent) {
 		j.reason = "event_too_long"
 		return over, o
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -136,17 +136,19 @@
 
 // attempt sends the request to one server.
 func (h *Handler) attempt(ctx context.Context, q *request, j *journey, l *slots.Lease) (next step, o dispatch.Outcome) {
-	ctx, cancel := context.WithCancel(ctx)
+	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
+	quiet := h.watch(q, j, cancel)
+	defer quiet.over()
 	start := h.clock.Now()
-	answer, err := h.client.Send(ctx, h.protocol, upstream.Request{
+	answer, err := h.client.Send(sending, h.protocol, upstream.Request{
 		ID: q.call.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Body: q.body, Server: l.Server,
 		Header: h.protocol.Forward(q.r.Header, exchange.Send{
 			Server: l.Server.ID, Workspace: q.workspaceID(), Patience: q.deadline.Sub(start), Resume: j.lastEvent,
 		}),
 	})
 	if err != nil {
-		return h.sendFailed(ctx, q, j, err)
+		return h.sendFailed(ctx, q, j, err, quiet)
 	}
 	defer answer.Close()
 	o.First = answer.First
@@ -174,13 +176,14 @@
 		return again, o
 	}
 	if q.route.Kind == catalog.KindStream && answer.Status == http.StatusOK {
-		return h.stream(ctx, q, j, answer, o)
+		return h.stream(ctx, q, j, answer, o, quiet)
 	}
+	quiet.over() // what has begun is read to its end
 	return h.whole(ctx, q, j, answer, o)
 }
 
 // sendFailed says what follows from a send without an answer.
-func (h *Handler) sendFailed(ctx context.Context, q *request, j *journey, err error) (next step, o dispatch.Outcome) {
+func (h *Handler) sendFailed(ctx context.Context, q *request, j *journey, err error, quiet *silence) (next step, o dispatch.Outcome) {
 	var e *upstream.Error
 	if !errors.As(err, &e) {
 		e = &upstream.Error{Ran: upstream.Unknown, Reached: true, Err: err}
@@ -191,6 +194,9 @@
 		j.reason = "answer_lost"
 		o.Verdict = dispatch.Broken
 	}
+	if quiet.ended.Load() {
+		j.reason = "server_silent"
+	}
 	if e.Ran != upstream.NeverLeft {
 		j.sends++
 		j.ran = true
@@ -265,6 +271,7 @@
 func (h *Handler) report(q *request, j *journey, outcome string) {
 	if outcome == "answered" {
 		served.Inc()
+		h.retries.earn()
 	}
 	requests.With(q.routeName(), string(q.service), outcome, j.reason).Inc()
 	log.WithFields(log.Fields{
--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -59,6 +59,7 @@
 	clock    clock.Clock
 	catalog  atomic.Pointer[catalog.Catalog]
 	bodies   *budget
+	retries  *retries
 	stopping atomic.Bool
 	// longest is the longest patience that callers showed, by route: the patience of a first attempt.
 	longest sync.Map
@@ -69,7 +70,7 @@
 	p exchange.Protocol, calls JobCalls, jobs Jobs, s *slots.Client, u *upstream.Client, c clock.Clock, memoryMB int,
 ) *Handler {
 	return &Handler{
-		protocol: p, calls: calls, jobs: jobs, slots: s, client: u, clock: c,
+		protocol: p, calls: calls, jobs: jobs, slots: s, client: u, clock: c, retries: newRetries(),
 		bodies: newBudget(int64(max(16, memoryMB)) << 20 / bodyBudgetShare),
 	}
 }
--- a/verbenalab/internal/soak/trouble.go
+++ b/verbenalab/internal/soak/trouble.go
@@ -64,6 +64,8 @@
 	"server_cuts":    onServer(standin.Cut),
 	"server_foreign": onServer(standin.Foreign),
 	"server_full":    onServer(standin.Full),
+	"server_hangs":   onServer(standin.Silent),
+	"server_stalls":  onServer(standin.Stall),
 	"server_leaves": {
 		servers, func(t *Town, n int) { t.register(n, "draining") }, func(t *Town, n int) { t.register(n, "ready") },
 	},
