--- a/verbenalab/internal/relay/tcp.go
+++ b/verbenalab/internal/relay/tcp.go
@@ -53,8 +53,11 @@
 	r.conns = nil
 }
 
-// Mend lets new connections through again.
+// Mend lets new connections through again. A relay that lost nothing keeps its connections.
 func (r *TCP) Mend() {
+	if Mode(r.mode.Load()) == Open {
+		return
+	}
 	r.drop()
 	r.SetMode(Open)
 }
--- a/verbenalab/internal/soak/soak_test.go
+++ b/verbenalab/internal/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -12,21 +13,27 @@
 // programs is where `make build` puts them.
 const programs = "../../../bin"
 
-// seeds are played in each run of the tests. A seed that ever failed stays, with its cause.
+// seeds are played in each run of the tests. A seed that ever failed and is mended stays, with its cause, for
+// as long as its cause takes.
 var seeds = []struct {
-	seed  uint64
-	cause string
+	name   string
+	seed   uint64
+	length time.Duration
 }{
-	{1, "an ordinary one"},
+	{"ordinary", 1, 4 * time.Second},
+	{"hosts alone gave a workspace too much on a slow link (incident 0005)", 2, 12 * time.Second},
 }
 
-// TestSoak plays a few seconds of trouble with the real programs.
+// TestSoak plays some seconds of trouble with the real programs.
 func TestSoak(t *testing.T) {
 	for n, s := range seeds {
-		r, err := soak.Play(t.Context(), soak.Options{
-			Programs: programs, Dir: t.TempDir(), Seed: s.seed, Length: 4 * time.Second, Subnet: "63." + string(rune('1'+n)),
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			r, err := soak.Play(t.Context(), soak.Options{
+				Programs: programs, Dir: t.TempDir(), Seed: s.seed, Length: s.length, Subnet: fmt.Sprintf("63.%d", 1+n),
+			})
+			qt.Assert(t, err, qt.IsNil, qt.Commentf("are the programs built? `make build`"))
+			qt.Check(t, r.Violations, qt.HasLen, 0, qt.Commentf("seed %d\n%s%v", s.seed, r.Plan, r.Lines))
 		})
-		qt.Assert(t, err, qt.IsNil, qt.Commentf("are the programs built? `make build`"))
-		qt.Check(t, r.Violations, qt.HasLen, 0, qt.Commentf("seed %d\n%s%v", s.seed, r.Plan, r.Lines))
 	}
 }
