--- a/verbenalab/internal/soak/check_rates.go
+++ b/verbenalab/internal/soak/check_rates.go
@@ -15,20 +15,13 @@
 	rateSlack  = 20
 )
 
-// checkRates: in no window do more requests of a workspace run than its rate allows, over all hosts. A
-// request counts once, when it first runs: what a host sends again after a fault is not asked again. Items
-// of batch jobs don't count.
+// checkRates: in no window do more requests of a workspace run than its rate allows, over all hosts. Each
+// run counts, also of a request that a host sends again. Items of batch jobs don't count.
 func checkRates(e *Evidence) (broken []Violation) {
 	most := int((rate*rateWindow.Seconds()+rate)*(1+rateExcess)) + rateSlack
 	times := make(map[string][]time.Time)
-	first := make(map[string]Run)
 	for _, r := range e.Runs {
-		if old, known := first[r.ID]; !known || r.At.Before(old.At) {
-			first[r.ID] = r
-		}
-	}
-	for id, r := range first {
-		if !strings.HasPrefix(id, jobPrefix) {
+		if !strings.HasPrefix(r.ID, jobPrefix) {
 			times[r.Workspace] = append(times[r.Workspace], r.At)
 		}
 	}
