feat: servers that fail some requests, or some hosts only, are used last

Cause: a server was judged by failures in a row over all hosts. One that fails every second or third request never has two in a row for long, and one that a single host can't reach is taken for well again at each answer that the others get from it. Ruled out: leaving such servers alone altogether; at the worst load their slots are needed, and a share of a service's servers that fails everywhere comes from elsewhere. Waiting for another server in place of one that failed this host (a second's pause): hosts of small fleets wait while a restarted server stands idle. Now: the share of failures weighs on a server, callers' requests take the slots of batch on others, a host uses last what failed it. A request that waits for another server holds up nobody behind it.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -32,7 +32,7 @@
 	}
 	w.due = w.due.Add(-p.firstTime())
 	if m.suspects.crashing(e.Ask.Fingerprint) {
-		m.out = append(m.out, Refuse{Key: w.key, Reason: Crashing, Later: clamp(latest, e.Ask.Patience), Inputs: p.inputs(p.pick(now, e.Ask))})
+		m.out = append(m.out, Refuse{Key: w.key, Reason: Crashing, Later: clamp(latest, e.Ask.Patience), Inputs: p.inputs(p.pick(now, w.key.Host, e.Ask))})
 		return
 	}
 	if !m.meter(now, w) {
@@ -42,7 +42,7 @@
 		m.refuse(now, w, NoServer, noServerPause)
 		return
 	}
-	if m.place(now, w) {
+	if placed, _ := m.place(now, w); placed {
 		return
 	}
 	if later, hopeless := m.hopeless(now, p, w); hopeless {
@@ -65,7 +65,7 @@
 		return true
 	}
 	if ok, wait := b.take(now); !ok {
-		m.out = append(m.out, Refuse{Key: w.key, Reason: OverRate, Later: clamp(wait, w.ask.Patience), Inputs: w.p.inputs(w.p.pick(now, w.ask))})
+		m.out = append(m.out, Refuse{Key: w.key, Reason: OverRate, Later: clamp(wait, w.ask.Patience), Inputs: w.p.inputs(w.p.pick(now, w.key.Host, w.ask))})
 		return false
 	}
 	return true
@@ -100,22 +100,28 @@
 
 func (m *Machine) refuse(now time.Time, w *waiter, reason Reason, later time.Duration) {
 	m.giveBack(w.ask)
-	m.out = append(m.out, Refuse{Key: w.key, Reason: reason, Later: later, Inputs: w.p.inputs(w.p.pick(now, w.ask))})
+	m.out = append(m.out, Refuse{Key: w.key, Reason: reason, Later: later, Inputs: w.p.inputs(w.p.pick(now, w.key.Host, w.ask))})
 }
 
-// place starts an online request at once: on a free slot, or on one that a batch item leaves for it.
-func (m *Machine) place(now time.Time, w *waiter) bool {
-	v := w.p.pick(now, w.ask)
+// place starts an online request at once: on a free slot, or on one that a batch item leaves for it. free
+// counts the slots that others may still take.
+func (m *Machine) place(now time.Time, w *waiter) (placed bool, free int) {
+	v := w.p.pick(now, w.key.Host, w.ask)
 	s := v.best
-	if s == nil {
-		r := w.p.victim(now, w.ask)
-		if r == nil {
-			return false
+	if s == nil || s.poor(now) {
+		// Batch items go on elsewhere when a server fails them; for a caller's request that may be too late.
+		if r := w.p.victim(now, w.key.Host, w.ask, s != nil); r != nil {
+			r.yielding = true
+			r.server.yielding++
+			m.out = append(m.out, Yield{Key: r.key})
+			s = r.server
 		}
-		r.yielding = true
-		r.server.yielding++
-		m.out = append(m.out, Yield{Key: r.key})
-		s = r.server
+	}
+	if s == nil {
+		s = v.last
+	}
+	if s == nil {
+		return false, v.free
 	}
 	in := w.p.inputs(v)
 	m.start(now, w, s)
@@ -123,7 +129,7 @@
 		m.absence.add(now, w.key.Host, w.ask.Workspace)
 	}
 	m.out = append(m.out, Grant{Key: w.key, Server: s.Server, Waited: now.Sub(w.since), Inputs: in})
-	return true
+	return true, v.free
 }
 
 func (m *Machine) start(now time.Time, w *waiter, s *server) {
@@ -154,23 +160,46 @@
 func (m *Machine) serve(now time.Time, p *pool) {
 	m.expire(now, p)
 	for len(p.online) > 0 {
-		w := p.online.next(now)
-		if !m.place(now, w) {
+		if !m.serveNext(now, p) {
 			return
 		}
-		m.drop(w)
 	}
 	for len(p.waiting) > 0 {
 		w := p.waiting[0]
-		v := p.pick(now, w.ask)
-		if v.best == nil || v.free <= p.reserve() {
+		v := p.pick(now, w.key.Host, w.ask)
+		s := v.best
+		if s == nil {
+			s = v.last
+		}
+		if s == nil || v.free <= p.reserve() {
 			return
 		}
 		in := p.inputs(v)
 		m.drop(w)
-		m.start(now, w, v.best)
-		m.out = append(m.out, Grant{Key: w.key, Server: v.best.Server, Waited: now.Sub(w.since), Inputs: in})
+		m.start(now, w, s)
+		m.out = append(m.out, Grant{Key: w.key, Server: s.Server, Waited: now.Sub(w.since), Inputs: in})
+	}
+}
+
+// serveNext starts the first that waits, or if the free slots are on servers that it can't use, the next
+// one that can.
+func (m *Machine) serveNext(now time.Time, p *pool) bool {
+	first := p.online.next(now)
+	placed, free := m.place(now, first)
+	if placed {
+		m.drop(first)
+		return true
+	}
+	if free == 0 {
+		return false
+	}
+	for _, w := range p.online.ordered(now) {
+		if placed, _ := m.place(now, w); placed {
+			m.drop(w)
+			return true
+		}
 	}
+	return false
 }
 
 // expire refuses what can't be answered any more before its caller leaves: what has no time left, and
--- a/verbena/dispatch/machine.go
+++ b/verbena/dispatch/machine.go
@@ -208,7 +208,7 @@
 		m.giveBack(r.ask)
 	}
 	m.release(r)
-	r.server.learn(now, o)
+	r.server.learn(now, r.key.Host, o)
 	p.boundEjection(now, r.server)
 	m.suspects.note(now, r.ask.Fingerprint, o.Verdict)
 	if o.Verdict == Served {
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -126,15 +126,19 @@
 // survey is what one pass over the servers finds for an ask: with thousands of servers each further
 // pass would cost as much as all else.
 type survey struct {
-	best  *server
+	best *server
+	// last is one to use when nothing else is left, the batch items' slots neither.
+	last  *server
 	free  int
 	slots int
 }
 
-// pick chooses the cheapest server with a free slot.
-func (p *pool) pick(now time.Time, a Ask) (v survey) {
+// pick chooses the cheapest server with a free slot. Servers that are ill for the host are left out while
+// they are fewer than half: what fails everywhere comes from the host or its way to them.
+func (p *pool) pick(now time.Time, host ids.HostID, a Ask) (v survey) {
 	p.refreshFastest(now)
-	lowest := 0.0
+	var usable, unfit int
+	var best [fitsNot + 1]candidate
 	for _, s := range p.servers {
 		if !s.usable(now) {
 			continue
@@ -142,16 +146,35 @@
 		free := max(0, s.free(now))
 		v.free += free
 		v.slots += s.Slots
+		usable++
+		fits := s.illness.fits(now, host)
+		if fits == fitsNot {
+			unfit++
+		}
 		if free == 0 || excluded(a.Exclude, s.ID) {
 			continue
 		}
-		if c := s.cost(now, a.Zone, p.fastest); v.best == nil || c < lowest {
-			v.best, lowest = s, c
-		}
+		best[fits].better(candidate{s, s.cost(now, a.Zone, p.fastest)})
+	}
+	v.best, v.last = best[fitsWell].server, best[fitsLast].server
+	if v.last == nil && float64(unfit) > mostEjected*float64(usable) {
+		v.last = best[fitsNot].server
 	}
 	return v
 }
 
+// candidate is a server with its cost.
+type candidate struct {
+	server *server
+	cost   float64
+}
+
+func (c *candidate) better(o candidate) {
+	if c.server == nil || o.cost < c.cost {
+		*c = o
+	}
+}
+
 // fastestFor is how long the fastest server is taken to be the same.
 const fastestFor = 100 * time.Millisecond
 
@@ -179,6 +202,7 @@
 		}
 	}
 	c += crowdCost * float64(s.used-s.yielding)
+	c += illnessCost * s.illness.rate(now)
 	if s.Zone != zone {
 		c += crossZoneCost
 	}
@@ -207,19 +231,35 @@
 	return false
 }
 
-// victim chooses the batch item that has the most time left, on a server that the ask may use.
-func (p *pool) victim(now time.Time, a Ask) (victim *run) {
+// victim chooses the batch item that has the most time left, on a server that the ask may use and that
+// serves well, or else, unless sound is set, on any other.
+func (p *pool) victim(now time.Time, host ids.HostID, a Ask, sound bool) (victim *run) {
+	poor := false
 	for _, r := range p.batch {
-		if r.yielding || !r.server.usable(now) || excluded(a.Exclude, r.server.ID) || now.Before(r.server.pausedUntil) {
+		if r.yielding || !r.server.takes(now, host, a) {
+			continue
+		}
+		isPoor := r.server.poor(now)
+		if isPoor && (sound || victim != nil && !poor) {
 			continue
 		}
-		if victim == nil || r.due.After(victim.due) || r.due.Equal(victim.due) && less(r.key, victim.key) {
-			victim = r
+		if victim == nil || poor && !isPoor || r.yieldsBefore(victim) {
+			victim, poor = r, isPoor
 		}
 	}
 	return victim
 }
 
+// takes tells whether a request may be sent to a server whose slot a batch item leaves.
+func (s *server) takes(now time.Time, host ids.HostID, a Ask) bool {
+	return s.usable(now) && !excluded(a.Exclude, s.ID) && !now.Before(s.pausedUntil) && s.illness.fits(now, host) == fitsWell
+}
+
+// yieldsBefore orders batch items by the time they have left.
+func (r *run) yieldsBefore(o *run) bool {
+	return r.due.After(o.due) || r.due.Equal(o.due) && less(r.key, o.key)
+}
+
 func less(a, b Key) bool {
 	if a.Host != b.Host {
 		return a.Host < b.Host
--- a/verbena/dispatch/queue.go
+++ b/verbena/dispatch/queue.go
@@ -59,6 +59,19 @@
 	return nil
 }
 
+// ordered returns what waits: what can still start in time goes first.
+func (q queue) ordered(now time.Time) (all []*waiter) {
+	var late []*waiter
+	for _, w := range q {
+		if now.After(w.due) {
+			late = append(late, w)
+			continue
+		}
+		all = append(all, w)
+	}
+	return append(all, late...)
+}
+
 // inTime counts those that can still start in time; they go before all others.
 func (q queue) inTime(now time.Time) (n int) {
 	for _, w := range q {
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"verbenaledge.example/verbena/directory"
+	"verbenaledge.example/verbena/ids"
 )
 
 const (
@@ -29,6 +30,7 @@
 	failures     int
 	ejectedUntil time.Time
 	pausedUntil  time.Time
+	illness      illness
 	// unit is the moving average of the time for an event; 0 before the first answer.
 	unit float64
 	// first is the moving average of the time to the first byte, in seconds.
@@ -73,11 +75,12 @@
 }
 
 // learn takes the outcome of a send.
-func (s *server) learn(now time.Time, o Outcome) {
+func (s *server) learn(now time.Time, host ids.HostID, o Outcome) {
 	switch o.Verdict {
 	case Served:
 		s.failures = 0
 		s.ejectedUntil = time.Time{}
+		s.illness.served(now, host)
 		if o.Units > 0 && o.Elapsed > 0 {
 			s.unit = average(s.unit, o.Elapsed.Seconds()/float64(o.Units))
 		}
@@ -91,6 +94,7 @@
 	case Unreachable, Broken, Failed:
 		s.failures++
 		s.ejectedUntil = now.Add(ejection(s.failures, o.Verdict))
+		s.illness.failed(now, host, o.Verdict)
 	case Left:
 	}
 }
--- a/verbenalab/internal/placing/callers.go
+++ b/verbenalab/internal/placing/callers.go
@@ -80,6 +80,7 @@
 
 func (p *play) send(a *ask, q dispatch.Ask) {
 	q.Ticket, q.Service = a.key.Ticket, service
+	a.sent = q
 	p.asks[a.key] = a
 	p.tell(a.key.Host, dispatch.Asked{Host: a.key.Host, Ask: q})
 }
@@ -126,9 +127,36 @@
 			}
 		},
 	}
+	if p.fails(a) {
+		a.send.started = func(time.Duration) {} // nothing comes of it
+		p.time.after(firstTime, func() { p.fail(a) })
+	}
 	p.servers[a.server].take(&p.time, a.send)
 }
 
+// fails decides whether a send fails.
+func (p *play) fails(a *ask) bool {
+	s := p.setup
+	if !p.servers[a.server].ill || a.request == nil || s.IllHosts > 0 && a.request.arrival.Host >= s.IllHosts {
+		return false
+	}
+	return p.random.Float64() < s.IllShare
+}
+
+// fail breaks a send; the host sends the request again to another server.
+func (p *play) fail(a *ask) {
+	if p.asks[a.key] != a {
+		return // its caller has left
+	}
+	p.result.Failed++
+	p.end(a, dispatch.Outcome{Verdict: dispatch.Broken})
+	r, q := a.request, a.sent
+	spent := p.time.now - r.arrival.At
+	q.Objective, q.Patience, q.Again = p.setup.Objective-spent, p.setup.Patience-spent, true
+	q.Exclude = append(q.Exclude[:len(q.Exclude):len(q.Exclude)], a.server)
+	p.send(&ask{request: r, events: a.events, key: p.key(a.key.Host)}, q)
+}
+
 func (p *play) started(a *ask) {
 	if a.request != nil {
 		p.settle(a.request, true)
--- a/verbenalab/internal/placing/model.go
+++ b/verbenalab/internal/placing/model.go
@@ -17,6 +17,7 @@
 // server runs as many requests as it has slots and queues the others.
 type server struct {
 	slots   int
+	ill     bool
 	running int
 	queue   []*send
 }
--- a/verbenalab/internal/placing/placing_test.go
+++ b/verbenalab/internal/placing/placing_test.go
@@ -67,3 +67,39 @@
 	c.Assert(err, qt.ErrorMatches, "line 1 of the load: .*")
 	c.Assert(placing.Dense(load, 2.5), qt.HasLen, 2)
 }
+
+// TestIllServersAreAvoided: against requests spread evenly over all servers, of those that some servers fail
+// at most half meet a failure while others have room. At the worst load, where each slot is needed, they
+// meet no more failures. The same holds where servers fail some hosts only.
+func TestIllServersAreAvoided(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		servers int
+		share   float64
+		hosts   int
+		most    float64
+	}{
+		{"half of the load, all hosts", 18, 0.4, 0, 0.5},
+		{"half of the load, four hosts", 18, 1, 4, 0.5},
+		{"worst load, all hosts", 9, 0.4, 0, 1},
+		{"worst load, four hosts", 9, 1, 4, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := placing.Standard(placing.Owner)
+			s.Servers, s.Ill, s.IllShare, s.IllHosts = test.servers, test.servers/4, test.share, test.hosts
+			load := recorded(t)
+			asked := 0
+			for _, a := range load {
+				if test.hosts == 0 || a.Host < test.hosts {
+					asked++
+				}
+			}
+			evenly := float64(asked) * s.IllShare * float64(s.Ill) / float64(s.Servers)
+			r := placing.Play(load, s)
+			t.Logf("%d sends failed", r.Failed)
+			c.Check(float64(r.Failed) <= test.most*evenly, qt.IsTrue, qt.Commentf("%d sends failed, %.1f if spread evenly", r.Failed, evenly))
+			c.Check(r.Answered, qt.Equals, r.Requests)
+		})
+	}
+}
--- a/verbenalab/internal/placing/play.go
+++ b/verbenalab/internal/placing/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"verbenaledge.example/verbena/directory"
@@ -31,6 +32,7 @@
 	// used counts the slots of each server that a host's requests hold.
 	used   map[ids.HostID]map[ids.BackendID]int
 	serial dispatch.Ticket
+	random *rand.Rand
 	result Result
 }
 
@@ -38,6 +40,7 @@
 type ask struct {
 	key     dispatch.Key
 	request *request
+	sent    dispatch.Ask
 	events  int
 	server  ids.BackendID
 	send    *send
@@ -56,13 +59,14 @@
 	p := &play{
 		setup: s, start: time.Unix(1000, 0), machines: make(map[ids.HostID]*dispatch.Machine), servers: make(map[ids.BackendID]*server),
 		asks: make(map[dispatch.Key]*ask), used: make(map[ids.HostID]map[ids.BackendID]int),
+		random: rand.New(rand.NewPCG(1, 1)),
 	}
 	hosts := map[ids.HostID]bool{batchHost: true}
 	for _, a := range load {
 		hosts[hostOf(a.Host)] = true
 	}
 	for n := range s.Servers {
-		p.servers[serverOf(n)] = &server{slots: s.Slots}
+		p.servers[serverOf(n)] = &server{slots: s.Slots, ill: n < s.Ill}
 	}
 	for h := range hosts {
 		p.used[h] = make(map[ids.BackendID]int)
--- a/verbenalab/internal/placing/policy.go
+++ b/verbenalab/internal/placing/policy.go
@@ -26,6 +26,10 @@
 	Servers, Slots int
 	// Items is the number of batch items that wait at any time, each of ItemEvents events.
 	Items, ItemEvents int
+	// Ill servers fail IllShare of the sends of the first IllHosts hosts, or of all if that is 0.
+	Ill      int
+	IllShare float64
+	IllHosts int
 	// Objective is when an answer's start is late, Patience when its caller leaves.
 	Objective, Patience time.Duration
 }
@@ -46,6 +50,8 @@
 	// Words are the times until a caller knew that its answer comes or that none will, for all requests and
 	// for those that were never answered.
 	Words, WordsUnanswered Times
+	// Failed counts sends that failed; each is one that a caller who may not repeat its request loses.
+	Failed int
 	// ItemsDone counts batch items, ItemsCut runs of them that gave way.
 	ItemsDone, ItemsCut int
 }
