--- a/verbenad/internal/bulk/submit.go
+++ b/verbenad/internal/bulk/submit.go
@@ -151,10 +151,14 @@
 		if ctx.Err() != nil {
 			return found, bulk.Unsettled
 		}
-		clock.Sleep(ctx, retryAfter)
+		clock.Sleep(ctx, submitPause)
 	}
 }
 
+// submitPause is the pause before a new job is written again: its caller waits, and the call itself has
+// waited for an answer.
+const submitPause = 50 * time.Millisecond
+
 // split keeps as many items in the job's own object as fit and puts the others into parts.
 func split(job bulk.Job, most int) (head bulk.Job, parts [][]bulk.Item) {
 	head = job
--- a/verbenad/internal/owners/keeper.go
+++ b/verbenad/internal/owners/keeper.go
@@ -173,16 +173,33 @@
 	return err
 }
 
-// renew writes the lease on the condition that nobody broke it.
+// renewTries is how often a renewal is written in a round: a lost one must not cost a round of the time for
+// which the lease holds.
+const renewTries = 4
+
+// renew writes the lease on the condition that nobody broke it, until it is known to be there.
 func (k *Keeper) renew(ctx context.Context) error {
+	for try := 1; ; try++ {
+		settled, err := k.tryRenew(ctx)
+		if settled || err != nil || try == renewTries {
+			return err
+		}
+	}
+}
+
+// tryRenew writes the lease once. settled is false if the store doesn't have it, at least not yet.
+func (k *Keeper) tryRenew(ctx context.Context) (settled bool, err error) {
 	start := k.boot.Now()
 	k.beat++
 	l := ownership.Lease{Address: k.address, Beat: k.beat, Leaving: k.leaving.Load()}
 	o, err := k.write(ctx, l)
+	if errors.Is(err, objects.ErrConflict) && k.adopt(ctx) {
+		o, err = k.write(ctx, l)
+	}
 	switch {
 	case err == nil:
 		if k.lease == 0 && !k.readMap(ctx) {
-			return nil // without the map a new lease says nothing; the next round tries again
+			return true, nil // without the map a new lease says nothing; the next round tries again
 		}
 		k.lease = o.Revision
 		k.renewed.Store(start.UnixNano())
@@ -191,18 +208,39 @@
 			k.acquired = true
 			log.WithField("revision", o.Revision).Info("lease held")
 		}
-		return nil
+		return true, nil
 	case errors.Is(err, objects.ErrConflict), errors.Is(err, objects.ErrNotFound):
 		leasesLost.Inc()
 		k.lost.Store(true)
 		k.lease, k.acquired = 0, false
 		k.renewed.Store(0)
 		log.WithError(err).Warn("lease lost")
-		return nil
+		return true, nil
 	}
 	return k.settle(ctx, l, start, err)
 }
 
+// adopt takes the lease as it stands: a renewal without an answer took effect late. A lease that somebody
+// broke is gone, and comes back only when this host takes a new one.
+func (k *Keeper) adopt(ctx context.Context) bool {
+	if k.lease == 0 {
+		return false
+	}
+	o, err := k.store.Get(ctx, KindLeases, string(k.host))
+	if err != nil {
+		log.WithError(err).Warn("lease that changed can't be read")
+		return false
+	}
+	var found ownership.Lease
+	if err := json.Unmarshal(o.Spec, &found); err != nil || found.Address != k.address {
+		log.WithError(err).WithField("address", found.Address).Warn("lease was changed by somebody else")
+		return false
+	}
+	log.WithFields(log.Fields{"revision": o.Revision, "beat": found.Beat}).Info("earlier renewal took effect late")
+	k.lease = o.Revision
+	return true
+}
+
 // readMap reads the map after a new lease was taken: units may have gone to others before.
 func (k *Keeper) readMap(ctx context.Context) bool {
 	o, err := k.store.Get(ctx, KindOwners, nameMap)
@@ -230,30 +268,31 @@
 }
 
 // settle finds out whether a write without an answer took effect.
-func (k *Keeper) settle(ctx context.Context, l ownership.Lease, start time.Time, cause error) error {
+func (k *Keeper) settle(ctx context.Context, l ownership.Lease, start time.Time, cause error) (settled bool, err error) {
 	if !errors.Is(cause, objects.ErrUnknown) {
-		return cause
+		return false, cause
 	}
 	o, err := k.store.Get(ctx, KindLeases, string(k.host))
 	if err != nil {
-		return errors.Join(cause, err)
+		return false, errors.Join(cause, err)
 	}
 	var found ownership.Lease
 	if err := json.Unmarshal(o.Spec, &found); err != nil {
-		return err
+		return false, err
 	}
 	if found.Address == l.Address {
 		if k.lease == 0 && !k.readMap(ctx) {
-			return cause // as after a lease that was taken with an answer
+			return false, cause // as after a lease that was taken with an answer
 		}
 		// This host's lease, at this or an earlier beat: a renewal that lands later fails on its revision.
 		k.lease = o.Revision
 	}
-	if found == l {
-		k.renewed.Store(start.UnixNano())
-		k.lost.Store(false)
+	if found != l {
+		return false, nil
 	}
-	return nil
+	k.renewed.Store(start.UnixNano())
+	k.lost.Store(false)
+	return true, nil
 }
 
 // look reads all leases and breaks those that are not renewed.
--- a/verbenad/internal/owners/keeper_test.go
+++ b/verbenad/internal/owners/keeper_test.go
@@ -314,3 +314,56 @@
 	c.Assert(a.Valid(), qt.IsTrue)
 	c.Assert(actsWithout(t, s, a), qt.Equals, "")
 }
+
+// TestLateRenewal: a renewal without an answer may take effect seconds later, and then meets the next one.
+// It is the host's own write, so the lease goes on.
+func TestLateRenewal(t *testing.T) {
+	c := qt.New(t)
+	s, m := memory.New(), &manual{now: time.Unix(1000, 0)}
+	a := newMember("a", s, m)
+	for range 4 {
+		round(t, m, s, a)
+	}
+	c.Assert(a.Dispatches(), qt.IsTrue)
+	for range 5 {
+		late := ownership.Lease{Address: a.address, Beat: a.beat + 1}
+		s.SetFault(func(op memory.Op) memory.Fault {
+			if op.Kind == KindLeases && op.Verb == "replace" {
+				return memory.LoseCall
+			}
+			return memory.None
+		})
+		m.now = m.now.Add(ownership.RenewEvery)
+		c.Assert(a.renew(t.Context()), qt.IsNil) // not settled: the store has the former beat
+		s.SetFault(nil)
+		_, err := s.Replace(t.Context(), KindLeases, "a", a.lease, late)
+		c.Assert(err, qt.IsNil)
+		m.now = m.now.Add(ownership.RenewEvery)
+		c.Assert(a.renew(t.Context()), qt.IsNil)
+		c.Assert(a.Valid(), qt.IsTrue)
+		c.Assert(a.Dispatches(), qt.IsTrue)
+	}
+}
+
+// TestLostRenewalsInARow: renewals that are lost one after the other cost the lease nothing while one in
+// a round takes effect.
+func TestLostRenewalsInARow(t *testing.T) {
+	c := qt.New(t)
+	s, m := memory.New(), &manual{now: time.Unix(1000, 0)}
+	a := newMember("a", s, m)
+	c.Assert(a.renew(t.Context()), qt.IsNil)
+	for range 5 {
+		lost := 0
+		s.SetFault(func(op memory.Op) memory.Fault {
+			if op.Kind == KindLeases && op.Verb == "replace" && lost < renewTries-1 {
+				lost++
+				return memory.LoseCall
+			}
+			return memory.None
+		})
+		m.now = m.now.Add(ownership.RenewEvery)
+		c.Assert(a.renew(t.Context()), qt.IsNil)
+		c.Assert(lost, qt.Equals, renewTries-1)
+		c.Assert(a.Valid(), qt.IsTrue)
+	}
+}
