feat: a new owner of batch jobs goes on where the former one was

Cause: when a shard changed hands, results that were not visible and the text of running items were lost with the former owner's place, though its process lived: it stopped in order, or only could not reach the store. The items ran again from their beginning. Now: the former owner tells the new one, over the connections between hosts, what it knows of each job; the new one reads the store, waits 250 ms for that word, and goes on from there. Results told twice can't double: the segment that is written first has the place. A stopping process waits up to 0.8 s until it has told.

--- a/verbena/bulk/call.go
+++ b/verbena/bulk/call.go
@@ -15,6 +15,8 @@
 	Read
 	Body
 	Finish
+	// CarryOn tells a new owner what the former one knows.
+	CarryOn
 )
 
 // String names the operation for logs.
@@ -28,6 +30,8 @@
 		return "body"
 	case Finish:
 		return "end"
+	case CarryOn:
+		return "carry_on"
 	}
 	return "unknown"
 }
@@ -48,6 +52,8 @@
 	Item ItemID        `cbor:"8,keyasint,omitempty"`
 	// Patience is how long the caller waits for the answer.
 	Patience time.Duration `cbor:"9,keyasint,omitempty"`
+	// Progress is what a former owner knows.
+	Progress *Progress `cbor:"10,keyasint,omitempty"`
 }
 
 // Code is how a call ended.
--- a/verbena/bulk/ledger.go
+++ b/verbena/bulk/ledger.go
@@ -29,6 +29,8 @@
 	// Pending results are done but not yet visible.
 	Pending []Result
 	Ended   bool
+	// Held keeps items from starting: a former owner may still tell how far they are.
+	Held bool
 
 	items   map[ItemID]*progress
 	changed chan struct{}
@@ -39,6 +41,8 @@
 	item    Item
 	state   itemState
 	counted bool
+	// begun is the beginning of its answer, if a former owner had one.
+	begun *Begun
 }
 
 type itemState int
@@ -137,15 +141,24 @@
 	}
 }
 
-// Finish takes an item's result; it becomes visible with a segment.
-func (l *Ledger) Finish(r *Record, one Result) {
+// Finish takes an item's result; it becomes visible with a segment. news is false if there is one already.
+func (l *Ledger) Finish(r *Record, one Result) (news bool) {
 	p, ok := r.items[one.Item]
 	if !ok || p.state == itemDone {
-		return
+		return false
 	}
 	p.state = itemDone
 	l.uncount(r, p)
 	r.Pending = append(r.Pending, one)
+	return true
+}
+
+// Begin keeps the beginning of an answer for an item that has not started.
+func (r *Record) Begin(b Begun) {
+	p, ok := r.items[b.Item]
+	if ok && p.state == itemWaiting && (p.begun == nil || p.begun.Events < b.Events) {
+		p.begun = &b
+	}
 }
 
 // Return puts an item back that ended without a result.
@@ -210,6 +223,8 @@
 type Runnable struct {
 	Record *Record
 	Item   Item
+	// Begun is the beginning of its answer, or nil.
+	Begun *Begun
 }
 
 // Start marks up to n waiting items as running, the most urgent first, and returns them.
@@ -219,7 +234,7 @@
 	}
 	records := make([]*Record, 0, len(l.jobs))
 	for _, r := range l.jobs {
-		if r.Open() {
+		if r.Open() && !r.Held {
 			records = append(records, r)
 		}
 	}
@@ -240,7 +255,8 @@
 				return list
 			}
 			p.state = itemRunning
-			list = append(list, Runnable{Record: r, Item: p.item})
+			list = append(list, Runnable{Record: r, Item: p.item, Begun: p.begun})
+			p.begun = nil
 		}
 	}
 	return list
--- a/verbena/bulk/ledger_test.go
+++ b/verbena/bulk/ledger_test.go
@@ -153,3 +153,24 @@
 		}
 	})
 }
+
+// TestBeginnings: the longest beginning of an answer goes with its item when it starts, unless it has started or ended.
+func TestBeginnings(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger()
+	r := l.Add(Job{ID: "j", Workspace: "w", Items: []Item{{ID: "a"}, {ID: "b"}}}, 0, false)
+	r.Held = true
+	c.Assert(l.Start(2), qt.HasLen, 0)
+	r.Held = false
+	r.Begin(Begun{Item: "a", Events: 3})
+	r.Begin(Begun{Item: "a", Events: 2})
+	r.Begin(Begun{Item: "none", Events: 2})
+	c.Assert(l.Finish(r, Result{Item: "b", State: Completed}), qt.IsTrue)
+	c.Assert(l.Finish(r, Result{Item: "b", State: Completed}), qt.IsFalse)
+	r.Begin(Begun{Item: "b", Events: 9})
+	started := l.Start(2)
+	c.Assert(started, qt.HasLen, 1)
+	c.Assert(started[0].Begun.Events, qt.Equals, 3)
+	l.Return(r, "a")
+	c.Assert(l.Start(2)[0].Begun, qt.IsNil)
+}
--- a/verbenad/cmd/fleet_test.go
+++ b/verbenad/cmd/fleet_test.go
@@ -41,6 +41,7 @@
 	fronts  []string
 	seeds   []string
 	stop    []context.CancelFunc
+	names   []string
 	serial  atomic.Int64
 	// number tells the fleets of this process apart, hosts counts those of one.
 	number, hosts int
@@ -114,7 +115,7 @@
 	go func() {
 		done <- r(ctx, host.World{Settings: s, Store: platform.NewStore(f.address), Source: platform.Source{}, Protocol: platform.Protocol{}})
 	}()
-	f.stop = append(f.stop, cancel)
+	f.stop, f.names = append(f.stop, cancel), append(f.names, name)
 	f.t.Cleanup(func() {
 		cancel()
 		qt.Check(f.t, <-done, qt.IsNil)
--- a/verbenad/internal/bulk/answer.go
+++ b/verbenad/internal/bulk/answer.go
@@ -34,6 +34,10 @@
 		return o.body(ctx, q)
 	case bulk.Finish:
 		return o.end(ctx, q)
+	case bulk.CarryOn:
+		if reply, ok := ask(ctx, o, func() bulk.Reply { return o.carry(q) }); ok {
+			return reply
+		}
 	}
 	return unavailable
 }
--- /dev/null
+++ b/verbenad/internal/bulk/carry_test.go
@@ -0,0 +1,96 @@
+package bulk
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/bulk"
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/objects/memory"
+	"verbenaledge.example/verbenad/internal/hostlink"
+	"verbenaledge.example/verbenad/internal/upstream"
+)
+
+// successor takes what is passed on as soon as it owns the shard.
+type successor struct{ rig *rig }
+
+func (s successor) Call(ctx context.Context, c bulk.Call) (r bulk.Reply) {
+	for range 500 {
+		if r = s.rig.owner.Answer(ctx, hostlink.JobsCall{Shard: 3, Call: c}); r.Code == bulk.Done {
+			return r
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return r
+}
+
+// TestResultsAreCarriedOn: results that a former owner could not write become visible at the new one, without
+// another run, whichever of them hears first of the change.
+func TestResultsAreCarriedOn(t *testing.T) {
+	for _, formerFirst := range []bool{true, false} {
+		c := qt.New(t)
+		store := memory.New()
+		next := newOwner(t, store, nobody{})
+		former := newOwner(t, store, successor{next})
+		former.owner.SetShards(map[bulk.Shard]ids.Epoch{3: 1})
+		j := job(3, 10)
+		former.eventually(func() bool { return former.submit(j) == bulk.Done })
+		former.lease.lost.Store(true)
+		former.owner.post(func() {
+			r, _ := former.owner.ledger.Job("a", "w")
+			former.owner.finish(r, bulk.Result{Item: "ab", State: bulk.Completed, Output: "once"})
+		})
+		take := func() { next.owner.SetShards(map[bulk.Shard]ids.Epoch{3: 2}) }
+		if !formerFirst {
+			take()
+		}
+		former.owner.SetShards(nil)
+		if formerFirst {
+			take()
+		}
+		next.eventually(func() bool {
+			r := next.call(bulk.Call{Op: bulk.Read, Job: "a"})
+			return len(r.Results) == 1 && r.Results[0].Output == "once"
+		})
+		former.eventually(func() bool { return former.owner.Passed(t.Context()) })
+		c.Assert(next.call(bulk.Call{Op: bulk.Read, Job: "a"}).Next, qt.Equals, 1)
+	}
+}
+
+// TestBegunItemsAreCarriedOn: an item goes on from the longest beginning that is known of its answer.
+func TestBegunItemsAreCarriedOn(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, memory.New())
+	c.Assert(r.submit(job(2, 10)), qt.Equals, bulk.Done)
+	begun := bulk.Begun{Item: "aa", Text: []byte("one\ntwo"), Events: 2, Last: "2"}
+	carry := bulk.Call{Op: bulk.CarryOn, Job: "a", Progress: &bulk.Progress{Begun: []bulk.Begun{begun}}}
+	c.Assert(r.call(carry).Code, qt.Equals, bulk.Done)
+	var run *itemRun
+	r.eventually(func() bool {
+		run, _ = ask(t.Context(), r.owner, func() *itemRun { return r.owner.runs[runKey{"a", "aa"}] })
+		return run != nil
+	})
+	run.carryOn()
+	c.Assert(string(run.text), qt.Equals, "one\ntwo")
+	c.Assert(run.take(upstream.Event{ID: "3", Data: []byte("three")}), qt.IsTrue)
+	c.Assert(string(run.text), qt.Equals, "one\ntwo\nthree")
+	run.carried.Store(&begun)
+	run.carryOn()
+	c.Assert(run.events, qt.Equals, 3, qt.Commentf("a shorter beginning was taken"))
+}
+
+// TestUnknownProgressIsLeftOut: what is told of jobs that ended, or that aren't there, changes nothing.
+func TestUnknownProgressIsLeftOut(t *testing.T) {
+	c := qt.New(t)
+	r := newRig(t, memory.New())
+	c.Assert(r.submit(job(1, 10)), qt.Equals, bulk.Done)
+	c.Assert(r.call(bulk.Call{Op: bulk.Finish, Job: "a"}).Code, qt.Equals, bulk.Done)
+	results := &bulk.Progress{Results: []bulk.Result{{Item: "aa", State: bulk.Completed, Output: "x"}}}
+	c.Assert(r.call(bulk.Call{Op: bulk.CarryOn, Job: "a", Progress: results}).Code, qt.Equals, bulk.Done)
+	c.Assert(r.call(bulk.Call{Op: bulk.CarryOn, Job: "none", Progress: results}).Code, qt.Equals, bulk.Done)
+	c.Assert(r.call(bulk.Call{Op: bulk.CarryOn, Job: "a"}).Code, qt.Equals, bulk.Unavailable)
+	c.Assert(r.call(bulk.Call{Op: bulk.Read, Job: "a"}).Results, qt.HasLen, 0)
+}
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"verbenaledge.example/verbena/clock"
@@ -52,6 +53,9 @@
 	last     string
 	failures int
 	yields   int
+	cancel   context.CancelFunc
+	// carried is the beginning of the answer that a former owner had; it is used with the next send.
+	carried atomic.Pointer[bulk.Begun]
 	// reason is why the item ends without a result.
 	reason  string
 	exclude []ids.BackendID
@@ -132,6 +136,7 @@
 func (i *itemRun) send(whole context.Context, route *catalog.Route, l *slots.Lease) (v itemVerdict) {
 	ctx, cancel := context.WithCancel(whole)
 	defer cancel()
+	i.carryOn()
 	var o dispatch.Outcome
 	defer func() { i.owner.slots.Release(l, o) }()
 	go func() {
@@ -168,6 +173,13 @@
 	return i.read(whole, l, answer, &o, silence)
 }
 
+// carryOn goes on from a former owner's beginning if it is further.
+func (i *itemRun) carryOn() {
+	if b := i.carried.Swap(nil); b != nil && b.Events > i.events {
+		i.text, i.events, i.last = b.Text, b.Events, b.Last
+	}
+}
+
 // broken says what a send without a whole answer tells of its server.
 func (i *itemRun) broken(whole context.Context, l *slots.Lease, err error) dispatch.Verdict {
 	select {
--- a/verbenad/internal/bulk/load.go
+++ b/verbenad/internal/bulk/load.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sort"
 	"strings"
+	"time"
 
 	"verbenaledge.example/verbena/clock"
 
@@ -121,8 +122,14 @@
 		if j.ended {
 			o.ledger.End(r)
 		}
+		r.Held = r.Open()
 	}
 	h.ready = true
+	for _, c := range h.early {
+		o.apply(c)
+	}
+	h.early = nil
+	time.AfterFunc(carryWait, func() { o.post(func() { o.release(s, h) }) })
 	log.WithFields(log.Fields{"shard": s, "jobs": len(jobs)}).Info("shard taken over")
 	o.start()
 }
--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -53,9 +53,19 @@
 	catalog *catalog.Catalog
 	running int
 	commits map[ids.JobID]*commit
+	runs    map[runKey]*itemRun
+	passing map[ids.JobID]*passing
+	sending int
 	submits map[ids.JobID]*submission
 	kept    time.Duration
 	shown   time.Time
+	owners  Owners
+}
+
+// runKey names an item among all jobs.
+type runKey struct {
+	job  ids.JobID
+	item bulk.ItemID
 }
 
 // Protocol spells the requests of items.
@@ -71,16 +81,19 @@
 	ready bool
 	stop  context.CancelFunc
 	ctx   context.Context
+	// early are calls of a former owner that came before the shard was read.
+	early []bulk.Call
 }
 
 // New returns an owner of nothing that works until the context ends.
 func New(
 	ctx context.Context, host ids.HostID, store objects.Client, valueBytes int, l Lease, p Protocol, s *slots.Client, u *upstream.Client,
-	c clock.Clock, kept time.Duration,
+	c clock.Clock, kept time.Duration, others Owners,
 ) *Owner {
 	return &Owner{
 		ctx: ctx, host: host, store: store, valueBytes: valueBytes, lease: l, protocol: p, slots: s, client: u, clock: c, kept: kept,
 		do: make(chan func(), 256), ledger: bulk.NewLedger(), shards: make(map[bulk.Shard]*shard),
+		owners: others, runs: make(map[runKey]*itemRun), passing: make(map[ids.JobID]*passing),
 		commits: make(map[ids.JobID]*commit), submits: make(map[ids.JobID]*submission),
 	}
 }
@@ -122,7 +135,7 @@
 				log.WithField("shard", s).Info("shard given up")
 				h.stop()
 				delete(o.shards, s)
-				o.ledger.Drop(s)
+				o.giveUp(s)
 			}
 		}
 		for s, epoch := range owned {
@@ -172,7 +185,9 @@
 		}
 		o.running++
 		ctx, cancel := context.WithCancel(h.ctx)
-		run := &itemRun{owner: o, record: r.Record, item: r.Item, route: route.Name}
+		run := &itemRun{owner: o, record: r.Record, item: r.Item, route: route.Name, cancel: cancel}
+		run.carried.Store(r.Begun)
+		o.runs[runKey{r.Record.Job.ID, r.Item.ID}] = run
 		go func() {
 			defer cancel()
 			result, done := run.run(ctx)
@@ -192,8 +207,12 @@
 func (o *Owner) ended(run *itemRun, result bulk.Result, done bool) {
 	o.running--
 	r := run.record
+	if key := (runKey{r.Job.ID, run.item.ID}); o.runs[key] == run {
+		delete(o.runs, key)
+	}
 	if current, ok := o.ledger.Job(r.Job.ID, r.Job.Workspace); !ok || current != r {
-		return // its shard was given up
+		o.passRun(run, result, done) // its shard was given up
+		return
 	}
 	if !done {
 		o.ledger.Return(r, run.item.ID)
@@ -202,11 +221,12 @@
 	o.finish(r, result)
 }
 
-func (o *Owner) finish(r *bulk.Record, result bulk.Result) {
-	o.ledger.Finish(r, result)
+func (o *Owner) finish(r *bulk.Record, result bulk.Result) (news bool) {
+	news = o.ledger.Finish(r, result)
 	c := o.commitOf(r)
 	if c.since.IsZero() {
 		c.since = o.clock.Now()
 	}
 	o.commitDue(o.clock.Now(), r)
+	return news
 }
--- a/verbenad/internal/bulk/owner_test.go
+++ b/verbenad/internal/bulk/owner_test.go
@@ -39,16 +39,26 @@
 	owner *Owner
 }
 
+// nobody owns no shard.
+type nobody struct{}
+
+func (nobody) Call(context.Context, bulk.Call) bulk.Reply { return unavailable }
+
 func newRig(t *testing.T, store *memory.Store) *rig {
+	r := newOwner(t, store, nobody{})
+	r.owner.SetShards(map[bulk.Shard]ids.Epoch{3: 1})
+	r.eventually(func() bool { return r.call(bulk.Call{Op: bulk.Read, Job: "none"}).Code == bulk.Missing })
+	return r
+}
+
+func newOwner(t *testing.T, store *memory.Store, others Owners) *rig {
 	c := clock.System{}
 	r := &rig{C: qt.New(t), store: store, lease: &switched{}}
 	place := slots.NewClient("s", "z", "", c, relay.NewFeed(c), func() string { return "" })
-	r.owner = New(t.Context(), "s", store, 4096, r.lease, silent{}, place, upstream.NewClient(c), c, time.Minute)
+	r.owner = New(t.Context(), "s", store, 4096, r.lease, silent{}, place, upstream.NewClient(c), c, time.Minute, others)
 	go r.owner.Run()
 	route := catalog.Route{Name: "r", Kind: catalog.KindBatch, Targets: []catalog.Target{{Service: "llm", Weight: 1}}, MaxAttempts: 3}
 	r.owner.SetCatalog(catalog.New(1, []catalog.Route{route}, nil, nil, catalog.Limits{}))
-	r.owner.SetShards(map[bulk.Shard]ids.Epoch{3: 1})
-	r.eventually(func() bool { return r.call(bulk.Call{Op: bulk.Read, Job: "none"}).Code == bulk.Missing })
 	return r
 }
 
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -29,6 +29,8 @@
 	lookEvery = 50 * time.Millisecond
 	// handOver is how long a stopping host waits for others to take its units: two rounds of their leases.
 	handOver = 2500 * time.Millisecond
+	// passTime is how long it then waits for new owners to take what it knows of their jobs.
+	passTime = 800 * time.Millisecond
 )
 
 // storage is a host that owns shared state.
@@ -62,6 +64,7 @@
 	client := upstream.NewClient(sys)
 	s.owner = bulk.New(
 		work, w.Settings.Host, w.Store, w.Settings.StoreValueBytes, s.keeper, w.Protocol, place, client, sys, w.Settings.ResultsKept,
+		owners.NewJobsClient(&s.view, hostlink.NewCaller(w.Settings.Host, place.Helpers)),
 	)
 	var listed atomic.Pointer[map[ids.BackendID]directory.Server]
 	// Hosts are taken once configuration and servers are known: a dispatcher without them would refuse all.
@@ -110,7 +113,12 @@
 	for end := time.Now().Add(min(handOver, s.world.Settings.Grace/2)); time.Now().Before(end) && !s.keeper.Empty(); {
 		time.Sleep(lookEvery)
 	}
-	time.Sleep(lookEvery) // the hosts hear of the new owners
+	time.Sleep(2 * lookEvery) // the hosts hear of the new owners, and this one of what it has given up
+	ctx, cancel := context.WithTimeout(context.Background(), passTime)
+	defer cancel()
+	for ctx.Err() == nil && !s.owner.Passed(ctx) {
+		clock.Sleep(ctx, lookEvery)
+	}
 }
 
 // look follows which units this host owns.
