--- a/verbena/bulk/call.go
+++ b/verbena/bulk/call.go
@@ -15,7 +15,7 @@
 	Read
 	Body
 	Finish
-	// CarryOn tells a new owner what the former one knows.
+	// CarryOn reports a former owner's progress to the new one.
 	CarryOn
 )
 
--- a/verbena/dispatch/absence.go
+++ b/verbena/dispatch/absence.go
@@ -23,7 +23,7 @@
 	entries map[ids.HostID]bool
 	leaving map[ids.HostID]bool
 	parted  map[ids.HostID]partedHost
-	// expected is how many hosts take callers, by the word of an earlier dispatcher that a host passed on.
+	// expected is how many hosts take callers, as an earlier dispatcher told the hosts that joined.
 	// Until expectedUntil those that have not come may still be with that one.
 	expected      int
 	expectedUntil time.Time
--- a/verbena/dispatch/illness.go
+++ b/verbena/dispatch/illness.go
@@ -30,7 +30,7 @@
 )
 
 // illness is how often a server fails, and the hosts that it fails for. A server may be ill for some
-// hosts only, and well by its own word.
+// hosts only, and healthy by its own report.
 type illness struct {
 	share float64
 	at    time.Time
--- a/verbenad/internal/bulk/carry.go
+++ b/verbenad/internal/bulk/carry.go
@@ -15,8 +15,8 @@
 const (
 	// passAfter gathers what is known of a job: its runs end within milliseconds once its shard is given up.
 	passAfter = 20 * time.Millisecond
-	// carryWait is how long the items of a shard that was taken over wait for the word of its former owner: that
-	// one hears of it, and gathers what it knows, within a tenth of a second.
+	// carryWait is how long the items of a shard that was taken over wait for the progress that its former owner
+	// reports: it learns of the takeover and gathers its reports within a tenth of a second.
 	carryWait = 250 * time.Millisecond
 	// maxEarly bounds the calls that wait for a shard to be read; each is a job's.
 	maxEarly = 1000
@@ -50,7 +50,7 @@
 	o.start()
 }
 
-// pass tells a shard's new owner what this host knows of a job.
+// pass queues a report to a shard's new owner; the reports on a job are gathered and sent together.
 func (o *Owner) pass(r *bulk.Record, p bulk.Progress) {
 	if out, ok := o.passing[r.Job.ID]; ok {
 		out.progress.Add(p)
@@ -79,7 +79,7 @@
 	}()
 }
 
-// Passed tells whether nothing is on its way to new owners.
+// Passed tells whether all reports to new owners have been sent and answered.
 func (o *Owner) Passed(ctx context.Context) bool {
 	passed, ok := ask(ctx, o, func() bool { return len(o.passing)+o.sending == 0 })
 	return ok && passed
@@ -95,7 +95,7 @@
 	o.ledger.Drop(s)
 }
 
-// passRun passes on what a run has come to whose shard was given up.
+// passRun reports the outcome of a run whose shard was given up, or how far it has come.
 func (o *Owner) passRun(run *itemRun, result bulk.Result, done bool) {
 	switch {
 	case run.record.Ended:
@@ -106,8 +106,8 @@
 	}
 }
 
-// carry takes what a former owner knows. Results of the same item are equal in worth: the first to be
-// visible stands.
+// carry takes a former owner's report. If an item has a result of either owner, the one that becomes visible
+// first is kept.
 func (o *Owner) carry(q hostlink.JobsCall) bulk.Reply {
 	h, ok := o.shards[q.Shard]
 	switch {
