--- a/verbenad/internal/slots/client_test.go
+++ b/verbenad/internal/slots/client_test.go
@@ -146,15 +146,7 @@
 	c.Assert(time.Since(begin) < silence/2, qt.IsTrue)
 	one.Release(l, dispatch.Outcome{Verdict: dispatch.Served})
 	d.frozen.Store(false)
-	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-		l, err := one.Acquire(t.Context(), ask(dispatch.Online))
-		c.Assert(err, qt.IsNil)
-		one.Release(l, dispatch.Outcome{Verdict: dispatch.Served})
-		if !l.Alone {
-			return
-		}
-		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the dispatcher is not used again"))
-	}
+	usedAgain(t, one)
 }
 
 func TestWithoutDispatcher(t *testing.T) {
@@ -202,15 +194,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	d.inactive.Store(false)
-	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-		l, err := one.Acquire(t.Context(), ask(dispatch.Online))
-		c.Assert(err, qt.IsNil)
-		one.Release(l, dispatch.Outcome{Verdict: dispatch.Served})
-		if !l.Alone {
-			return
-		}
-		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the dispatcher is not used again"))
-	}
+	usedAgain(t, one)
 }
 
 // TestDispatcherHears: the dispatching host gives a connection up on which it hears nothing, and knows of
@@ -270,3 +254,15 @@
 	}
 	return false
 }
+
+// usedAgain asks until the dispatching host grants.
+func usedAgain(t *testing.T, k *Client) {
+	t.Helper()
+	granted := until(func() bool {
+		l, err := k.Acquire(t.Context(), ask(dispatch.Online))
+		qt.Assert(t, err, qt.IsNil)
+		k.Release(l, dispatch.Outcome{Verdict: dispatch.Served})
+		return !l.Alone
+	})
+	qt.Assert(t, granted, qt.IsTrue, qt.Commentf("the dispatcher is not used again"))
+}
