feat: a server that says in an answer that it leaves gets nothing more from any host

Cause: nothing read Server-Leaving, the new word of a server in all its answers; only the store's entry took a server out of use, and the store may be away, late or wrong. A notice holds for one start of a server (the entry's born). It is taken from each head that is read: whole answers, refusals, failures, answers cut later, answers to other requests, interim ones. It goes up to the dispatcher and a standby that is asked, and down to all that ask, on a frame of its own; who joins brings and gets what is known. A slot on such a server that was granted before the dispatcher knew is handed back. Found by the test: a server that starts again under its id kept the failures of its former start.

--- /dev/null
+++ b/verbena/directory/drains_test.go
@@ -0,0 +1,59 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/ids"
+)
+
+func list(servers ...Server) map[ids.BackendID]Server {
+	all := make(map[ids.BackendID]Server)
+	for _, s := range servers {
+		all[s.ID] = s
+	}
+	return all
+}
+
+func TestDrainNoticeHoldsForOneIncarnation(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	first, second := Server{ID: "a", Incarnation: 5}, Server{ID: "a", Incarnation: 9}
+	other := Server{ID: "b", Incarnation: 5}
+	d := NewDrains()
+	c.Assert(d.Add(now, DrainNotice{Server: "a", Incarnation: 5}), qt.IsTrue)
+	c.Assert(d.Add(now, DrainNotice{Server: "a", Incarnation: 5}), qt.IsFalse)
+	c.Assert([]bool{d.Holds(first), d.Holds(second), d.Holds(other)}, qt.DeepEquals, []bool{true, false, false})
+	marked := d.Apply(now, list(first, other))
+	c.Assert([]bool{marked["a"].Draining, marked["b"].Draining}, qt.DeepEquals, []bool{true, false})
+	c.Assert(d.Apply(now, list(second))["a"].Draining, qt.IsFalse)
+	c.Assert(d.All(), qt.HasLen, 0, qt.Commentf("the server started again"))
+	c.Assert(d.Add(now, DrainNotice{Server: "a", Incarnation: 9}), qt.IsTrue)
+	c.Assert(d.Add(now, DrainNotice{Server: "a", Incarnation: 5}), qt.IsFalse, qt.Commentf("a late notice of the former start"))
+	c.Assert(d.Holds(second), qt.IsTrue)
+}
+
+func TestDrainNoticeOutlivesItsEntry(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	s := Server{ID: "a", Incarnation: 5}
+	d := NewDrains()
+	d.Add(now, DrainNotice{Server: "a", Incarnation: 5})
+	d.Apply(now.Add(time.Second), list())
+	c.Assert(d.Apply(now.Add(2*time.Second), list(s))["a"].Draining, qt.IsTrue, qt.Commentf("the entry lapsed and came back"))
+	d.Apply(now.Add(2*time.Second+drainMemory+1), list())
+	c.Assert(d.All(), qt.HasLen, 0)
+}
+
+func TestDrainNoticeWithoutIncarnationsEndsWithItsEntry(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	s := Server{ID: "a"}
+	d := NewDrains()
+	d.Add(now, DrainNotice{Server: "a"})
+	c.Assert(d.Apply(now, list(s))["a"].Draining, qt.IsTrue)
+	d.Apply(now, list())
+	c.Assert(d.Apply(now, list(s))["a"].Draining, qt.IsFalse)
+}
--- a/verbena/directory/server.go
+++ b/verbena/directory/server.go
@@ -18,6 +18,8 @@
 	Draining bool       `cbor:"6,keyasint,omitempty"`
 	// ColdFor is how much longer the server stays slow after its start.
 	ColdFor time.Duration `cbor:"7,keyasint,omitempty"`
+	// Incarnation is the start of the server that registered.
+	Incarnation Incarnation `cbor:"8,keyasint,omitempty"`
 }
 
 // List is the set of servers at a revision of the store.
--- a/verbena/dispatch/machine.go
+++ b/verbena/dispatch/machine.go
@@ -119,6 +119,9 @@
 			s = &server{coldUntil: now.Add(d.ColdFor), part: m.part, order: m.orderOf(id)}
 			m.servers[id] = s
 		}
+		if s.Incarnation != d.Incarnation {
+			s.restarted(now, d.ColdFor)
+		}
 		joins := !ok || s.Service != d.Service
 		s.Server, s.gone = d, false
 		if joins {
--- a/verbena/dispatch/script_test.go
+++ b/verbena/dispatch/script_test.go
@@ -51,6 +51,7 @@
 		id := ids.BackendID(words[0])
 		s.servers[id] = directory.Server{
 			ID: id, Service: ids.ServiceName(words[1]), Slots: o.number("slots", 1), Zone: ids.ZoneID(o["zone"]), Draining: o["draining"] != "",
+			Incarnation: directory.Incarnation(o.number("born", 0)),
 		}
 		return Servers{Servers: s.servers}
 	case "gone":
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -43,6 +43,14 @@
 	order uint64
 }
 
+// restarted forgets what was seen of the server before it started again. Slots that are granted end by themselves.
+func (s *server) restarted(now time.Time, cold time.Duration) {
+	s.failures, s.ejectedUntil, s.pausedUntil = 0, time.Time{}, time.Time{}
+	s.illness = illness{}
+	s.unit, s.first = 0, 0
+	s.coldUntil = now.Add(cold)
+}
+
 func (s *server) before(o *server) bool {
 	if s.order != o.order {
 		return s.order < o.order
--- a/verbena/exchange/exchange.go
+++ b/verbena/exchange/exchange.go
@@ -42,6 +42,8 @@
 	// NotExecuted tells that the server has not run the request and will not.
 	NotExecuted bool
 	Load        Load
+	// Draining tells that the server stops soon: it finishes what it has and is to get nothing new.
+	Draining bool
 	// KeepAlive is how long the server keeps an idle connection; 0 means that it did not say.
 	KeepAlive time.Duration
 }
--- a/verbenad/cmd/fleet_test.go
+++ b/verbenad/cmd/fleet_test.go
@@ -38,11 +38,13 @@
 	store   *memory.Store
 	address string
 	servers map[string]*standin.Server
-	fronts  []string
-	seeds   []string
-	stop    []context.CancelFunc
-	names   []string
-	serial  atomic.Int64
+	// addresses are those of the servers.
+	addresses map[string]string
+	fronts    []string
+	seeds     []string
+	stop      []context.CancelFunc
+	names     []string
+	serial    atomic.Int64
 	// number tells the fleets of this process apart, hosts counts those of one.
 	number, hosts int
 	// grace is how long the hosts that start next may take to stop.
@@ -67,7 +69,7 @@
 
 // newFleet starts two entry hosts, three storage hosts, three model servers and two plain ones.
 func newFleet(t *testing.T, rate float64) *fleet {
-	f := &fleet{t: t, store: memory.New(), servers: make(map[string]*standin.Server), number: int(fleets.Add(1)), grace: time.Second}
+	f := &fleet{t: t, store: memory.New(), servers: make(map[string]*standin.Server), addresses: make(map[string]string), number: int(fleets.Add(1)), grace: time.Second}
 	web := httptest.NewServer(&standin.Store{Store: f.store})
 	t.Cleanup(web.Close)
 	f.address = strings.TrimPrefix(web.URL, "http://")
@@ -95,8 +97,13 @@
 func (f *fleet) addServer(s *standin.Server) {
 	web := httptest.NewServer(s)
 	f.t.Cleanup(web.Close)
-	f.servers[s.ID] = s
-	qt.Assert(f.t, standin.Register(f.store, s, strings.TrimPrefix(web.URL, "http://"), "z", "ready"), qt.IsNil)
+	f.servers[s.ID], f.addresses[s.ID] = s, strings.TrimPrefix(web.URL, "http://")
+	f.register(s)
+}
+
+// register writes a server's entry, as it does at its start and in between.
+func (f *fleet) register(s *standin.Server) {
+	qt.Assert(f.t, standin.Register(f.store, s, f.addresses[s.ID], "z", "ready"), qt.IsNil)
 }
 
 func (f *fleet) start(name string, r role) {
--- a/verbenad/internal/host/front.go
+++ b/verbenad/internal/host/front.go
@@ -36,11 +36,13 @@
 	sys := clock.System{}
 	var v owners.View
 	feed := relay.NewFeed(sys)
+	stopping := newDrains(sys)
 	place := slots.NewClient(
 		w.Settings.Host, w.Settings.Zone, w.Settings.PeerAddress(), sys, feed,
-		func() string { return v.Address(ownership.Dispatch) }, v.StandbyAddress,
+		func() string { return v.Address(ownership.Dispatch) }, v.StandbyAddress, slots.WithDrains(stopping),
 	)
-	client := upstream.NewClient(sys)
+	stopping.use, stopping.up = place.SetServers, place.ReportDrains
+	client := upstream.NewClient(sys, upstream.OnDraining(stopping.answered))
 	jobs := owners.NewJobsClient(&v, hostlink.NewCaller(w.Settings.Host, place.Helpers))
 	handler := entry.New(w.Protocol, w.Protocol, jobs, place, client, sys, w.Settings.MemoryMB)
 	var listed atomic.Pointer[map[ids.BackendID]directory.Server]
@@ -53,7 +55,7 @@
 		place.SetRates(ratesOf(c))
 	}, func(s map[ids.BackendID]directory.Server) {
 		listed.Store(&s)
-		place.SetServers(s)
+		stopping.list(s)
 	})
 	known.run(work)
 	go passOn(work, w.Settings.PeerAddress(), &v)
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -59,12 +59,14 @@
 	s.keeper = owners.NewKeeper(w.Settings.Host, w.Settings.Zone, w.Settings.PeerAddress(), w.Store, &s.view)
 	feed := relay.NewFeed(sys)
 	known := newKnowledge(w, feed, s.direct)
-	s.dispatcher = slots.NewServer(sys, known.news, s.role, s.view.News)
+	stopping := newDrains(sys)
+	s.dispatcher = slots.NewServer(sys, known.news, s.role, s.view.News, slots.WithDrains(stopping))
 	s.place = slots.NewClient(
 		w.Settings.Host, w.Settings.Zone, "", sys, feed,
-		func() string { return s.view.Address(ownership.Dispatch) }, s.view.StandbyAddress,
+		func() string { return s.view.Address(ownership.Dispatch) }, s.view.StandbyAddress, slots.WithDrains(stopping),
 	)
-	client := upstream.NewClient(sys)
+	stopping.use, stopping.up, stopping.down = s.dispatcher.SetServers, s.place.ReportDrains, s.dispatcher.PassDrains
+	client := upstream.NewClient(sys, upstream.OnDraining(stopping.answered))
 	s.owner = bulk.New(
 		work, w.Settings.Host, w.Store, w.Settings.StoreValueBytes, s.keeper, w.Protocol, s.place, client, sys, w.Settings.ResultsKept,
 		owners.NewJobsClient(&s.view, hostlink.NewCaller(w.Settings.Host, s.place.Helpers)),
@@ -83,7 +85,7 @@
 		first.catalog()
 	}, func(servers map[ids.BackendID]directory.Server) {
 		listed.Store(&servers)
-		s.dispatcher.SetServers(servers)
+		stopping.list(servers)
 		first.servers()
 	})
 	known.follow(w.Source.RetirementKind(), s.retirements)
--- a/verbenad/internal/hostlink/frame.go
+++ b/verbenad/internal/hostlink/frame.go
@@ -53,6 +53,8 @@
 	// Jobs is a question on batch jobs, Reply its answer.
 	Jobs  *JobsCall   `cbor:"9,keyasint,omitempty"`
 	Reply *bulk.Reply `cbor:"10,keyasint,omitempty"`
+	// Drains names servers that said that they stop soon.
+	Drains []directory.DrainNotice `cbor:"20,keyasint,omitempty"`
 }
 
 // Hello is a host's first message.
@@ -75,6 +77,8 @@
 	Used map[ids.WorkspaceID]float64 `cbor:"9,keyasint,omitempty"`
 	// Elsewhere is how many requests others admitted for the host lately, by workspace.
 	Elsewhere map[ids.WorkspaceID]int `cbor:"11,keyasint,omitempty"`
+	// Drains are the servers that the host knows to stop soon, by their own word.
+	Drains []directory.DrainNotice `cbor:"12,keyasint,omitempty"`
 }
 
 // Grant gives a ticket a server.
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -71,6 +71,7 @@
 	// known is set once this host knows the servers, and can decide by itself.
 	known   bool
 	helpers []string
+	drains  Drains
 	rates   map[ids.WorkspaceID]dispatch.Rate
 	// events are for this host's own machine; they are applied once mu is free.
 	events []dispatch.Event
@@ -78,10 +79,10 @@
 
 // NewClient returns a client. dispatcher and standby tell where those hosts are; empty means unknown.
 func NewClient(
-	host ids.HostID, zone ids.ZoneID, passes string, c clock.Clock, feed *relay.Feed, dispatcher, standby func() string,
+	host ids.HostID, zone ids.ZoneID, passes string, c clock.Clock, feed *relay.Feed, dispatcher, standby func() string, list ...Option,
 ) *Client {
 	k := &Client{
-		passes: passes, host: host, zone: zone, clock: c, feed: feed, hosts: usualHosts, shares: dispatch.NewShares(),
+		drains: apply(list).drains, passes: passes, host: host, zone: zone, clock: c, feed: feed, hosts: usualHosts, shares: dispatch.NewShares(),
 		dispatcher: newChannel(Dispatcher, dispatcher, pingEvery), standby: newChannel(Standby, standby, standbyPingEvery),
 		pending: make(map[dispatch.Ticket]*pending), held: make(map[dispatch.Ticket]*holding),
 	}
--- a/verbenad/internal/slots/connection.go
+++ b/verbenad/internal/slots/connection.go
@@ -104,7 +104,7 @@
 	hello := hostlink.Hello{
 		Host: c.host, Zone: c.zone, Slots: true, Standby: ch.seat == Standby, Address: c.passes,
 		Entry: c.passes != "", Leaving: c.leaving, Entries: c.entries, Used: c.shares.Lately(c.clock.Now()),
-		Elsewhere: c.spent.Elsewhere(c.clock.Now(), ch.reportedAt, int(ch.seat)),
+		Drains: c.drains.All(), Elsewhere: c.spent.Elsewhere(c.clock.Now(), ch.reportedAt, int(ch.seat)),
 	}
 	for _, h := range c.held {
 		hello.Held = append(hello.Held, h.held)
@@ -150,6 +150,9 @@
 }
 
 func (c *Client) handle(ch *channel, f hostlink.Frame) {
+	if len(f.Drains) > 0 {
+		c.drains.FromDispatcher(f.Drains)
+	}
 	c.mu.Lock()
 	defer c.unlock()
 	ch.lastContact = c.clock.Now()
--- a/verbenad/internal/slots/lease.go
+++ b/verbenad/internal/slots/lease.go
@@ -81,6 +81,10 @@
 	}
 	p.stop()
 	delete(c.pending, t)
+	if c.drains.Holds(r.server) {
+		c.handBack(p, t, r)
+		return
+	}
 	if p.ask.Metered {
 		c.spent.Add(c.clock.Now(), int(r.seat), p.ask.Workspace, 1)
 	}
@@ -96,6 +100,21 @@
 	p.reply <- r
 }
 
+// noServerPause is when to come back to a service whose servers all stop; others start within seconds.
+const noServerPause = 500 * time.Millisecond
+
+// handBack refuses a slot on a server that has told this host that it stops, before who placed it knows.
+func (c *Client) handBack(p *pending, t dispatch.Ticket, r reply) {
+	c.endAt(r.seat, dispatch.Outcome{Ticket: t, Verdict: dispatch.Full})
+	if excludes(p.ask.Exclude, r.server.ID) {
+		p.reply <- reply{refused: &Refused{Reason: dispatch.NoServer, Later: noServerPause, Inputs: r.inputs, Seat: r.seat}}
+		return
+	}
+	p.ask.Exclude = append(p.ask.Exclude[:len(p.ask.Exclude):len(p.ask.Exclude)], r.server.ID)
+	p.spend(c.clock.Now())
+	c.place(p)
+}
+
 func (c *Client) refused(t dispatch.Ticket, r Refused) {
 	p, ok := c.pending[t]
 	if !ok {
--- a/verbenad/internal/slots/server.go
+++ b/verbenad/internal/slots/server.go
@@ -31,6 +31,7 @@
 	// role tells what this host is at this moment; owners is the map of owners for hosts that ask another one in vain.
 	role   func() Role
 	owners func() (hostlink.News, bool)
+	drains Drains
 
 	// order is held while a connection's beginning or end is noted and decided on, so that the end of a host's
 	// former connection isn't taken for that of its new one.
@@ -58,8 +59,8 @@
 }
 
 // NewServer returns a dispatcher without hosts. role tells what this host is at this moment, owners who dispatches.
-func NewServer(c clock.Clock, news *relay.Publisher, role func() Role, owners func() (hostlink.News, bool)) *Server {
-	s := &Server{news: news, role: role, owners: owners, links: make(map[ids.HostID]*member)}
+func NewServer(c clock.Clock, news *relay.Publisher, role func() Role, owners func() (hostlink.News, bool), list ...Option) *Server {
+	s := &Server{drains: apply(list).drains, news: news, role: role, owners: owners, links: make(map[ids.HostID]*member)}
 	s.runner = NewRunner(c, "", s.command)
 	return s
 }
@@ -138,6 +139,12 @@
 		old.link.Close()
 	}
 	log.WithFields(log.Fields{"peer": h.Host, "held": len(h.Held), "entries": h.Entries, "standby": h.Standby}).Info("host joined")
+	if len(h.Drains) > 0 {
+		s.drains.FromHost(h.Drains)
+	}
+	if known := s.drains.All(); len(known) > 0 {
+		_ = l.Send(hostlink.Frame{Drains: known}) // a closed connection ends its reader
+	}
 	s.runner.Do(dispatch.Joined{
 		Host: h.Host, Held: h.Held, Entry: h.Entry, Leaving: h.Leaving, Entries: h.Entries, Used: h.Used, Elsewhere: h.Elsewhere,
 	})
@@ -217,6 +224,8 @@
 		return // the host was turned away, or has another connection by now
 	}
 	switch {
+	case len(f.Drains) > 0:
+		s.drains.FromHost(f.Drains)
 	case f.Ask != nil:
 		s.runner.Do(dispatch.Asked{Host: host, Ask: *f.Ask})
 	case f.Outcome != nil:
--- a/verbenad/internal/upstream/head.go
+++ b/verbenad/internal/upstream/head.go
@@ -35,8 +35,8 @@
 	return n, err
 }
 
-// readResponse skips interim answers.
-func (k *conn) readResponse(method string) (response *http.Response, err error) {
+// readResponse skips interim answers. note sees the head of each answer.
+func (k *conn) readResponse(method string, note func(*http.Response)) (response *http.Response, err error) {
 	k.limit.left, k.limit.on = maxHead, true
 	defer func() { k.limit.on = false }()
 	for {
@@ -44,9 +44,13 @@
 		if err != nil && k.limit.left <= 0 {
 			err = fmt.Errorf("%w: %w", ErrLongHead, err) // the parser may only have seen a line that is cut
 		}
-		if err != nil || response.StatusCode >= http.StatusOK {
+		if err != nil {
 			return response, err
 		}
+		note(response)
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
 	}
 }
 
--- a/verbenad/internal/upstream/pool.go
+++ b/verbenad/internal/upstream/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"verbenaledge.example/verbena/clock"
+	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/ids"
 )
 
@@ -24,17 +25,32 @@
 type Client struct {
 	clock  clock.Clock
 	dialer net.Dialer
+	// onDraining is called for each answer in which a server says that it stops soon.
+	onDraining func(directory.Server)
 
 	mu   sync.Mutex
 	idle map[ids.BackendID][]*conn
 }
 
+// Option changes a client.
+type Option func(*Client)
+
+// OnDraining calls a function for each answer, whole or not, in which a server says that it stops soon.
+func OnDraining(f func(directory.Server)) Option {
+	return func(c *Client) { c.onDraining = f }
+}
+
 // NewClient returns a client without connections.
-func NewClient(c clock.Clock) *Client {
-	return &Client{
+func NewClient(c clock.Clock, options ...Option) *Client {
+	k := &Client{
 		clock: c, idle: make(map[ids.BackendID][]*conn),
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive},
+		dialer:     net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive},
+		onDraining: func(directory.Server) {},
+	}
+	for _, o := range options {
+		o(k)
 	}
+	return k
 }
 
 // take returns an idle connection that can be used, or nil.
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -107,7 +107,12 @@
 	if err != nil {
 		return fail(Unknown, fmt.Errorf("send to %s: %w", r.Server.Address, err))
 	}
-	response, err := k.readResponse(r.Method) //nolint:bodyclose // Close of the body would wait for its rest; Answer.Close closes the connection
+	note := func(head *http.Response) {
+		if p.Reply(head.StatusCode, head.Header).Draining {
+			c.onDraining(r.Server)
+		}
+	}
+	response, err := k.readResponse(r.Method, note) //nolint:bodyclose // Close of the body would wait for its rest; Answer.Close closes the connection
 	if err != nil {
 		return fail(Unknown, fmt.Errorf("read answer of %s: %w", r.Server.Address, err))
 	}
