fix: a job's due time reaches its owner to the millisecond

Cause: the encoder's own choice drops the fraction of a second of times, so an entry host's due and give-up times of a job reached its owner up to a second early: jobs of one second were ordered by their ids, and an item could be given up before its time. Ruled out: rounding in the store, where times are JSON. TestFramesComeBack failed first with 00:16:40 for 00:16:40.123456789. The line of a request's end now tells the time to its first byte, its wait for a slot and its objective.

--- a/verbenad/internal/entry/answer.go
+++ b/verbenad/internal/entry/answer.go
@@ -77,7 +77,7 @@
 		length = int(a.Length)
 	}
 	h.head(q, a.Status, a.Header, length)
-	firstByte.With(string(q.service)).Update(h.clock.Now().Sub(q.start).Seconds())
+	h.firstByte(q, j)
 	_, _ = q.w.Write(b.body) // the caller may be gone; its server closes the connection
 	o.Verdict, o.Units, o.Elapsed = dispatch.Served, plainUnits, a.First
 	if a.Status >= http.StatusInternalServerError {
@@ -163,10 +163,16 @@
 		return
 	}
 	j.started = true
-	firstByte.With(string(q.service)).Update(h.clock.Now().Sub(q.start).Seconds())
+	h.firstByte(q, j)
 	h.head(q, a.Status, a.Header, -1)
 }
 
+// firstByte notes when an answer begins.
+func (h *Handler) firstByte(q *request, j *journey) {
+	j.first = h.clock.Now().Sub(q.start)
+	firstByte.With(string(q.service)).Update(j.first.Seconds())
+}
+
 func (h *Handler) streamBroken(
 	ctx context.Context, q *request, j *journey, o dispatch.Outcome, err error, quiet *silence,
 ) (step, dispatch.Outcome) {
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -51,11 +51,13 @@
 	lastEvent string
 	started   bool
 	events    int
-	server    ids.BackendID
-	waited    time.Duration
-	seat      slots.Seat
-	inputs    dispatch.Inputs
-	reason    string
+	// first is the time from the request to the first byte of its answer, 0 if there is none.
+	first  time.Duration
+	server ids.BackendID
+	waited time.Duration
+	seat   slots.Seat
+	inputs dispatch.Inputs
+	reason string
 	// kept is a server's own failure, passed on if no other server does better.
 	kept *keptAnswer
 }
@@ -281,6 +283,7 @@
 	log.WithFields(log.Fields{
 		"request_id": q.call.ID, "route": q.route.Name, "server": j.server, "configuration": q.version,
 		"sends": j.sends, "refusals": j.refusals, "events": j.events, "reason": j.reason, "outcome": outcome,
+		"first_ms": j.first.Milliseconds(), "slot_wait_ms": j.waited.Milliseconds(), "objective_ms": q.route.Objective.Milliseconds(),
 		"took_ms": h.clock.Now().Sub(q.start).Milliseconds(), "patience_ms": q.deadline.Sub(q.start).Milliseconds(),
 	}).Info("request ended")
 }
--- a/verbenad/internal/hostlink/frame.go
+++ b/verbenad/internal/hostlink/frame.go
@@ -119,6 +119,15 @@
 // packed marks the length of a compressed message.
 const packed = 1 << 31
 
+// encoding keeps the fractions of a second of times, which the library's own choice drops: jobs are due to the millisecond.
+var encoding = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
 // Encode returns a frame with its length before it. The bytes may be sent to many hosts.
 func Encode(f Frame) (raw []byte, err error) {
 	defer func() {
@@ -126,7 +135,7 @@
 			err = fmt.Errorf("encode frame: %w", err)
 		}
 	}()
-	body, err := cbor.Marshal(f)
+	body, err := encoding.Marshal(f)
 	if err != nil {
 		return nil, err
 	}
--- a/verbenad/internal/hostlink/frame_test.go
+++ b/verbenad/internal/hostlink/frame_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"verbenaledge.example/verbena/bulk"
 	"verbenaledge.example/verbena/dispatch"
 	"verbenaledge.example/verbena/objects"
 )
@@ -25,7 +27,13 @@
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, got, qt.DeepEquals, f)
 	}
-	raw, err := Encode(Frame{News: &big})
+	due := time.Unix(1000, 123456789)
+	raw, err := Encode(Frame{Jobs: &JobsCall{Call: bulk.Call{New: &bulk.Job{Due: due}}}})
+	qt.Assert(t, err, qt.IsNil)
+	got, err := decode(bytes.NewReader(raw))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got.Jobs.Call.New.Due.Equal(due), qt.IsTrue, qt.Commentf("%s", got.Jobs.Call.New.Due))
+	raw, err = Encode(Frame{News: &big})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, len(raw) < 40_000, qt.IsTrue, qt.Commentf("%d bytes", len(raw)))
 }
