feat: batch items that can't be in time are put off, so that they make no others late

Hypothesis: under more batch work than slots, order by due time alone lets each item come a little late; putting off the fewest that can't be in time (Moore and Hodgson on the slots that callers leave, averaged over 5 s, with the expected rest of each item) leaves more in time. Ruled out: an item that is put off and soon given up goes first, so none is lost for it.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -138,7 +138,7 @@
 }
 
 func (m *Machine) start(now time.Time, w *waiter, s *server) {
-	r := &run{key: w.key, ask: w.ask, server: s, start: now, due: w.due}
+	r := &run{key: w.key, ask: w.ask, server: s, start: now, due: w.due, leave: w.leave, late: w.late}
 	m.runs[w.key] = r
 	s.used++
 	p := m.pool(w.ask.Service)
@@ -169,9 +169,11 @@
 			return
 		}
 	}
+	p.planBatch(now)
 	for len(p.waiting) > 0 {
 		w := p.waiting[0]
 		v := p.pick(now, w.key.Host, w.ask)
+		p.plan.observe(now, max(0, v.slots-p.running-p.reserve()))
 		s := v.best
 		if s == nil {
 			s = v.last
--- a/verbena/dispatch/machine.go
+++ b/verbena/dispatch/machine.go
@@ -15,12 +15,16 @@
 
 // run is a slot that is granted.
 type run struct {
-	key      Key
-	ask      Ask
-	server   *server
-	start    time.Time
-	due      time.Time
+	key    Key
+	ask    Ask
+	server *server
+	start  time.Time
+	due    time.Time
+	// leave is when the caller's time ends, or the item is given up.
+	leave    time.Time
 	yielding bool
+	// late is set while a batch item is put off.
+	late bool
 }
 
 // Machine is the state of all decisions. It is used by one goroutine.
@@ -268,7 +272,7 @@
 		if !ok {
 			continue
 		}
-		m.start(now, &waiter{key: Key{Host: e.Host, Ticket: h.Ask.Ticket}, ask: h.Ask, due: now.Add(h.Ask.Objective)}, s)
+		m.start(now, &waiter{key: Key{Host: e.Host, Ticket: h.Ask.Ticket}, ask: h.Ask, due: now.Add(h.Ask.Objective), leave: now.Add(h.Ask.Patience)}, s)
 	}
 	if m.absence.join(now, e) {
 		m.restart(now)
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -39,12 +39,18 @@
 	running int
 	hold    float64
 	first   float64
+	// event is the moving average of the time for an event of a stream, in seconds; 0 before any was seen.
+	event float64
+	plan  plan
 	// fastest is the least time for an event among the servers, as of fastestAt.
 	fastest   float64
 	fastestAt time.Time
 }
 
 func (p *pool) learn(a Ask, held time.Duration, o Outcome) {
+	if o.Units > 1 && o.Elapsed > 0 {
+		p.event = weigh(p.event, o.Elapsed.Seconds()/float64(o.Units))
+	}
 	if a.Class != Online {
 		return
 	}
@@ -231,7 +237,7 @@
 	return false
 }
 
-// victim chooses the batch item that has the most time left, on a server that the ask may use and that
+// victim chooses the batch item that is put off, or else has the most time left, on a server that the ask may use and that
 // serves well, or else, unless sound is set, on any other.
 func (p *pool) victim(now time.Time, host ids.HostID, a Ask, sound bool) (victim *run) {
 	poor := false
@@ -255,8 +261,11 @@
 	return s.usable(now) && !excluded(a.Exclude, s.ID) && !now.Before(s.pausedUntil) && s.illness.fits(now, host) == fitsWell
 }
 
-// yieldsBefore orders batch items by the time they have left.
+// yieldsBefore orders batch items by the time they have left, those first that are put off.
 func (r *run) yieldsBefore(o *run) bool {
+	if r.late != o.late {
+		return r.late
+	}
 	return r.due.After(o.due) || r.due.Equal(o.due) && less(r.key, o.key)
 }
 
--- a/verbena/dispatch/queue.go
+++ b/verbena/dispatch/queue.go
@@ -14,10 +14,12 @@
 	due time.Time
 	// leave is when the caller's time ends.
 	leave time.Time
-	p     *pool
+	// late is set while a batch item is put off.
+	late bool
+	p    *pool
 }
 
-// queue is what waits, ordered by priority and then by due time.
+// queue is what waits, ordered by priority and then by due time; what is put off goes last.
 type queue []*waiter
 
 func (q *queue) add(w *waiter) {
@@ -40,6 +42,9 @@
 	if a.ask.Priority != b.ask.Priority {
 		return a.ask.Priority < b.ask.Priority
 	}
+	if a.late != b.late {
+		return b.late
+	}
 	if !a.due.Equal(b.due) {
 		return a.due.Before(b.due)
 	}
--- a/verbena/dispatch/script_test.go
+++ b/verbena/dispatch/script_test.go
@@ -116,7 +116,8 @@
 		Fingerprint: uint64(o.number("print", 0)),
 	}
 	if verb == "batch" {
-		a.Class, a.Objective, a.Patience = Batch, o.time("due", 18*time.Second), time.Minute
+		a.Class, a.Objective, a.Patience = Batch, o.time("due", 18*time.Second), o.time("patience", time.Minute)
+		a.Units = o.number("units", 0)
 	}
 	if e := o["exclude"]; e != "" {
 		a.Exclude = []ids.BackendID{ids.BackendID(e)}
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -42,7 +42,8 @@
 	Patience time.Duration `cbor:"7,keyasint"`
 	// Whole is the patience that the route grants to a first attempt; a caller who comes back has less.
 	Whole time.Duration `cbor:"8,keyasint,omitempty"`
-	// Units is the expected size of the answer in events; 1 for a plain call.
+	// Units is the expected size of the answer in events, for batch of what is left of it; 1 for a plain call, and
+	// 0 if it isn't known.
 	Units int `cbor:"9,keyasint"`
 	// Metered asks are counted against the workspace's rate.
 	Metered bool            `cbor:"10,keyasint,omitempty"`
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -32,8 +32,6 @@
 	refusalLimit = 1 << 20
 	// cannotBeDone is the status of a server for an item that can never be done.
 	cannotBeDone = http.StatusUnprocessableEntity
-	// leastUnits is the size of an item that states none.
-	leastUnits = 1
 )
 
 var (
@@ -81,6 +79,7 @@
 		case itemComplete:
 			itemsDone.Inc()
 			itemSeconds.Update(i.owner.clock.Now().Sub(start).Seconds())
+			i.owner.sizes.learn(i.item.Tokens, i.events)
 			i.reason = ""
 			i.report("completed", lease)
 			return bulk.Result{Item: i.item.ID, State: bulk.Completed, Output: string(i.text)}, true
@@ -130,7 +129,7 @@
 	now := i.owner.clock.Now()
 	return dispatch.Ask{
 		Service: service, Workspace: i.record.Job.Workspace, Class: dispatch.Batch, Objective: i.record.Job.Due.Sub(now),
-		Patience: i.record.Job.GiveUp.Sub(now), Units: max(leastUnits, int(i.item.Tokens)), Exclude: i.exclude,
+		Patience: i.record.Job.GiveUp.Sub(now), Units: i.owner.sizes.left(i.item.Tokens, i.events), Exclude: i.exclude,
 	}
 }
 
--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -44,6 +44,7 @@
 	slots      *slots.Client
 	client     *upstream.Client
 	clock      clock.Clock
+	sizes      sizes
 	do         chan func()
 	ctx        context.Context
 
