feat: servers that say nothing get nothing new until they speak

Cause: a server that falls silent is known only when a send on it ends. Hypothesis: hosts report a server of which nothing has come for 0.3 s (four usual times to a first byte at least), and the dispatcher places nothing there while it answers no other host; its runs go on. At most half of a service's servers are left alone, as before. Ruled out: ending the runs of a silent server (silent isn't lost, and they may not be repeated).

--- a/verbena/dispatch/illness.go
+++ b/verbena/dispatch/illness.go
@@ -86,7 +86,7 @@
 }
 
 // poor tells whether the server fails so often that callers are better off elsewhere.
-func (s *server) poor(now time.Time) bool { return s.illness.rate(now) >= poorShare }
+func (s *server) poor(now time.Time) bool { return s.unproven || s.illness.rate(now) >= poorShare }
 
 // fitness is how well a server suits a host.
 type fitness int
--- a/verbena/dispatch/machine.go
+++ b/verbena/dispatch/machine.go
@@ -84,6 +84,8 @@
 		m.ask(now, e)
 	case Ended:
 		m.end(now, Key{Host: e.Host, Ticket: e.Outcome.Ticket}, e.Outcome)
+	case Stalled:
+		m.stall(now, e)
 	case Joined:
 		m.join(now, e)
 	case Parted:
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -115,18 +115,20 @@
 // boundEjection takes back a server's ejection if too many others are left alone already. It goes on
 // with one request at a time, as each server that failed.
 func (p *pool) boundEjection(now time.Time, s *server) {
-	if !now.Before(s.ejectedUntil) {
-		return
+	if now.Before(s.ejectedUntil) && !p.mayLeave(now, s) {
+		s.ejectedUntil = time.Time{}
 	}
-	ejected := 0
+}
+
+// mayLeave tells whether a server may be left alone beside those that are.
+func (p *pool) mayLeave(now time.Time, s *server) bool {
+	ejected := 1
 	for _, o := range p.servers {
-		if !o.gone && !o.Draining && now.Before(o.ejectedUntil) {
+		if o != s && !o.gone && !o.Draining && o.leftAlone(now) {
 			ejected++
 		}
 	}
-	if float64(ejected) > mostEjected*float64(p.alive()) {
-		s.ejectedUntil = time.Time{}
-	}
+	return float64(ejected) <= mostEjected*float64(p.alive())
 }
 
 // survey is what one pass over the servers finds for an ask: with thousands of servers each further
@@ -212,6 +214,9 @@
 	if s.Zone != zone {
 		c += crossZoneCost
 	}
+	if s.unproven {
+		c += stallCost
+	}
 	if now.Before(s.coldUntil) {
 		c += coldCost
 	}
--- a/verbena/dispatch/script_test.go
+++ b/verbena/dispatch/script_test.go
@@ -76,6 +76,8 @@
 		return Standby{On: words[0] == "on", Entries: o.number("entries", 0)}
 	case "doubt":
 		return Doubt{Unsure: words[0] == "on"}
+	case "stalled", "heard":
+		return Stalled{Host: host(words[0]), Report: StallReport{Ticket: ticket(words[0]), Silent: o.time("silent", 0)}}
 	case "tick":
 		return Tick{}
 	case "peers":
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -31,6 +31,10 @@
 	failures     int
 	ejectedUntil time.Time
 	pausedUntil  time.Time
+	// stalledUntil is set while nothing is seen of the server, unproven until it answers again.
+	stalledUntil time.Time
+	unproven     bool
+	aliveAt      time.Time
 	illness      illness
 	// unit is the moving average of the time for an event; 0 before the first answer.
 	unit float64
@@ -46,6 +50,7 @@
 // restarted forgets what was seen of the server before it started again. Slots that are granted end by themselves.
 func (s *server) restarted(now time.Time, cold time.Duration) {
 	s.failures, s.ejectedUntil, s.pausedUntil = 0, time.Time{}, time.Time{}
+	s.alive(now)
 	s.illness = illness{}
 	s.unit, s.first = 0, 0
 	s.coldUntil = now.Add(cold)
@@ -59,7 +64,12 @@
 }
 
 func (s *server) usable(now time.Time) bool {
-	return !s.gone && !s.Draining && !now.Before(s.ejectedUntil)
+	return !s.gone && !s.Draining && !s.leftAlone(now)
+}
+
+// leftAlone tells whether the server gets nothing for a while.
+func (s *server) leftAlone(now time.Time) bool {
+	return now.Before(s.ejectedUntil) || now.Before(s.stalledUntil)
 }
 
 // free counts the slots that a request may take now.
@@ -68,7 +78,7 @@
 		return 0
 	}
 	slots := s.capacity()
-	if s.failures > 0 {
+	if s.failures > 0 || s.unproven {
 		slots = 1 // a server that failed proves itself with one request
 	}
 	return slots - s.used + s.yielding
@@ -87,6 +97,7 @@
 func (s *server) learn(now time.Time, host ids.HostID, o Outcome) {
 	switch o.Verdict {
 	case Served:
+		s.alive(now)
 		s.failures = 0
 		s.ejectedUntil = time.Time{}
 		s.illness.served(now, host)
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -149,6 +149,8 @@
 	}()
 	silence := time.AfterFunc(silentAfter, cancel)
 	defer silence.Stop()
+	stall := i.owner.slots.Watch(l)
+	defer stall.Stop()
 	id, header := i.owner.protocol.ItemRequest(i.item)
 	answer, err := i.owner.client.Send(ctx, i.owner.protocol, upstream.Request{
 		ID: id, Method: http.MethodPost, Target: i.item.Path, Host: i.record.Job.Host, Body: i.item.Body, Server: l.Server,
@@ -162,6 +164,7 @@
 		return itemAgain
 	}
 	defer answer.Close()
+	stall.Heard()
 	o.First = answer.First
 	if answer.Status != http.StatusOK || !answer.Reply.Signed {
 		o.Verdict, v = i.refused(route, answer)
@@ -171,7 +174,11 @@
 		}).Info("server turned an item away")
 		return v
 	}
-	return i.read(whole, l, answer, &o, silence)
+	heard := func() {
+		stall.Heard()
+		silence.Reset(silentAfter)
+	}
+	return i.read(whole, l, answer, &o, heard)
 }
 
 // carryOn goes on from a former owner's beginning if it is further.
@@ -227,7 +234,7 @@
 }
 
 // read takes the events of a run.
-func (i *itemRun) read(whole context.Context, l *slots.Lease, a *upstream.Answer, o *dispatch.Outcome, silence *time.Timer) itemVerdict {
+func (i *itemRun) read(whole context.Context, l *slots.Lease, a *upstream.Answer, o *dispatch.Outcome, heard func()) itemVerdict {
 	events := upstream.NewEvents(a)
 	start := i.owner.clock.Now()
 	for {
@@ -243,7 +250,7 @@
 			return itemAgain
 		}
 		if upstream.HasEvent(batch) {
-			silence.Reset(silentAfter) // comments say nothing of the server's work
+			heard() // comments say nothing of the server's work
 		}
 		if found := upstream.Parse(batch); !a.Spliced(batch) && i.takeAll(found) {
 			o.Units += len(found)
--- a/verbenad/internal/entry/answer.go
+++ b/verbenad/internal/entry/answer.go
@@ -142,12 +142,14 @@
 			return over, o
 		}
 		h.begin(q, j, a)
+		quiet.stall.Pause() // a caller may be slow to read
 		if _, err := q.w.Write(batch); err != nil {
 			o.Verdict = dispatch.Left
 			j.reason = "caller_left"
 			return over, o
 		}
 		_ = flusher.Flush() // a caller that is gone shows at the next write
+		quiet.stall.Heard()
 		id, n := upstream.LastID(batch)
 		if id != "" {
 			j.lastEvent = id
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -144,7 +144,7 @@
 func (h *Handler) attempt(ctx context.Context, q *request, j *journey, l *slots.Lease) (next step, o dispatch.Outcome) {
 	sending, cancel := context.WithCancel(ctx)
 	defer cancel()
-	quiet := h.watch(q, j, cancel)
+	quiet := h.watch(q, j, l, cancel)
 	defer quiet.over()
 	start := h.clock.Now()
 	answer, err := h.client.Send(sending, h.protocol, upstream.Request{
@@ -157,6 +157,7 @@
 		return h.sendFailed(ctx, q, j, err, quiet)
 	}
 	defer answer.Close()
+	quiet.stall.Heard()
 	o.First = answer.First
 	o.Counted, o.Running, o.Waiting = answer.Reply.Load.Known, answer.Reply.Load.Running, answer.Reply.Load.Waiting
 	switch {
--- a/verbenad/internal/entry/silence.go
+++ b/verbenad/internal/entry/silence.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"verbenaledge.example/verbenad/internal/bounded"
+	"verbenaledge.example/verbenad/internal/slots"
 )
 
 const (
@@ -50,9 +51,10 @@
 	return false
 }
 
-// silence ends a send whose server says nothing for too long, if another server may try.
+// silence ends a send whose server says nothing for too long, if another server may try, and reports the server.
 type silence struct {
 	timer *time.Timer
+	stall *slots.Watch
 	// gap is how long the server may say nothing after an event.
 	gap   time.Duration
 	ended atomic.Bool
@@ -60,8 +62,8 @@
 
 // watch begins when a request is sent. A request that may run once, or for which no further server may
 // try, waits for as long as it has time.
-func (h *Handler) watch(q *request, j *journey, end context.CancelFunc) *silence {
-	s := &silence{gap: max(leastGap, gapFactor*q.route.Gap)}
+func (h *Handler) watch(q *request, j *journey, l *slots.Lease, end context.CancelFunc) *silence {
+	s := &silence{gap: max(leastGap, gapFactor*q.route.Gap), stall: h.slots.Watch(l)}
 	if !q.route.Repeatable() || j.sends+1 >= q.route.MaxAttempts {
 		return s
 	}
@@ -77,6 +79,7 @@
 
 // heard begins the wait anew.
 func (s *silence) heard() {
+	s.stall.Heard()
 	if s.timer != nil && !s.ended.Load() {
 		s.timer.Reset(s.gap)
 	}
@@ -84,6 +87,7 @@
 
 // over ends the watch.
 func (s *silence) over() {
+	s.stall.Stop()
 	if s.timer != nil {
 		s.timer.Stop()
 	}
--- a/verbenad/internal/hostlink/frame.go
+++ b/verbenad/internal/hostlink/frame.go
@@ -53,6 +53,8 @@
 	// Jobs is a question on batch jobs, Reply its answer.
 	Jobs  *JobsCall   `cbor:"9,keyasint,omitempty"`
 	Reply *bulk.Reply `cbor:"10,keyasint,omitempty"`
+	// Stall tells that nothing comes from the server of a ticket, or that something does again.
+	Stall *dispatch.StallReport `cbor:"21,keyasint,omitempty"`
 	// Drains names servers that said that they stop soon.
 	Drains []directory.DrainNotice `cbor:"20,keyasint,omitempty"`
 }
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -72,6 +72,7 @@
 	known   bool
 	helpers []string
 	drains  Drains
+	firsts  firsts
 	rates   map[ids.WorkspaceID]dispatch.Rate
 	// events are for this host's own machine; they are applied once mu is free.
 	events []dispatch.Event
--- a/verbenad/internal/slots/client_test.go
+++ b/verbenad/internal/slots/client_test.go
@@ -22,6 +22,10 @@
 	"a": {ID: "a", Service: "llm", Slots: 1}, "b": {ID: "b", Service: "llm", Slots: 1},
 }
 
+var moreSlots = map[ids.BackendID]directory.Server{
+	"a": {ID: "a", Service: "llm", Slots: 8}, "b": {ID: "b", Service: "llm", Slots: 8},
+}
+
 func ask(class dispatch.Class) dispatch.Ask {
 	return dispatch.Ask{Service: "llm", Class: class, Objective: time.Second, Patience: 5 * time.Second, Whole: 5 * time.Second, Units: 1}
 }
--- a/verbenad/internal/slots/lease.go
+++ b/verbenad/internal/slots/lease.go
@@ -53,6 +53,7 @@
 // Release gives a slot back with what was seen of its server.
 func (c *Client) Release(l *Lease, o dispatch.Outcome) {
 	sends.With(string(l.Server.Service), string(l.Server.ID), o.Verdict.String()).Inc()
+	c.firsts.learn(l.Server.Service, o.First)
 	c.mu.Lock()
 	defer c.unlock()
 	c.release(l.ticket, o)
--- a/verbenad/internal/slots/server.go
+++ b/verbenad/internal/slots/server.go
@@ -230,6 +230,8 @@
 		s.runner.Do(dispatch.Asked{Host: host, Ask: *f.Ask})
 	case f.Outcome != nil:
 		s.runner.Do(dispatch.Ended{Host: host, Outcome: *f.Outcome})
+	case f.Stall != nil:
+		s.runner.Do(dispatch.Stalled{Host: host, Report: *f.Stall})
 	case f.Ping:
 		s.tell(host)
 	case f.Leaving:
--- /dev/null
+++ b/verbenad/internal/slots/stall.go
@@ -0,0 +1,120 @@
+package slots
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"verbenaledge.example/verbena/clock"
+	"verbenaledge.example/verbena/dispatch"
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbenad/internal/hostlink"
+)
+
+const (
+	// leastStall is how long a server may say nothing at least before it counts as stalled: ten events of a stream at
+	// the usual speed.
+	leastStall = 300 * time.Millisecond
+	// stallFactor is how many usual times to a first byte that must be as well.
+	stallFactor = 4
+	// firstWeight is the weight of one answer in the average of these times.
+	firstWeight = 0.1
+)
+
+// firsts averages the time to the first byte by service.
+type firsts struct {
+	mu    sync.Mutex
+	usual map[ids.ServiceName]time.Duration
+}
+
+func (f *firsts) learn(s ids.ServiceName, first time.Duration) {
+	if first <= 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.usual == nil {
+		f.usual = make(map[ids.ServiceName]time.Duration)
+	}
+	old, ok := f.usual[s]
+	if !ok {
+		old = first
+	}
+	f.usual[s] = old + time.Duration(firstWeight*float64(first-old))
+}
+
+// stallAfter is how long a server of the service may say nothing.
+func (f *firsts) stallAfter(s ids.ServiceName) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(leastStall, stallFactor*f.usual[s])
+}
+
+// Watch reports a server that says nothing while it should answer a request.
+type Watch struct {
+	client *Client
+	clock  clock.Clock
+	ticket dispatch.Ticket
+	after  time.Duration
+	// heardAt is the last sign of life, in Unix nanoseconds.
+	heardAt  atomic.Int64
+	reported atomic.Bool
+	timer    *time.Timer
+}
+
+// Watch begins when a request is sent to the server of a slot. It ends with Stop.
+func (c *Client) Watch(l *Lease) *Watch {
+	w := &Watch{client: c, clock: c.clock, ticket: l.ticket, after: c.firsts.stallAfter(l.Server.Service)}
+	w.heardAt.Store(c.clock.Now().UnixNano())
+	w.timer = time.AfterFunc(w.after, w.look)
+	return w
+}
+
+// look reports the server if nothing has come, and looks again later.
+func (w *Watch) look() {
+	silent := w.clock.Now().Sub(time.Unix(0, w.heardAt.Load()))
+	if silent < 0 {
+		w.timer.Reset(w.after) // paused
+		return
+	}
+	if silent < w.after {
+		w.timer.Reset(w.after - silent)
+		return
+	}
+	w.reported.Store(true)
+	w.client.report(dispatch.StallReport{Ticket: w.ticket, Silent: silent})
+	w.timer.Reset(w.after)
+}
+
+// Pause stops counting until the next sign of life: nothing is read from the server meanwhile.
+func (w *Watch) Pause() { w.heardAt.Store(math.MaxInt64) }
+
+// Heard notes a sign of life.
+func (w *Watch) Heard() {
+	w.heardAt.Store(w.clock.Now().UnixNano())
+	if w.reported.Swap(false) {
+		w.client.report(dispatch.StallReport{Ticket: w.ticket})
+	}
+}
+
+// Stop ends the watch.
+func (w *Watch) Stop() { w.timer.Stop() }
+
+// report tells the seats that know of a slot what is seen of its server.
+func (c *Client) report(r dispatch.StallReport) {
+	c.mu.Lock()
+	defer c.unlock()
+	h, ok := c.held[r.Ticket]
+	if !ok {
+		return
+	}
+	if h.seat == Local {
+		c.events = append(c.events, dispatch.Stalled{Host: c.host, Report: r})
+	}
+	for _, ch := range []*channel{c.dispatcher, c.standby} {
+		if ch.joined {
+			ch.send(hostlink.Frame{Stall: &r})
+		}
+	}
+}
