feat: verbenalab loss; a soak trouble for servers that say that they leave

The soak plays server_says_it_leaves, with the store up or refusing, and checks that a host's process that has passed the notice on sends that server nothing later; plans of earlier seeds hold, since a generator of its own draws it.

--- /dev/null
+++ b/verbenalab/cmd/loss.go
@@ -0,0 +1,37 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"verbenaledge.example/verbenalab/internal/loss"
+)
+
+type lossCommand struct {
+	Args struct {
+		Files []string `positional-arg-name:"FILE" description:"log lines of the fleet's processes; standard input if there is none"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints what became of requests and items, by cause.
+func (c *lossCommand) Execute([]string) (err error) {
+	sources := []io.Reader{os.Stdin}
+	if len(c.Args.Files) > 0 {
+		sources = nil
+	}
+	for _, name := range c.Args.Files {
+		f, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("open log lines: %w", err)
+		}
+		defer func() { _ = f.Close() }() // it was only read
+		sources = append(sources, f)
+	}
+	a, err := loss.Read(io.MultiReader(sources...))
+	if err != nil {
+		return err
+	}
+	a.Write(os.Stdout)
+	return nil
+}
--- a/verbenalab/cmd/root.go
+++ b/verbenalab/cmd/root.go
@@ -44,6 +44,7 @@
 		{"soak", "Run the programs under faults and check what is promised", &soakCommand{}},
 		{"recover", "Measure what each trouble costs callers", &recoverCommand{}},
 		{"place", "Compare ways of placing requests on a recorded load", &placeCommand{}},
+		{"loss", "Tell from log lines where requests and batch items were lost or late", &lossCommand{}},
 		{"demo", "Run a small fleet through a day in a minute", &demoCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.short+".", c.command); err != nil {
--- a/verbenalab/internal/soak/callers.go
+++ b/verbenalab/internal/soak/callers.go
@@ -119,6 +119,7 @@
 	answer, err := a.send(ctx, h, http.MethodPost, "/"+string(route)+"/x", key, c.ID, header, c.ID)
 	if err == nil {
 		body, err := io.ReadAll(answer.Body)
+		c.Draining = standin.SaysDraining(answer.Header)
 		_ = answer.Body.Close() // what can't be read any more shows in err
 		c.Status, c.AnswerID, c.Body, c.Whole = answer.StatusCode, answer.Header.Get(standin.HeaderRequestID), string(body), err == nil
 	}
--- a/verbenalab/internal/soak/check_test.go
+++ b/verbenalab/internal/soak/check_test.go
@@ -86,6 +86,15 @@
 		{"a cut stream that looks whole", "answers", func(e *soak.Evidence) { e.Calls[1].Whole = true }},
 		{"an event twice", "answers", func(e *soak.Evidence) { e.Calls[1].Body = "id: 1\ndata: b/1\n\nid: 1\ndata: b/1\n\n" }},
 		{"refused and run", "not run", func(e *soak.Evidence) { e.Runs = append(e.Runs, ran("c", "server-3", 5)) }},
+		{"a request to a server that leaves", "draining", func(e *soak.Evidence) {
+			first, later := ran("told", "server-3", 100), ran("later", "server-3", 2700)
+			first.Drain, later.Drain = 1, 1
+			e.Runs = append(e.Runs, first, later)
+			e.Calls = append(
+				e.Calls, soak.Call{ID: "told", Route: soak.RouteApp, Life: "front-0#1", Sent: at(90), Ended: at(110), Draining: true},
+				soak.Call{ID: "later", Route: soak.RouteApp, Life: "front-0#1", Sent: at(2690), Ended: at(2710)},
+			)
+		}},
 		{"run twice", "at most once", func(e *soak.Evidence) { e.Runs = append(e.Runs, ran("e", "server-3", 5)) }},
 		{"run four times", "at most once", func(e *soak.Evidence) {
 			e.Runs = append(e.Runs, ran("a", "server-3", 5), ran("a", "server-4", 6), ran("a", "server-3", 7))
--- a/verbenalab/internal/soak/evidence.go
+++ b/verbenalab/internal/soak/evidence.go
@@ -30,6 +30,8 @@
 	Status   int
 	AnswerID string
 	Body     string
+	// Draining tells that the answer says that its server leaves.
+	Draining bool
 	// Whole tells that the answer looked complete to its caller.
 	Whole bool
 }
--- a/verbenalab/internal/soak/plan.go
+++ b/verbenalab/internal/soak/plan.go
@@ -20,6 +20,8 @@
 	troubleEvery = 700 * time.Millisecond
 	// laterEvery is the same for later troubles.
 	laterEvery = 2 * time.Second
+	// drainEvery is the same for servers that say in their answers that they leave.
+	drainEvery = 4 * time.Second
 )
 
 // Event is one trouble of a plan.
@@ -37,6 +39,7 @@
 func NewPlan(seed uint64, length time.Duration) (p Plan) {
 	p = draw(rand.New(rand.NewPCG(seed, seed)), troubles, length, troubleEvery)
 	p = append(p, draw(rand.New(rand.NewPCG(seed, ^seed)), laterTroubles, length, laterEvery)...)
+	p = append(p, draw(rand.New(rand.NewPCG(^seed, seed)), drainTroubles, length, drainEvery)...)
 	sort.Slice(p, func(i, j int) bool { return p[i].At < p[j].At })
 	return p
 }
--- a/verbenalab/internal/soak/trouble.go
+++ b/verbenalab/internal/soak/trouble.go
@@ -76,13 +76,15 @@
 
 // Kinds returns all kinds in a stable order.
 func Kinds() (list []Kind) {
-	return append(kindsOf(troubles), kindsOf(laterTroubles)...)
+	return append(append(kindsOf(troubles), kindsOf(laterTroubles)...), kindsOf(drainTroubles)...)
 }
 
 // of returns what a kind does.
 func (k Kind) of() trouble {
-	if d, ok := laterTroubles[k]; ok {
-		return d
+	for _, kinds := range []map[Kind]trouble{laterTroubles, drainTroubles} {
+		if d, ok := kinds[k]; ok {
+			return d
+		}
 	}
 	return troubles[k]
 }
