--- a/verbenalab/internal/fleet/fleet.go
+++ b/verbenalab/internal/fleet/fleet.go
@@ -296,7 +296,19 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("%s is not up after %s, see its log in %s", what, startLimit, f.config.Dir)
+	return fmt.Errorf("%s is not up after %s, see its log in %s, which ends with:\n%s", what, startLimit, f.config.Dir, f.logEnd(what))
+}
+
+// shownLog is how much of a log an error shows, in bytes: tests remove their folders.
+const shownLog = 4 << 10
+
+// logEnd is the end of a process's log.
+func (f *Fleet) logEnd(name string) string {
+	raw, err := os.ReadFile(f.path(name + ".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw[max(0, len(raw)-shownLog):])
 }
 
 func (f *Fleet) get(address, path string, into any) (err error) {
