fix: a dispatcher that takes over plans with times that have gone on

Hosts told a new dispatcher the times of what they hold as of when it was asked, so due times moved into the future and runs seemed to begin anew; and a first look within a burst took batch to have no slots, so nearly all items were put off. A host tells what is left of the times and for how long a slot is held; callers are taken to leave all slots at first.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -31,7 +31,7 @@
 		return
 	}
 	w.due = w.due.Add(-p.firstTime())
-	if m.suspects.crashing(e.Ask.Fingerprint) {
+	if !m.off[CrashSuspects] && m.suspects.crashing(e.Ask.Fingerprint) {
 		m.out = append(m.out, Refuse{Key: w.key, Reason: Crashing, Later: clamp(latest, e.Ask.Patience), Inputs: p.inputs(p.pick(now, w.key.Host, e.Ask))})
 		return
 	}
@@ -45,9 +45,11 @@
 	if placed, _ := m.place(now, w); placed {
 		return
 	}
-	if later, hopeless := m.hopeless(now, p, w); hopeless {
-		m.refuse(now, w, Overload, later)
-		return
+	if !m.off[EarlyRefusal] {
+		if later, hopeless := m.hopeless(now, p, w); hopeless {
+			m.refuse(now, w, Overload, later)
+			return
+		}
 	}
 	p.online.add(w)
 	m.waits[w.key] = w
@@ -89,12 +91,25 @@
 			ahead++
 		}
 	}
-	wait := p.holdTime() * time.Duration(ahead) / time.Duration(slots)
+	wait := p.turn(ahead, slots)
 	limit := w.due.Sub(now)
-	if float64(w.ask.Patience) < secondAttempt*float64(w.ask.Whole) {
+	if w.returned() {
 		limit = max(limit, w.ask.Patience-p.holdTime()-p.firstTime())
 	}
-	return clamp(wait, w.ask.Patience), wait > limit
+	if wait <= limit {
+		return 0, false
+	}
+	return clamp(wait, w.ask.Patience), true
+}
+
+// turn is when the last of so many is served.
+func (p *pool) turn(ahead, slots int) time.Duration {
+	return p.holdTime() * time.Duration(ahead) / time.Duration(slots)
+}
+
+// returned tells a caller who was sent away before: it has less time than a first attempt.
+func (w *waiter) returned() bool {
+	return float64(w.ask.Patience) < secondAttempt*float64(w.ask.Whole)
 }
 
 // clamp bounds when a caller is told to come back to what it honours.
@@ -173,7 +188,7 @@
 	for len(p.waiting) > 0 {
 		w := p.waiting[0]
 		v := p.pick(now, w.key.Host, w.ask)
-		p.plan.observe(now, max(0, v.slots-p.running-p.reserve()))
+		p.plan.observe(now, max(0, v.slots-p.running-p.reserve()), v.slots)
 		s := v.best
 		if s == nil {
 			s = v.last
@@ -191,7 +206,10 @@
 // serveNext starts the first that waits, or if the free slots are on servers that it can't use, the next
 // one that can.
 func (m *Machine) serveNext(now time.Time, p *pool) bool {
-	first := p.online.next(now)
+	first := p.online[0]
+	if !m.off[LateLast] {
+		first = p.online.next(now)
+	}
 	placed, free := m.place(now, first)
 	if placed {
 		m.drop(first)
@@ -219,7 +237,7 @@
 	for i := 0; i < len(p.online); {
 		w := p.online[i]
 		wait := time.Duration(0)
-		if now.After(w.due) && slots > 0 {
+		if now.After(w.due) && slots > 0 && !m.off[LateRefusal] {
 			ahead++
 			wait = p.holdTime() * time.Duration(ahead) / slots
 		}
--- a/verbena/dispatch/machine.go
+++ b/verbena/dispatch/machine.go
@@ -44,12 +44,14 @@
 	suspects suspects
 	// salt orders servers that are equal otherwise.
 	salt string
+	off  switches
 }
 
 // New returns a machine that knows no servers. Machines with different salts prefer different ones
 // among servers that are equal otherwise; without a salt the first by id is preferred.
-func New(salt string) *Machine {
-	return &Machine{
+func New(salt string, list ...Option) *Machine {
+	m := &Machine{
+		off:      make(switches),
 		salt:     salt,
 		pools:    make(map[ids.ServiceName]*pool),
 		servers:  make(map[ids.BackendID]*server),
@@ -61,6 +63,10 @@
 		part:     1,
 		suspects: make(suspects),
 	}
+	for _, o := range list {
+		o(m)
+	}
+	return m
 }
 
 // Step applies one event at the given time and returns the commands that follow from it.
@@ -122,7 +128,7 @@
 			m.leavePool(s)
 		}
 		if !ok {
-			s = &server{coldUntil: now.Add(d.ColdFor), part: m.part, order: m.orderOf(id)}
+			s = &server{off: m.off, coldUntil: now.Add(d.ColdFor), part: m.part, order: m.orderOf(id)}
 			m.servers[id] = s
 		}
 		if s.Incarnation != d.Incarnation {
@@ -171,7 +177,7 @@
 func (m *Machine) pool(name ids.ServiceName) *pool {
 	p, ok := m.pools[name]
 	if !ok {
-		p = &pool{}
+		p = &pool{off: m.off}
 		m.pools[name] = p
 	}
 	return p
@@ -181,7 +187,7 @@
 	m.rates = make(map[ids.WorkspaceID]Rate, len(e.Rates))
 	for id, r := range e.Rates {
 		m.rates[id] = r
-		own := m.absence.left(id, r)
+		own := m.leftOf(id, r)
 		b, ok := m.buckets[id]
 		if !ok {
 			m.buckets[id] = newBucket(now, own)
@@ -213,8 +219,16 @@
 		m.divide(part)
 	}
 	for id, b := range m.buckets {
-		b.set(now, m.absence.left(id, m.rates[id]))
+		b.set(now, m.leftOf(id, m.rates[id]))
+	}
+}
+
+// leftOf is what of a rate hosts that are out of touch leave.
+func (m *Machine) leftOf(id ids.WorkspaceID, r Rate) Rate {
+	if m.off[Absence] {
+		return r
 	}
+	return m.absence.left(id, r)
 }
 
 // end frees the slot of a run, or takes a waiting ask back.
@@ -275,6 +289,7 @@
 			continue
 		}
 		m.start(now, &waiter{key: Key{Host: e.Host, Ticket: h.Ask.Ticket}, ask: h.Ask, due: now.Add(h.Ask.Objective), leave: now.Add(h.Ask.Patience)}, s)
+		m.runs[Key{Host: e.Host, Ticket: h.Ask.Ticket}].start = now.Add(-h.Running)
 	}
 	if m.absence.join(now, e) {
 		m.restart(now)
--- a/verbena/dispatch/plan.go
+++ b/verbena/dispatch/plan.go
@@ -29,10 +29,11 @@
 	left    float64
 }
 
-// observe averages the slots that batch may have.
-func (l *plan) observe(now time.Time, slots int) {
+// observe averages the slots that batch may have, of all. At first callers are taken to leave them all: a plan that
+// expects too little puts off what could be in time.
+func (l *plan) observe(now time.Time, slots, all int) {
 	if l.levelAt.IsZero() {
-		l.left = float64(slots)
+		l.left = float64(all)
 	}
 	if spent := now.Sub(l.levelAt); spent > 0 && !l.levelAt.IsZero() {
 		l.left += (l.level - l.left) * (1 - math.Exp(-float64(spent)/float64(batchSpan)))
@@ -50,7 +51,7 @@
 
 // planBatch plans a service's items, if the last plan is old.
 func (p *pool) planBatch(now time.Time) {
-	if now.Sub(p.plan.at) < planEvery || len(p.waiting) == 0 {
+	if p.off[BatchPlan] || now.Sub(p.plan.at) < planEvery || len(p.waiting) == 0 {
 		return
 	}
 	p.plan.at = now
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -42,6 +42,7 @@
 	// event is the moving average of the time for an event of a stream, in seconds; 0 before any was seen.
 	event float64
 	plan  plan
+	off   switches
 	// fastest is the least time for an event among the servers, as of fastestAt.
 	fastest   float64
 	fastestAt time.Time
@@ -99,6 +100,9 @@
 // reserve is how many slots stay free of batch: callers' requests vary by about the root of their
 // number, and an item that must leave at once has run for nothing.
 func (p *pool) reserve() int {
+	if p.off[BatchReserve] {
+		return 0
+	}
 	return int(reserveShare * math.Sqrt(float64(p.running)))
 }
 
@@ -205,13 +209,13 @@
 	c := 1.0
 	if s.unit > 0 && fastest > 0 {
 		c = s.unit / fastest
-		if c > slowAt {
+		if c > slowAt && !s.off[SlowLast] {
 			c += slowCost
 		}
 	}
 	c += crowdCost * float64(s.used-s.yielding)
 	c += illnessCost * s.illness.rate(now)
-	if s.Zone != zone {
+	if s.Zone != zone && !s.off[ZoneFirst] {
 		c += crossZoneCost
 	}
 	if s.unproven {
@@ -245,6 +249,9 @@
 // victim chooses the batch item that is put off, or else has the most time left, on a server that the ask may use and that
 // serves well, or else, unless sound is set, on any other.
 func (p *pool) victim(now time.Time, host ids.HostID, a Ask, sound bool) (victim *run) {
+	if p.off[BatchYields] {
+		return nil
+	}
 	poor := false
 	for _, r := range p.batch {
 		if r.yielding || !r.server.takes(now, host, a) {
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -45,6 +45,7 @@
 	part float64
 	// order decides among servers that are equal otherwise.
 	order uint64
+	off   switches
 }
 
 // restarted forgets what was seen of the server before it started again. Slots that are granted end by themselves.
@@ -112,9 +113,13 @@
 	case Gone:
 		s.gone = true
 	case Unreachable, Broken, Failed:
-		s.failures++
-		s.ejectedUntil = now.Add(ejection(s.failures, o.Verdict))
-		s.illness.failed(now, host, o.Verdict)
+		if !s.off[Ejection] {
+			s.failures++
+			s.ejectedUntil = now.Add(ejection(s.failures, o.Verdict))
+		}
+		if !s.off[Illness] {
+			s.illness.failed(now, host, o.Verdict)
+		}
 	case Left:
 	}
 }
--- a/verbena/dispatch/stall.go
+++ b/verbena/dispatch/stall.go
@@ -32,6 +32,9 @@
 // stall keeps new requests from a server of which nothing is seen: until its runs end, which may take seconds, each
 // further request would share their fate.
 func (m *Machine) stall(now time.Time, e Stalled) {
+	if m.off[Stalls] {
+		return
+	}
 	r, ok := m.runs[Key{Host: e.Host, Ticket: e.Report.Ticket}]
 	if !ok {
 		return
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -116,6 +116,8 @@
 type Held struct {
 	Ask    Ask           `cbor:"1,keyasint"`
 	Server ids.BackendID `cbor:"2,keyasint"`
+	// Running is for how long the slot has been held.
+	Running time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Event is something that happened.
--- a/verbenad/cmd/platform.go
+++ b/verbenad/cmd/platform.go
@@ -10,9 +10,11 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
+	"github.com/jessevdk/go-flags"
 
 	"verbenaledge.example/platform"
 	"verbenaledge.example/verbena/clock"
+	"verbenaledge.example/verbena/dispatch"
 	"verbenaledge.example/verbena/node"
 	"verbenaledge.example/verbenad/internal/host"
 	"verbenaledge.example/verbenad/internal/logs"
@@ -25,8 +27,25 @@
 // roles by the first word of the command line.
 var roles = map[string]role{"front": host.Front, "storage": host.Storage}
 
+// roleOptions is the command line of a role.
+type roleOptions struct {
+	Without string `long:"without" value-name:"MECHANISM,..." description:"switch parts of the decisions off, for measurements"`
+}
+
 // runRole runs a role with the platform's settings.
-func runRole(name string, r role) int {
+func runRole(name string, r role, args []string) int {
+	var o roleOptions
+	rest, err := flags.NewParser(&o, flags.Default).ParseArgs(args)
+	if err != nil || len(rest) > 0 {
+		return ExitUsage
+	}
+	var without []dispatch.Mechanism
+	if o.Without != "" {
+		if without, err = dispatch.ParseMechanisms(o.Without); err != nil {
+			fmt.Fprintln(os.Stderr, "verbenad:", err)
+			return ExitUsage
+		}
+	}
 	s, err := platform.LoadSettings()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "verbenad:", err)
@@ -39,8 +58,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go reloadOnHangup(ctx, s)
-	w := host.World{Settings: s, Store: metered.New(platform.NewStore(s.StoreAddress), clock.System{}), Source: platform.Source{}, Protocol: platform.Protocol{}}
-	log.WithFields(log.Fields{"role": name, "zone": s.Zone, "memory_mb": s.MemoryMB, "version": version()}).Info("started")
+	w := host.World{Settings: s, Store: metered.New(platform.NewStore(s.StoreAddress), clock.System{}), Source: platform.Source{}, Protocol: platform.Protocol{}, Without: without}
+	log.WithFields(log.Fields{"role": name, "zone": s.Zone, "memory_mb": s.MemoryMB, "version": version(), "without": o.Without}).Info("started")
 	if err := r(ctx, w); err != nil {
 		log.WithError(err).Error("stopped by a fault")
 		return ExitFailed
--- a/verbenad/cmd/root.go
+++ b/verbenad/cmd/root.go
@@ -37,9 +37,9 @@
 
 // Execute runs the command line and returns the exit code.
 func Execute(args []string) int {
-	if len(args) == 1 {
+	if len(args) > 0 {
 		if r, ok := roles[args[0]]; ok {
-			return runRole(args[0], r)
+			return runRole(args[0], r, args[1:])
 		}
 	}
 	var o options
--- a/verbenad/internal/host/front.go
+++ b/verbenad/internal/host/front.go
@@ -39,7 +39,7 @@
 	stopping := newDrains(sys)
 	place := slots.NewClient(
 		w.Settings.Host, w.Settings.Zone, w.Settings.PeerAddress(), sys, feed,
-		func() string { return v.Address(ownership.Dispatch) }, v.StandbyAddress, slots.WithDrains(stopping),
+		func() string { return v.Address(ownership.Dispatch) }, v.StandbyAddress, slots.WithDrains(stopping), slots.Without(w.Without),
 	)
 	stopping.use, stopping.up = place.SetServers, place.ReportDrains
 	client := upstream.NewClient(sys, upstream.OnDraining(stopping.answered))
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -60,10 +60,10 @@
 	feed := relay.NewFeed(sys)
 	known := newKnowledge(w, feed, s.direct)
 	stopping := newDrains(sys)
-	s.dispatcher = slots.NewServer(sys, known.news, s.role, s.view.News, slots.WithDrains(stopping))
+	s.dispatcher = slots.NewServer(sys, known.news, s.role, s.view.News, slots.WithDrains(stopping), slots.Without(w.Without))
 	s.place = slots.NewClient(
 		w.Settings.Host, w.Settings.Zone, "", sys, feed,
-		func() string { return s.view.Address(ownership.Dispatch) }, s.view.StandbyAddress, slots.WithDrains(stopping),
+		func() string { return s.view.Address(ownership.Dispatch) }, s.view.StandbyAddress, slots.WithDrains(stopping), slots.Without(w.Without),
 	)
 	stopping.use, stopping.up, stopping.down = s.dispatcher.SetServers, s.place.ReportDrains, s.dispatcher.PassDrains
 	client := upstream.NewClient(sys, upstream.OnDraining(stopping.answered))
--- a/verbenad/internal/host/world.go
+++ b/verbenad/internal/host/world.go
@@ -66,6 +66,8 @@
 	Store    objects.Client
 	Source   Source
 	Protocol Protocol
+	// Without names parts of the decisions that are switched off, for measurements.
+	Without []dispatch.Mechanism
 }
 
 // Apply puts changed settings in force as far as a running process can.
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -82,12 +82,13 @@
 func NewClient(
 	host ids.HostID, zone ids.ZoneID, passes string, c clock.Clock, feed *relay.Feed, dispatcher, standby func() string, list ...Option,
 ) *Client {
+	o := apply(list)
 	k := &Client{
-		drains: apply(list).drains, passes: passes, host: host, zone: zone, clock: c, feed: feed, hosts: usualHosts, shares: dispatch.NewShares(),
+		drains: o.drains, passes: passes, host: host, zone: zone, clock: c, feed: feed, hosts: usualHosts, shares: dispatch.NewShares(),
 		dispatcher: newChannel(Dispatcher, dispatcher, pingEvery), standby: newChannel(Standby, standby, standbyPingEvery),
 		pending: make(map[dispatch.Ticket]*pending), held: make(map[dispatch.Ticket]*holding),
 	}
-	k.local = NewRunner(c, string(host), k.localCommand)
+	k.local = NewRunner(c, string(host), k.localCommand, dispatch.Without(o.without...))
 	return k
 }
 
--- a/verbenad/internal/slots/connection.go
+++ b/verbenad/internal/slots/connection.go
@@ -107,7 +107,7 @@
 		Drains: c.drains.All(), Elsewhere: c.spent.Elsewhere(c.clock.Now(), ch.reportedAt, int(ch.seat)),
 	}
 	for _, h := range c.held {
-		hello.Held = append(hello.Held, h.held)
+		hello.Held = append(hello.Held, h.at(c.clock.Now()))
 	}
 	ch.reportedAt = c.clock.Now()
 	ch.send(hostlink.Frame{Hello: &hello})
--- a/verbenad/internal/slots/drains.go
+++ b/verbenad/internal/slots/drains.go
@@ -2,6 +2,7 @@
 
 import (
 	"verbenaledge.example/verbena/directory"
+	"verbenaledge.example/verbena/dispatch"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbenad/internal/hostlink"
 )
@@ -27,7 +28,8 @@
 type Option func(*options)
 
 type options struct {
-	drains Drains
+	drains  Drains
+	without []dispatch.Mechanism
 }
 
 // WithDrains keeps requests from servers that said that they stop soon, and exchanges what hosts know of them.
@@ -35,6 +37,11 @@
 	return func(o *options) { o.drains = d }
 }
 
+// Without switches parts of the decisions off, for measurements.
+func Without(list []dispatch.Mechanism) Option {
+	return func(o *options) { o.without = list }
+}
+
 func apply(list []Option) options {
 	o := options{drains: noDrains{}}
 	for _, f := range list {
--- a/verbenad/internal/slots/lease.go
+++ b/verbenad/internal/slots/lease.go
@@ -44,10 +44,21 @@
 }
 
 type holding struct {
-	held    dispatch.Held
-	seat    Seat
-	yielded chan struct{}
-	once    sync.Once
+	held dispatch.Held
+	// asked is when the times of the ask were counted from, since when the slot is held.
+	asked, since time.Time
+	seat         Seat
+	yielded      chan struct{}
+	once         sync.Once
+}
+
+// at is what is held, with times as of a moment.
+func (h *holding) at(now time.Time) dispatch.Held {
+	d := h.held
+	d.Ask.Objective -= now.Sub(h.asked)
+	d.Ask.Patience -= now.Sub(h.asked)
+	d.Running = now.Sub(h.since)
+	return d
 }
 
 // Release gives a slot back with what was seen of its server.
@@ -95,7 +106,9 @@
 	case p.ask.Metered:
 		c.shares.Add(c.clock.Now(), p.ask.Workspace)
 	}
-	h := &holding{held: dispatch.Held{Ask: p.ask, Server: r.server.ID}, seat: r.seat, yielded: make(chan struct{})}
+	h := &holding{
+		held: dispatch.Held{Ask: p.ask, Server: r.server.ID}, asked: p.sent, since: c.clock.Now(), seat: r.seat, yielded: make(chan struct{}),
+	}
 	c.held[t] = h
 	r.ticket, r.yielded = t, h.yielded
 	p.reply <- r
--- a/verbenad/internal/slots/runner.go
+++ b/verbenad/internal/slots/runner.go
@@ -27,12 +27,12 @@
 }
 
 // NewRunner returns a runner that hands commands to emit, which must not block. salt is the machine's.
-func NewRunner(c clock.Clock, salt string, emit func(dispatch.Command)) *Runner {
+func NewRunner(c clock.Clock, salt string, emit func(dispatch.Command), list ...dispatch.Option) *Runner {
 	by := "host"
 	if salt == "" {
 		by = "dispatcher"
 	}
-	return &Runner{machine: dispatch.New(salt), clock: c, events: make(chan dispatch.Event, eventBuffer), emit: emit, gauges: gauges{by: by}}
+	return &Runner{machine: dispatch.New(salt, list...), clock: c, events: make(chan dispatch.Event, eventBuffer), emit: emit, gauges: gauges{by: by}}
 }
 
 // Do applies an event.
--- a/verbenad/internal/slots/server.go
+++ b/verbenad/internal/slots/server.go
@@ -60,8 +60,9 @@
 
 // NewServer returns a dispatcher without hosts. role tells what this host is at this moment, owners who dispatches.
 func NewServer(c clock.Clock, news *relay.Publisher, role func() Role, owners func() (hostlink.News, bool), list ...Option) *Server {
-	s := &Server{drains: apply(list).drains, news: news, role: role, owners: owners, links: make(map[ids.HostID]*member)}
-	s.runner = NewRunner(c, "", s.command)
+	o := apply(list)
+	s := &Server{drains: o.drains, news: news, role: role, owners: owners, links: make(map[ids.HostID]*member)}
+	s.runner = NewRunner(c, "", s.command, dispatch.Without(o.without...))
 	return s
 }
 
--- a/verbenad/internal/slots/stall.go
+++ b/verbenad/internal/slots/stall.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"verbenaledge.example/verbena/clock"
 	"verbenaledge.example/verbena/dispatch"
 	"verbenaledge.example/verbena/ids"
@@ -22,6 +24,8 @@
 	firstWeight = 0.1
 )
 
+var stallReports = metrics.NewCounter("verbenad_server_stalls_total")
+
 // firsts averages the time to the first byte by service.
 type firsts struct {
 	mu    sync.Mutex
@@ -82,7 +86,9 @@
 		w.timer.Reset(w.after - silent)
 		return
 	}
-	w.reported.Store(true)
+	if !w.reported.Swap(true) {
+		stallReports.Inc()
+	}
 	w.client.report(dispatch.StallReport{Ticket: w.ticket, Silent: silent})
 	w.timer.Reset(w.after)
 }
