feat: the time to come back counts those who are away

Hypothesis: a caller refused for overload was told when those ahead of it that can be in time are served; those that wait late and those already sent away were not counted, so many came back into the same burst and were refused for good. Each one away holds a place: the next is told a time at which they are served as well, within what callers honour.

Tried and reverted on top of it: callers who come back go before newcomers of their rank.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -99,7 +99,12 @@
 	if wait <= limit {
 		return 0, false
 	}
-	return clamp(wait, w.ask.Patience), true
+	if !m.off[PlacesAway] {
+		wait = p.turn(len(p.online)+p.away.count(now)+1, slots)
+	}
+	later = clamp(wait, w.ask.Patience)
+	p.away.add(now, later)
+	return later, true
 }
 
 // turn is when the last of so many is served.
--- a/verbena/dispatch/mechanisms.go
+++ b/verbena/dispatch/mechanisms.go
@@ -19,6 +19,8 @@
 	BatchReserve Mechanism = "batch_reserve"
 	// EarlyRefusal refuses a caller's first attempt that is unlikely to start in time.
 	EarlyRefusal Mechanism = "early_refusal"
+	// PlacesAway counts all that wait and those that were sent away in the time to come back.
+	PlacesAway Mechanism = "places_away"
 	// LateRefusal refuses what is late and has too many ahead of it before its caller's time is over.
 	LateRefusal Mechanism = "late_refusal"
 	// LateLast serves what can still start in time before what is late.
@@ -41,7 +43,7 @@
 
 // Mechanisms are all that can be switched off.
 var Mechanisms = []Mechanism{
-	BatchPlan, BatchYields, BatchReserve, EarlyRefusal, LateRefusal, LateLast, Stalls, Ejection, Illness, SlowLast, ZoneFirst,
+	BatchPlan, BatchYields, BatchReserve, EarlyRefusal, PlacesAway, LateRefusal, LateLast, Stalls, Ejection, Illness, SlowLast, ZoneFirst,
 	CrashSuspects, Absence,
 }
 
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -42,6 +42,7 @@
 	// event is the moving average of the time for an event of a stream, in seconds; 0 before any was seen.
 	event float64
 	plan  plan
+	away  returns
 	off   switches
 	// fastest is the least time for an event among the servers, as of fastestAt.
 	fastest   float64
