feat: a connection that isn't open after 300 ms is given up for another server

Cause: requests placed on a server that had fallen silent waited 1.2 s for a connection before another server had them; a lost opening packet is sent again only after a second. Nothing of a request has left by then, so any request may go on.

--- a/verbenad/internal/upstream/pool.go
+++ b/verbenad/internal/upstream/pool.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// dialTimeout is several round trips inside a region; a lost opening packet is sent again after a second.
-	dialTimeout = 1200 * time.Millisecond
+	// dialTimeout is many round trips inside a region. A lost opening packet is sent again only after a second; nothing
+	// of the request has left by then, so another server may have it sooner.
+	dialTimeout = 300 * time.Millisecond
 	// maxIdle bounds the idle connections to one server; a server runs about as many requests at once.
 	maxIdle = 12
 )
