--- a/verbena/dispatch/plan.go
+++ b/verbena/dispatch/plan.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"container/heap"
 	"math"
 	"sort"
 	"time"
@@ -14,8 +13,6 @@
 	batchSpan = 5 * time.Second
 	// leastLeft is what a run is taken to need at least, as a share of what it was expected to need, once it lasts longer.
 	leastLeft = 0.1
-	// giveUpShare is from how many times its run time before it is given up an item is no longer put off.
-	giveUpShare = 4
 )
 
 // plan puts items off that can't be done in time, so that they don't make others late: in order of due times alone,
@@ -41,14 +38,6 @@
 	l.level, l.levelAt = float64(slots), now
 }
 
-// work is a batch item that runs or waits.
-type work struct {
-	due    time.Time
-	giveUp time.Time
-	left   time.Duration
-	late   *bool
-}
-
 // planBatch plans a service's items, if the last plan is old.
 func (p *pool) planBatch(now time.Time) {
 	if p.off[BatchPlan] || now.Sub(p.plan.at) < planEvery || len(p.waiting) == 0 {
@@ -68,32 +57,6 @@
 	sort.Slice(p.waiting, func(i, j int) bool { return before(p.waiting[i], p.waiting[j]) })
 }
 
-// putOff marks the items that are put off, given the number of slots.
-func putOff(now time.Time, all []work, slots float64) {
-	sort.SliceStable(all, func(i, j int) bool { return all[i].due.Before(all[j].due) })
-	slots = math.Max(1, slots)
-	var kept longest
-	total := time.Duration(0)
-	for i := range all {
-		w := &all[i]
-		*w.late = false
-		if now.Add(giveUpShare * w.left).After(w.giveUp) {
-			continue
-		}
-		if now.Add(w.left).After(w.due) {
-			*w.late = true
-			continue
-		}
-		heap.Push(&kept, w)
-		total += w.left
-		for len(kept) > 0 && now.Add(time.Duration(float64(total)/slots)).After(w.due) {
-			o := heap.Pop(&kept).(*work)
-			*o.late = true
-			total -= o.left
-		}
-	}
-}
-
 // runTime is how long an item is expected to run; 0 means that it isn't known.
 func (p *pool) runTime(a Ask) time.Duration {
 	return time.Duration(float64(a.Units) * p.event * float64(time.Second))
@@ -104,21 +67,3 @@
 	whole := p.runTime(r.ask)
 	return max(whole-now.Sub(r.start), time.Duration(leastLeft*float64(whole)))
 }
-
-// longest is a heap with the longest work first.
-type longest []*work
-
-func (l longest) Len() int           { return len(l) }
-func (l longest) Less(i, j int) bool { return l[i].left > l[j].left }
-func (l longest) Swap(i, j int)      { l[i], l[j] = l[j], l[i] }
-
-// Push adds work; it serves container/heap.
-func (l *longest) Push(x any) { *l = append(*l, x.(*work)) }
-
-// Pop removes the last; it serves container/heap.
-func (l *longest) Pop() any {
-	old := *l
-	last := old[len(old)-1]
-	*l = old[:len(old)-1]
-	return last
-}
--- a/verbenad/internal/slots/drains.go
+++ b/verbenad/internal/slots/drains.go
@@ -2,8 +2,6 @@
 
 import (
 	"verbenaledge.example/verbena/directory"
-	"verbenaledge.example/verbena/dispatch"
-	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbenad/internal/hostlink"
 )
 
@@ -24,32 +22,6 @@
 func (noDrains) FromHost([]directory.DrainNotice)       {}
 func (noDrains) FromDispatcher([]directory.DrainNotice) {}
 
-// Option changes a client or a server of slots.
-type Option func(*options)
-
-type options struct {
-	drains  Drains
-	without []dispatch.Mechanism
-}
-
-// WithDrains keeps requests from servers that said that they stop soon, and exchanges what hosts know of them.
-func WithDrains(d Drains) Option {
-	return func(o *options) { o.drains = d }
-}
-
-// Without switches parts of the decisions off, for measurements.
-func Without(list []dispatch.Mechanism) Option {
-	return func(o *options) { o.without = list }
-}
-
-func apply(list []Option) options {
-	o := options{drains: noDrains{}}
-	for _, f := range list {
-		f(&o)
-	}
-	return o
-}
-
 // ReportDrains tells the host that dispatches, and a standby that is asked, of servers that said that they stop.
 func (c *Client) ReportDrains(list []directory.DrainNotice) {
 	c.mu.Lock()
@@ -73,13 +45,3 @@
 		_ = m.link.Send(hostlink.Frame{Drains: list}) // a closed connection ends its reader
 	}
 }
-
-// excludes tells whether a list names a server.
-func excludes(list []ids.BackendID, id ids.BackendID) bool {
-	for _, e := range list {
-		if e == id {
-			return true
-		}
-	}
-	return false
-}
--- a/verbenad/internal/slots/lease.go
+++ b/verbenad/internal/slots/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -120,7 +121,7 @@
 // handBack refuses a slot on a server that has told this host that it stops, before who placed it knows.
 func (c *Client) handBack(p *pending, t dispatch.Ticket, r reply) {
 	c.endAt(r.seat, dispatch.Outcome{Ticket: t, Verdict: dispatch.Full})
-	if excludes(p.ask.Exclude, r.server.ID) {
+	if slices.Contains(p.ask.Exclude, r.server.ID) {
 		p.reply <- reply{refused: &Refused{Reason: dispatch.NoServer, Later: noServerPause, Inputs: r.inputs, Seat: r.seat}}
 		return
 	}
--- /dev/null
+++ b/verbenad/internal/slots/options.go
@@ -0,0 +1,29 @@
+package slots
+
+import "verbenaledge.example/verbena/dispatch"
+
+// Option changes a client or a server of slots.
+type Option func(*options)
+
+type options struct {
+	drains  Drains
+	without []dispatch.Mechanism
+}
+
+// WithDrains keeps requests from servers that said that they stop soon, and exchanges what hosts know of them.
+func WithDrains(d Drains) Option {
+	return func(o *options) { o.drains = d }
+}
+
+// Without switches parts of the decisions off, for measurements.
+func Without(list []dispatch.Mechanism) Option {
+	return func(o *options) { o.without = list }
+}
+
+func apply(list []Option) options {
+	o := options{drains: noDrains{}}
+	for _, f := range list {
+		f(&o)
+	}
+	return o
+}
--- a/verbenad/internal/slots/stall.go
+++ b/verbenad/internal/slots/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,7 +9,6 @@
 
 	"verbenaledge.example/verbena/clock"
 	"verbenaledge.example/verbena/dispatch"
-	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbenad/internal/hostlink"
 )
 
@@ -20,41 +18,10 @@
 	leastStall = 300 * time.Millisecond
 	// stallFactor is how many usual times to a first byte that must be as well.
 	stallFactor = 4
-	// firstWeight is the weight of one answer in the average of these times.
-	firstWeight = 0.1
 )
 
 var stallReports = metrics.NewCounter("verbenad_server_stalls_total")
 
-// firsts averages the time to the first byte by service.
-type firsts struct {
-	mu    sync.Mutex
-	usual map[ids.ServiceName]time.Duration
-}
-
-func (f *firsts) learn(s ids.ServiceName, first time.Duration) {
-	if first <= 0 {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.usual == nil {
-		f.usual = make(map[ids.ServiceName]time.Duration)
-	}
-	old, ok := f.usual[s]
-	if !ok {
-		old = first
-	}
-	f.usual[s] = old + time.Duration(firstWeight*float64(first-old))
-}
-
-// stallAfter is how long a server of the service may say nothing.
-func (f *firsts) stallAfter(s ids.ServiceName) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return max(leastStall, stallFactor*f.usual[s])
-}
-
 // Watch reports a server that says nothing while it should answer a request.
 type Watch struct {
 	client *Client
