--- a/verbena/dispatch/absence.go
+++ b/verbena/dispatch/absence.go
@@ -20,9 +20,9 @@
 	// used is what each host in touch was admitted lately.
 	used map[ids.HostID]map[ids.WorkspaceID]*decaying
 	// entries are the hosts in touch that take callers.
-	entries map[ids.HostID]bool
-	leaving map[ids.HostID]bool
-	parted  map[ids.HostID]partedHost
+	entries      map[ids.HostID]bool
+	leaving      map[ids.HostID]bool
+	disconnected map[ids.HostID]disconnectedHost
 	// expected is how many hosts take callers, as an earlier dispatcher told the hosts that joined.
 	// Until expectedUntil those that have not come may still be with that one.
 	expected      int
@@ -32,14 +32,14 @@
 	standby bool
 	brought map[ids.HostID]map[ids.WorkspaceID]float64
 	sum     map[ids.WorkspaceID]float64
-	// unsure is set while this host's lease doesn't hold: another one may dispatch for the hosts that parted.
-	unsure bool
+	// uncertain is set while this host's lease doesn't hold: another one may dispatch for the hosts that disconnected.
+	uncertain bool
 	// next is when somebody ceases to be waited for, or zero.
 	next time.Time
 }
 
-// partedHost is a host that may decide alone, with what it goes on with.
-type partedHost struct {
+// disconnectedHost is a host that may decide alone, with what it goes on with.
+type disconnectedHost struct {
 	until time.Time
 	used  map[ids.WorkspaceID]float64
 }
@@ -47,7 +47,7 @@
 func newAbsence() absence {
 	return absence{
 		used: make(map[ids.HostID]map[ids.WorkspaceID]*decaying), entries: make(map[ids.HostID]bool),
-		leaving: make(map[ids.HostID]bool), parted: make(map[ids.HostID]partedHost),
+		leaving: make(map[ids.HostID]bool), disconnected: make(map[ids.HostID]disconnectedHost),
 		brought: make(map[ids.HostID]map[ids.WorkspaceID]float64), sum: make(map[ids.WorkspaceID]float64),
 	}
 }
@@ -97,7 +97,7 @@
 // join takes a host that is in touch again, with what it was admitted lately, here or elsewhere. first
 // tells that nobody asked a standby before.
 func (a *absence) join(now time.Time, e Joined) (first bool) {
-	delete(a.parted, e.Host)
+	delete(a.disconnected, e.Host)
 	a.bring(e.Host, e.Used)
 	first = a.standby && len(a.entries) == 0
 	used := make(map[ids.WorkspaceID]*decaying, len(e.Used))
@@ -121,13 +121,13 @@
 func (a *absence) leave(host ids.HostID) { a.leaving[host] = true }
 
 // part takes a host that is out of touch.
-func (a *absence) part(now time.Time, e Parted) {
+func (a *absence) part(now time.Time, e Disconnected) {
 	if a.entries[e.Host] && !a.leaving[e.Host] {
 		d := closedFor
 		if e.Silent {
 			d = silentFor
 		}
-		a.parted[e.Host] = partedHost{until: now.Add(d), used: ratesAt(a.used[e.Host], now)}
+		a.disconnected[e.Host] = disconnectedHost{until: now.Add(d), used: ratesAt(a.used[e.Host], now)}
 	}
 	a.bring(e.Host, nil)
 	if a.leaving[e.Host] && a.expected > 0 {
@@ -139,27 +139,27 @@
 	a.settle(now)
 }
 
-// doubt notes whether another host may dispatch beside this one.
-func (a *absence) doubt(now time.Time, unsure bool) {
-	if a.unsure && !unsure {
-		for h, p := range a.parted {
+// leaseUncertain notes whether another host may dispatch beside this one.
+func (a *absence) leaseUncertain(now time.Time, uncertain bool) {
+	if a.uncertain && !uncertain {
+		for h, p := range a.disconnected {
 			p.until = now.Add(silentFor)
-			a.parted[h] = p
+			a.disconnected[h] = p
 		}
 	}
-	a.unsure = unsure
+	a.uncertain = uncertain
 	a.settle(now)
 }
 
 // settle forgets whom it waited for long enough, and notes when to look again.
 func (a *absence) settle(now time.Time) {
 	a.next = time.Time{}
-	if a.unsure {
+	if a.uncertain {
 		return
 	}
-	for h, p := range a.parted {
+	for h, p := range a.disconnected {
 		if !now.Before(p.until) {
-			delete(a.parted, h)
+			delete(a.disconnected, h)
 			continue
 		}
 		a.lookAt(p.until)
@@ -187,14 +187,14 @@
 // so an even part is left to each. What the hosts that ask a standby were admitted before is theirs still.
 func (a *absence) left(w ids.WorkspaceID, r Rate) Rate {
 	share := 1.0
-	if missing := a.expected - len(a.entries) - len(a.parted); missing > 0 {
+	if missing := a.expected - len(a.entries) - len(a.disconnected); missing > 0 {
 		share -= float64(missing) / float64(a.expected)
 	}
 	own := r.PerSecond * share
 	if a.standby {
 		own = max(own, min(r.PerSecond, a.sum[w]))
 	}
-	for _, p := range a.parted {
+	for _, p := range a.disconnected {
 		own -= p.used[w]
 	}
 	r.PerSecond = max(0, own)
--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -46,7 +46,7 @@
 		return
 	}
 	if !m.off[EarlyRefusal] {
-		if later, hopeless := m.hopeless(now, p, w); hopeless {
+		if later, cannotStartInTime := m.cannotStartInTime(now, p, w); cannotStartInTime {
 			m.refuse(now, w, Overload, later)
 			return
 		}
@@ -78,9 +78,9 @@
 	return true
 }
 
-// hopeless tells whether no start in time is likely, and when to come back. A caller who came back
+// cannotStartInTime tells whether no start in time is likely, and when to come back. A caller who came back
 // once is kept as long as an answer is likely before it leaves.
-func (m *Machine) hopeless(now time.Time, p *pool, w *waiter) (later time.Duration, hopeless bool) {
+func (m *Machine) cannotStartInTime(now time.Time, p *pool, w *waiter) (later time.Duration, cannotStartInTime bool) {
 	slots := p.slots(now)
 	if slots == 0 {
 		return clamp(noServerPause, w.ask.Patience), w.ask.Whole > 0 && w.ask.Patience > time.Duration(secondAttempt*float64(w.ask.Whole))
--- a/verbena/dispatch/machine.go
+++ b/verbena/dispatch/machine.go
@@ -9,9 +9,9 @@
 	"verbenaledge.example/verbena/ids"
 )
 
-// orphanTime is how long the slots of a host that parted count as used: it goes on with its
+// disconnectedHold is how long the slots of a host that disconnected count as used: it goes on with its
 // requests and tells of them when it joins again.
-const orphanTime = 3 * time.Second
+const disconnectedHold = 3 * time.Second
 
 // run is a slot that is granted.
 type run struct {
@@ -29,16 +29,16 @@
 
 // Machine is the state of all decisions. It is used by one goroutine.
 type Machine struct {
-	pools   map[ids.ServiceName]*pool
-	servers map[ids.BackendID]*server
-	runs    map[Key]*run
-	waits   map[Key]*waiter
-	rates   map[ids.WorkspaceID]Rate
-	buckets map[ids.WorkspaceID]*bucket
-	orphans map[ids.HostID]time.Time
-	absence absence
-	spent   Spent
-	out     []Command
+	pools              map[ids.ServiceName]*pool
+	servers            map[ids.BackendID]*server
+	runs               map[Key]*run
+	waits              map[Key]*waiter
+	rates              map[ids.WorkspaceID]Rate
+	buckets            map[ids.WorkspaceID]*bucket
+	heldByDisconnected map[ids.HostID]time.Time
+	absence            absence
+	spent              Spent
+	out                []Command
 	// part is this machine's share of the slots.
 	part     float64
 	suspects suspects
@@ -51,17 +51,17 @@
 // among servers that are equal otherwise; without a salt the first by id is preferred.
 func New(salt string, list ...Option) *Machine {
 	m := &Machine{
-		off:      make(switches),
-		salt:     salt,
-		pools:    make(map[ids.ServiceName]*pool),
-		servers:  make(map[ids.BackendID]*server),
-		runs:     make(map[Key]*run),
-		waits:    make(map[Key]*waiter),
-		buckets:  make(map[ids.WorkspaceID]*bucket),
-		orphans:  make(map[ids.HostID]time.Time),
-		absence:  newAbsence(),
-		part:     1,
-		suspects: make(suspects),
+		off:                make(switches),
+		salt:               salt,
+		pools:              make(map[ids.ServiceName]*pool),
+		servers:            make(map[ids.BackendID]*server),
+		runs:               make(map[Key]*run),
+		waits:              make(map[Key]*waiter),
+		buckets:            make(map[ids.WorkspaceID]*bucket),
+		heldByDisconnected: make(map[ids.HostID]time.Time),
+		absence:            newAbsence(),
+		part:               1,
+		suspects:           make(suspects),
 	}
 	for _, o := range list {
 		o(m)
@@ -94,12 +94,12 @@
 		m.stall(now, e)
 	case Joined:
 		m.join(now, e)
-	case Parted:
+	case Disconnected:
 		m.lost(now, e)
 	case Leaving:
 		m.absence.leave(e.Host)
-	case Doubt:
-		m.absence.doubt(now, e.Unsure)
+	case LeaseUncertain:
+		m.absence.leaseUncertain(now, e.Uncertain)
 		m.share(now)
 	case Tick:
 		m.tick(now)
@@ -109,7 +109,7 @@
 
 // Busy tells whether time alone may change a decision.
 func (m *Machine) Busy() bool {
-	return len(m.waits) > 0 || len(m.orphans) > 0
+	return len(m.waits) > 0 || len(m.heldByDisconnected) > 0
 }
 
 func (m *Machine) setServers(now time.Time, e Servers) {
@@ -280,7 +280,7 @@
 }
 
 func (m *Machine) join(now time.Time, e Joined) {
-	delete(m.orphans, e.Host)
+	delete(m.heldByDisconnected, e.Host)
 	m.clear(e.Host)
 	m.withdraw(e.Host)
 	for _, h := range e.Held {
@@ -322,9 +322,9 @@
 	}
 }
 
-func (m *Machine) lost(now time.Time, e Parted) {
+func (m *Machine) lost(now time.Time, e Disconnected) {
 	m.withdraw(e.Host)
-	m.orphans[e.Host] = now.Add(orphanTime)
+	m.heldByDisconnected[e.Host] = now.Add(disconnectedHold)
 	m.absence.part(now, e)
 	m.share(now)
 }
@@ -339,9 +339,9 @@
 }
 
 func (m *Machine) tick(now time.Time) {
-	for host, until := range m.orphans {
+	for host, until := range m.heldByDisconnected {
 		if !now.Before(until) {
-			delete(m.orphans, host)
+			delete(m.heldByDisconnected, host)
 			m.clear(host)
 		}
 	}
--- a/verbena/dispatch/script_test.go
+++ b/verbena/dispatch/script_test.go
@@ -69,13 +69,13 @@
 	case "join":
 		return joined(t, words, o)
 	case "part":
-		return Parted{Host: ids.HostID(words[0]), Silent: o["silent"] != ""}
+		return Disconnected{Host: ids.HostID(words[0]), Silent: o["silent"] != ""}
 	case "leave":
 		return Leaving{Host: ids.HostID(words[0])}
 	case "standby":
 		return Standby{On: words[0] == "on", Entries: o.number("entries", 0)}
 	case "doubt":
-		return Doubt{Unsure: words[0] == "on"}
+		return LeaseUncertain{Uncertain: words[0] == "on"}
 	case "stalled", "heard":
 		return Stalled{Host: host(words[0]), Report: StallReport{Ticket: ticket(words[0]), Silent: o.time("silent", 0)}}
 	case "tick":
--- a/verbena/dispatch/shares.go
+++ b/verbena/dispatch/shares.go
@@ -20,16 +20,16 @@
 	// ownBurst is the time for which this host's part may be spent at once, ownStart that at the beginning.
 	ownBurst = 2 * time.Second
 	ownStart = 500 * time.Millisecond
-	// pressedFor is how long after a refusal for its rate a workspace counts as being at its rate.
-	pressedFor = 10 * time.Second
+	// overRateFor is how long after a refusal for its rate a workspace counts as being at its rate.
+	overRateFor = 10 * time.Second
 )
 
 // Shares counts how many requests of each workspace were admitted at this host, so that it can go on
 // with them alone. Of workspaces at their rates, the parts of all hosts together are what was admitted
 // before, which is the rate; of others they may be more.
 type Shares struct {
-	lately  map[ids.WorkspaceID]*decaying
-	pressed map[ids.WorkspaceID]time.Time
+	lately   map[ids.WorkspaceID]*decaying
+	overRate map[ids.WorkspaceID]time.Time
 	// base is what was admitted before this host began to decide alone.
 	base map[ids.WorkspaceID]float64
 }
@@ -37,7 +37,7 @@
 // NewShares returns shares of a host that has admitted nothing.
 func NewShares() *Shares {
 	return &Shares{
-		lately: make(map[ids.WorkspaceID]*decaying), pressed: make(map[ids.WorkspaceID]time.Time), base: make(map[ids.WorkspaceID]float64),
+		lately: make(map[ids.WorkspaceID]*decaying), overRate: make(map[ids.WorkspaceID]time.Time), base: make(map[ids.WorkspaceID]float64),
 	}
 }
 
@@ -58,11 +58,11 @@
 	}
 }
 
-// Press notes that a workspace was refused for its rate, and tells whether that is news.
-func (s *Shares) Press(now time.Time, w ids.WorkspaceID) (first bool) {
-	at, ok := s.pressed[w]
-	s.pressed[w] = now
-	return !ok || now.Sub(at) > pressedFor
+// NoteOverRate notes that a workspace was refused for its rate, and tells whether that is news.
+func (s *Shares) NoteOverRate(now time.Time, w ids.WorkspaceID) (first bool) {
+	at, ok := s.overRate[w]
+	s.overRate[w] = now
+	return !ok || now.Sub(at) > overRateFor
 }
 
 // Begin notes what was admitted before this host decides alone.
@@ -84,9 +84,9 @@
 			delete(s.lately, w)
 		}
 	}
-	for w, at := range s.pressed {
-		if now.Sub(at) > pressedFor {
-			delete(s.pressed, w)
+	for w, at := range s.overRate {
+		if now.Sub(at) > overRateFor {
+			delete(s.overRate, w)
 		}
 	}
 	return parts
@@ -95,7 +95,7 @@
 // part is this host's part of one rate.
 func (s *Shares) part(now time.Time, w ids.WorkspaceID, r Rate, hosts int) Rate {
 	before := s.base[w]
-	if at, ok := s.pressed[w]; ok && now.Sub(at) <= pressedFor {
+	if at, ok := s.overRate[w]; ok && now.Sub(at) <= overRateFor {
 		own := math.Min(before, r.PerSecond)
 		return Rate{PerSecond: own, Burst: math.Max(1, math.Min(r.Burst, own*ownBurst.Seconds())), Start: own * ownStart.Seconds(), Bounded: true}
 	}
--- a/verbena/dispatch/shares_test.go
+++ b/verbena/dispatch/shares_test.go
@@ -45,15 +45,15 @@
 }
 
 // before plays a dispatching host that admits a share of the rate, one host after another.
-func (w *crowd) before(d time.Duration, share float64, pressed bool) {
+func (w *crowd) before(d time.Duration, share float64, overRate bool) {
 	every := time.Duration(float64(time.Second) / (w.rate.PerSecond * share))
 	for end, n := w.now.Add(d), 0; w.now.Before(end); n++ {
 		u := w.usages[n%len(w.usages)]
 		u.Add(w.now, "w")
 		w.admitted = append(w.admitted, w.now)
-		if pressed {
+		if overRate {
 			for _, u := range w.usages {
-				u.Press(w.now, "w")
+				u.NoteOverRate(w.now, "w")
 			}
 		}
 		w.now = w.now.Add(every)
@@ -85,7 +85,7 @@
 			w.usages[n].AddAlone(w.now, "w")
 			w.machines[n].Step(w.now, Ended{Host: "h", Outcome: Outcome{Ticket: w.ticket, Verdict: Served}})
 		case Refuse:
-			if c.Reason == OverRate && w.usages[n].Press(w.now, "w") {
+			if c.Reason == OverRate && w.usages[n].NoteOverRate(w.now, "w") {
 				w.machines[n].Step(w.now, Rates{Rates: w.usages[n].Parts(w.now, w.rates(), len(w.machines))})
 			}
 		}
@@ -109,9 +109,9 @@
 	return int((w.rate.PerSecond*boundWindow.Seconds()+w.rate.Burst)*(1+boundExcess) + boundSlack)
 }
 
-// TestPressedAloneKeepsItsRate: a workspace that was at its rate gets no more from hosts that decide alone,
+// TestOverRateAloneKeepsItsRate: a workspace that was at its rate gets no more from hosts that decide alone,
 // also if they fall out of touch again and again; and not much less.
-func TestPressedAloneKeepsItsRate(t *testing.T) {
+func TestOverRateAloneKeepsItsRate(t *testing.T) {
 	for _, hosts := range []int{2, 9, 54} {
 		for _, rate := range []Rate{{PerSecond: 20, Burst: 20}, {PerSecond: 5, Burst: 5}, {PerSecond: 200, Burst: 300}} {
 			t.Run(fmt.Sprint(hosts, " hosts, ", rate.PerSecond), func(t *testing.T) {
@@ -138,8 +138,8 @@
 	}
 }
 
-// TestPressingBeginsAlone: a workspace that presses only once hosts decide alone is held to what it had.
-func TestPressingBeginsAlone(t *testing.T) {
+// TestOverRateBeginsAlone: a workspace that presses only once hosts decide alone is held to what it had.
+func TestOverRateBeginsAlone(t *testing.T) {
 	for _, hosts := range []int{2, 9} {
 		c := qt.New(t)
 		w := newCrowd(hosts, Rate{PerSecond: 20, Burst: 20})
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -174,8 +174,8 @@
 	Elsewhere map[ids.WorkspaceID]int
 }
 
-// Parted is a host whose connection ended.
-type Parted struct {
+// Disconnected is a host whose connection ended.
+type Disconnected struct {
 	Host ids.HostID
 	// Silent tells that nothing was heard of it any more; else it closed the connection.
 	Silent bool
@@ -191,23 +191,23 @@
 	Entries int
 }
 
-// Doubt tells whether the machine's host may not be the only one that dispatches.
-type Doubt struct{ Unsure bool }
+// LeaseUncertain tells whether the machine's host may not be the only one that dispatches.
+type LeaseUncertain struct{ Uncertain bool }
 
 // Tick is the passing of time.
 type Tick struct{}
 
-func (Servers) event() {}
-func (Rates) event()   {}
-func (Peers) event()   {}
-func (Asked) event()   {}
-func (Ended) event()   {}
-func (Joined) event()  {}
-func (Parted) event()  {}
-func (Leaving) event() {}
-func (Standby) event() {}
-func (Doubt) event()   {}
-func (Tick) event()    {}
+func (Servers) event()        {}
+func (Rates) event()          {}
+func (Peers) event()          {}
+func (Asked) event()          {}
+func (Ended) event()          {}
+func (Joined) event()         {}
+func (Disconnected) event()   {}
+func (Leaving) event()        {}
+func (Standby) event()        {}
+func (LeaseUncertain) event() {}
+func (Tick) event()           {}
 
 // Command is something to tell a host.
 type Command interface{ command() }
--- a/verbenad/internal/host/front.go
+++ b/verbenad/internal/host/front.go
@@ -43,7 +43,7 @@
 	)
 	stopping.use, stopping.up = place.SetServers, place.ReportDrains
 	client := upstream.NewClient(sys, upstream.OnDraining(stopping.answered))
-	jobs := owners.NewJobsClient(&v, hostlink.NewCaller(w.Settings.Host, place.Helpers))
+	jobs := owners.NewJobsClient(&v, hostlink.NewCaller(w.Settings.Host, place.Relays))
 	handler := entry.New(w.Protocol, w.Protocol, jobs, place, client, sys, w.Settings.MemoryMB)
 	var listed atomic.Pointer[map[ids.BackendID]directory.Server]
 	go place.Run(work)
--- a/verbenad/internal/host/look.go
+++ b/verbenad/internal/host/look.go
@@ -43,15 +43,15 @@
 
 // roleSeen is what the dispatcher was last set to.
 type roleSeen struct {
-	role    slots.Role
-	unsure  bool
-	entries int
+	role      slots.Role
+	uncertain bool
+	entries   int
 }
 
 func (s *storage) lookAtRole(r *roleSeen) {
-	if unsure := !s.keeper.Valid(); unsure != r.unsure {
-		r.unsure = unsure
-		s.dispatcher.SetUnsure(unsure)
+	if uncertain := !s.keeper.Valid(); uncertain != r.uncertain {
+		r.uncertain = uncertain
+		s.dispatcher.SetLeaseUncertain(uncertain)
 	}
 	role, entries := s.role(), s.place.Entries()
 	if role == r.role && entries == r.entries {
@@ -62,7 +62,7 @@
 	}
 	s.dispatcher.SetStandby(role == slots.StandsBy, entries)
 	if role != r.role {
-		log.WithFields(log.Fields{"role": role.String(), "before": r.role.String(), "unsure": r.unsure}).Info("role among the hosts changed")
+		log.WithFields(log.Fields{"role": role.String(), "before": r.role.String(), "uncertain": r.uncertain}).Info("role among the hosts changed")
 	}
 	r.role, r.entries = role, entries
 }
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -69,7 +69,7 @@
 	client := upstream.NewClient(sys, upstream.OnDraining(stopping.answered))
 	s.owner = bulk.New(
 		work, w.Settings.Host, w.Store, w.Settings.StoreValueBytes, s.keeper, w.Protocol, s.place, client, sys, w.Settings.ResultsKept,
-		owners.NewJobsClient(&s.view, hostlink.NewCaller(w.Settings.Host, s.place.Helpers)),
+		owners.NewJobsClient(&s.view, hostlink.NewCaller(w.Settings.Host, s.place.Relays)),
 	)
 	var listed atomic.Pointer[map[ids.BackendID]directory.Server]
 	// Hosts are taken once configuration and servers are known: a dispatcher without them would refuse all.
--- a/verbenad/internal/hostlink/caller.go
+++ b/verbenad/internal/hostlink/caller.go
@@ -15,8 +15,8 @@
 
 // Caller asks hosts questions on batch jobs, over one connection a host.
 type Caller struct {
-	host    ids.HostID
-	helpers func() []string
+	host   ids.HostID
+	relays func() []string
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -29,9 +29,9 @@
 	waiting map[uint64]chan bulk.Reply
 }
 
-// NewCaller returns a caller without connections. helpers names hosts that may pass connections on.
-func NewCaller(host ids.HostID, helpers func() []string) *Caller {
-	return &Caller{host: host, helpers: helpers, peers: make(map[string]*peer)}
+// NewCaller returns a caller without connections. relays names hosts that may pass connections on.
+func NewCaller(host ids.HostID, relays func() []string) *Caller {
+	return &Caller{host: host, relays: relays, peers: make(map[string]*peer)}
 }
 
 // Call asks the host at an address. ErrClosed means that no question left; ErrNoAnswer that one did.
@@ -94,7 +94,7 @@
 	if p != nil {
 		return p, nil
 	}
-	link, err := Connect(ctx, address, c.helpers())
+	link, err := Connect(ctx, address, c.relays())
 	if err != nil {
 		return nil, err
 	}
--- a/verbenad/internal/hostlink/connect.go
+++ b/verbenad/internal/hostlink/connect.go
@@ -10,23 +10,23 @@
 const (
 	// confirmTimeout is how long the first answer of a host may take, over another host too.
 	confirmTimeout = 400 * time.Millisecond
-	// helperAfter is the time after which a connection over the next helper is tried; a direct one
+	// relayAfter is the time after which a connection over the next relay is tried; a direct one
 	// takes two round trips.
-	helperAfter = 40 * time.Millisecond
-	// maxHelpers bounds the attempts at once.
-	maxHelpers = 3
+	relayAfter = 40 * time.Millisecond
+	// maxRelays bounds the attempts at once.
+	maxRelays = 3
 )
 
 // ErrUnreachable means that a host answered neither directly nor over others.
 var ErrUnreachable = errors.New("host answers neither directly nor over others")
 
-// Connect reaches a host directly or, where the network between the two is cut, over a helper. The
+// Connect reaches a host directly or, where the network between the two is cut, over a relay. The
 // first connection on which the host itself answers is taken.
-func Connect(ctx context.Context, address string, helpers []string) (l *Link, err error) {
+func Connect(ctx context.Context, address string, relays []string) (l *Link, err error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout+confirmTimeout)
 	defer cancel()
-	helpers = helpers[:min(len(helpers), maxHelpers)]
-	links := make(chan *Link, 1+len(helpers))
+	relays = relays[:min(len(relays), maxRelays)]
+	links := make(chan *Link, 1+len(relays))
 	try := func(to, via string, after time.Duration) {
 		select {
 		case <-time.After(after):
@@ -35,12 +35,12 @@
 		links <- attempt(ctx, to, via)
 	}
 	go try(address, "", 0)
-	for n, h := range helpers {
-		go try(h, address, time.Duration(n+1)*helperAfter)
+	for n, h := range relays {
+		go try(h, address, time.Duration(n+1)*relayAfter)
 	}
-	for n := range 1 + len(helpers) {
+	for n := range 1 + len(relays) {
 		if l := <-links; l != nil {
-			go closeOthers(links, len(helpers)-n)
+			go closeOthers(links, len(relays)-n)
 			return l, nil
 		}
 	}
--- a/verbenad/internal/hostlink/frame.go
+++ b/verbenad/internal/hostlink/frame.go
@@ -36,9 +36,9 @@
 	Ping  bool            `cbor:"8,keyasint,omitempty"`
 	// Wait names a ticket that waits for a slot.
 	Wait dispatch.Ticket `cbor:"14,keyasint,omitempty"`
-	// Hosts is how many hosts ask for slots, Helpers the addresses of some that may pass a connection on.
-	Hosts   int      `cbor:"11,keyasint,omitempty"`
-	Helpers []string `cbor:"15,keyasint,omitempty"`
+	// Hosts is how many hosts ask for slots, Relays the addresses of some that may pass a connection on.
+	Hosts  int      `cbor:"11,keyasint,omitempty"`
+	Relays []string `cbor:"15,keyasint,omitempty"`
 	// Entries is how many of the hosts take callers.
 	Entries int `cbor:"18,keyasint,omitempty"`
 	// Leaving tells that the host will soon take no callers.
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -69,11 +69,11 @@
 	// leaving is set when this host will soon take no callers.
 	leaving bool
 	// known is set once this host knows the servers, and can decide by itself.
-	known   bool
-	helpers []string
-	drains  Drains
-	firsts  firsts
-	rates   map[ids.WorkspaceID]dispatch.Rate
+	known  bool
+	relays []string
+	drains Drains
+	firsts firsts
+	rates  map[ids.WorkspaceID]dispatch.Rate
 	// events are for this host's own machine; they are applied once mu is free.
 	events []dispatch.Event
 }
@@ -235,11 +235,11 @@
 	}
 }
 
-// Helpers names hosts that may pass connections on.
-func (c *Client) Helpers() []string {
+// Relays names hosts that may pass connections on.
+func (c *Client) Relays() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.helpers
+	return c.relays
 }
 
 // Entries is how many hosts take callers, as the dispatching host said last.
--- a/verbenad/internal/slots/client_test.go
+++ b/verbenad/internal/slots/client_test.go
@@ -179,23 +179,23 @@
 	c.Assert(err, qt.IsNotNil, qt.Commentf("batch waits for the host that sees which slots callers need"))
 }
 
-// TestHelper: a host that can't connect to the dispatcher itself reaches it over another one.
-func TestHelper(t *testing.T) {
+// TestRelay: a host that can't connect to the dispatcher itself reaches it over another one.
+func TestRelay(t *testing.T) {
 	c := qt.New(t)
 	d := newDispatcher(t)
-	helper := freeAddress(t)
+	relay := freeAddress(t)
 	go func() {
-		_ = hostlink.Listen(t.Context(), helper, guide(d.address), func(l *hostlink.Link, _ hostlink.Frame) { l.Close() })
+		_ = hostlink.Listen(t.Context(), relay, guide(d.address), func(l *hostlink.Link, _ hostlink.Frame) { l.Close() })
 	}()
 	var l *hostlink.Link
 	for end := time.Now().Add(10 * time.Second); l == nil && time.Now().Before(end); {
-		// The direct way is cut: nothing listens at the first address, and the helper passes on to the second.
-		l, _ = hostlink.Connect(t.Context(), d.address, []string{helper})
+		// The direct way is cut: nothing listens at the first address, and the relay passes on to the second.
+		l, _ = hostlink.Connect(t.Context(), d.address, []string{relay})
 	}
 	c.Assert(l, qt.IsNotNil)
 	l.Close()
-	_, err := hostlink.Connect(t.Context(), freeAddress(t), []string{helper})
-	c.Assert(err, qt.Equals, hostlink.ErrUnreachable, qt.Commentf("a helper passes on only to owners"))
+	_, err := hostlink.Connect(t.Context(), freeAddress(t), []string{relay})
+	c.Assert(err, qt.Equals, hostlink.ErrUnreachable, qt.Commentf("a relay passes on only to owners"))
 }
 
 // TestTurnedAway: a host that doesn't dispatch takes nobody, and grants nothing.
--- a/verbenad/internal/slots/connection.go
+++ b/verbenad/internal/slots/connection.go
@@ -30,7 +30,7 @@
 		pause := addressPause
 		if address := ch.address(); address != "" {
 			pause = redialPause
-			if link, err := hostlink.Connect(ctx, address, c.Helpers()); err == nil {
+			if link, err := hostlink.Connect(ctx, address, c.Relays()); err == nil {
 				c.serve(ctx, ch, link, address)
 			}
 		}
@@ -163,7 +163,7 @@
 		}
 	}
 	if f.Hosts > 0 {
-		c.hosts, c.entries, c.helpers = f.Hosts, f.Entries, f.Helpers
+		c.hosts, c.entries, c.relays = f.Hosts, f.Entries, f.Relays
 		c.events = append(c.events, dispatch.Peers{Count: f.Hosts})
 	}
 	switch {
--- a/verbenad/internal/slots/local.go
+++ b/verbenad/internal/slots/local.go
@@ -68,7 +68,7 @@
 
 // refusedForRate notes a refusal for a rate. In local mode, a workspace that turns out to be at its rate gets no more than before.
 func (c *Client) refusedForRate(w ids.WorkspaceID, s Seat) {
-	if c.shares.Press(c.clock.Now(), w) && s == Local {
+	if c.shares.NoteOverRate(c.clock.Now(), w) && s == Local {
 		c.events = append(c.events, c.ownRates())
 	}
 }
--- a/verbenad/internal/slots/server.go
+++ b/verbenad/internal/slots/server.go
@@ -45,9 +45,9 @@
 	link *hostlink.Link
 	// standby tells that the host asks here because it can't reach the dispatching one.
 	standby bool
-	// helper is where the host passes connections on, or nothing.
-	helper string
-	entry  bool
+	// relay is where the host passes connections on, or nothing.
+	relay string
+	entry bool
 	// leaving tells that the host will soon take no callers.
 	leaving bool
 	// told is of how many hosts it was told, and how many of them take callers.
@@ -95,9 +95,9 @@
 	return len(s.links) > 0
 }
 
-// SetUnsure tells whether another host may dispatch for those that this one has lost.
-func (s *Server) SetUnsure(unsure bool) {
-	s.runner.Do(dispatch.Doubt{Unsure: unsure})
+// SetLeaseUncertain tells whether another host may dispatch for those that this one has lost.
+func (s *Server) SetLeaseUncertain(uncertain bool) {
+	s.runner.Do(dispatch.LeaseUncertain{Uncertain: uncertain})
 }
 
 const (
@@ -134,7 +134,7 @@
 	defer s.order.Unlock()
 	s.mu.Lock()
 	old := s.links[h.Host]
-	s.links[h.Host] = &member{link: l, standby: h.Standby, helper: h.Address, entry: h.Entry, leaving: h.Leaving}
+	s.links[h.Host] = &member{link: l, standby: h.Standby, relay: h.Address, entry: h.Entry, leaving: h.Leaving}
 	s.mu.Unlock()
 	if old != nil && old.link != l {
 		old.link.Close()
@@ -166,8 +166,8 @@
 	}
 	s.mu.Unlock()
 	if current {
-		log.WithFields(log.Fields{"peer": host, "silent": m.silent, "leaving": m.leaving}).Info("host parted")
-		s.runner.Do(dispatch.Parted{Host: host, Silent: m.silent})
+		log.WithFields(log.Fields{"peer": host, "silent": m.silent, "leaving": m.leaving}).Info("host disconnected")
+		s.runner.Do(dispatch.Disconnected{Host: host, Silent: m.silent})
 	}
 }
 
@@ -240,8 +240,8 @@
 	}
 }
 
-// maxHelpers is how many hosts a host is told of that may pass its connections on.
-const maxHelpers = 4
+// maxRelays is how many hosts a host is told of that may pass its connections on.
+const maxRelays = 4
 
 // tell answers a sign of life with the ages of what this host passes on, and with the hosts that are
 // there if their number has changed.
@@ -256,7 +256,7 @@
 	f := hostlink.Frame{Ping: true, Ages: ages}
 	if entries := s.entries(); !m.standby && (m.told != len(s.links) || m.toldEntries != entries) {
 		m.told, m.toldEntries = len(s.links), entries
-		f.Hosts, f.Entries, f.Helpers = m.told, entries, s.helpers(host)
+		f.Hosts, f.Entries, f.Relays = m.told, entries, s.relays(host)
 	}
 	s.mu.Unlock()
 	_ = m.link.Send(f) // a closed connection ends its reader
@@ -272,13 +272,13 @@
 	return n
 }
 
-// helpers picks hosts that may pass a host's connections on, in no order.
-func (s *Server) helpers(but ids.HostID) (list []string) {
+// relays picks hosts that may pass a host's connections on, in no order.
+func (s *Server) relays(but ids.HostID) (list []string) {
 	for h, m := range s.links {
-		if h != but && m.helper != "" {
-			list = append(list, m.helper)
+		if h != but && m.relay != "" {
+			list = append(list, m.relay)
 		}
-		if len(list) == maxHelpers {
+		if len(list) == maxRelays {
 			break
 		}
 	}
@@ -308,7 +308,7 @@
 	m := s.links[host]
 	s.mu.Unlock()
 	if m == nil {
-		return // the host parted; its slots are freed with it
+		return // the host disconnected; its slots are freed with it
 	}
 	_ = m.link.Send(f) // a closed connection ends its reader
 }
