--- a/verbenad/cmd/fleet_test.go
+++ b/verbenad/cmd/fleet_test.go
@@ -69,7 +69,10 @@
 
 // newFleet starts two entry hosts, three storage hosts, three model servers and two plain ones.
 func newFleet(t *testing.T, rate float64) *fleet {
-	f := &fleet{t: t, store: memory.New(), servers: make(map[string]*standin.Server), addresses: make(map[string]string), number: int(fleets.Add(1)), grace: time.Second}
+	f := &fleet{
+		t: t, store: memory.New(), servers: make(map[string]*standin.Server), addresses: make(map[string]string),
+		number: int(fleets.Add(1)), grace: time.Second,
+	}
 	web := httptest.NewServer(&standin.Store{Store: f.store})
 	t.Cleanup(web.Close)
 	f.address = strings.TrimPrefix(web.URL, "http://")
--- a/verbenad/cmd/platform.go
+++ b/verbenad/cmd/platform.go
@@ -58,7 +58,10 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go reloadOnHangup(ctx, s)
-	w := host.World{Settings: s, Store: metered.New(platform.NewStore(s.StoreAddress), clock.System{}), Source: platform.Source{}, Protocol: platform.Protocol{}, Without: without}
+	w := host.World{
+		Settings: s, Store: metered.New(platform.NewStore(s.StoreAddress), clock.System{}), Source: platform.Source{},
+		Protocol: platform.Protocol{}, Without: without,
+	}
 	log.WithFields(log.Fields{"role": name, "zone": s.Zone, "memory_mb": s.MemoryMB, "version": version(), "without": o.Without}).Info("started")
 	if err := r(ctx, w); err != nil {
 		log.WithError(err).Error("stopped by a fault")
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -92,18 +92,8 @@
 	known.run(work)
 	go s.keeper.Run(work)
 	go s.look(work)
-	failed := make(chan error, 1)
-	go func() {
-		if !first.wait(work) {
-			return
-		}
-		log.WithField("address", w.Settings.PeerAddress()).Info("taking hosts")
-		failed <- hostlink.Listen(work, w.Settings.PeerAddress(), &s.view, func(l *hostlink.Link, first hostlink.Frame) {
-			hostlink.Serve(work, l, first, s.dispatcher, s.owner)
-		})
-	}()
 	select {
-	case err := <-failed:
+	case err := <-s.takeHosts(work, &first):
 		return err
 	case <-ctx.Done():
 	}
@@ -111,6 +101,22 @@
 	return nil
 }
 
+// takeHosts serves other hosts once this one knows enough. The channel tells the fault that ended it.
+func (s *storage) takeHosts(ctx context.Context, known *firsts) <-chan error {
+	failed := make(chan error, 1)
+	address := s.world.Settings.PeerAddress()
+	go func() {
+		if !known.wait(ctx) {
+			return
+		}
+		log.WithField("address", address).Info("taking hosts")
+		failed <- hostlink.Listen(ctx, address, &s.view, func(l *hostlink.Link, first hostlink.Frame) {
+			hostlink.Serve(ctx, l, first, s.dispatcher, s.owner)
+		})
+	}()
+	return failed
+}
+
 // direct tells whether this host reads the store itself: it dispatches, or hosts that can't reach the
 // dispatching one rely on it.
 func (s *storage) direct() bool {
--- a/verbenad/internal/slots/watch_test.go
+++ b/verbenad/internal/slots/watch_test.go
@@ -42,7 +42,7 @@
 // serversOf takes some slots at once and counts them by server.
 func serversOf(t *testing.T, c *Client, n int) map[ids.BackendID]int {
 	count := make(map[ids.BackendID]int)
-	var leases []*Lease
+	leases := make([]*Lease, 0, n)
 	for range n {
 		l, err := c.Acquire(context.Background(), ask(dispatch.Online))
 		qt.Assert(t, err, qt.IsNil)
--- a/verbenalab/cmd/loss.go
+++ b/verbenalab/cmd/loss.go
@@ -32,6 +32,6 @@
 	if err != nil {
 		return err
 	}
-	a.Write(os.Stdout)
+	fmt.Print(a)
 	return nil
 }
--- a/verbenalab/internal/loss/account.go
+++ b/verbenalab/internal/loss/account.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -121,8 +122,9 @@
 	mostNames    = 5
 )
 
-// Write prints the account.
-func (a *Account) Write(w io.Writer) {
+// String is the account as a text.
+func (a *Account) String() string {
+	w := &strings.Builder{}
 	fmt.Fprintln(w, "all")
 	a.All.write(w)
 	fmt.Fprintf(w, "items that left a slot to a caller: %d, %d times\n", a.yieldedRuns, a.yields)
@@ -132,16 +134,17 @@
 	}
 	writeNames(w, "route", a.Routes)
 	writeNames(w, "workspace", a.Workspaces)
+	return w.String()
 }
 
-func (c Counts) write(w io.Writer) {
+func (c Counts) write(w *strings.Builder) {
 	for _, k := range c.causes() {
 		fmt.Fprintf(w, "%8d  %s\n", c[k], k)
 	}
 }
 
 // writeNames prints those with the most losses.
-func writeNames(w io.Writer, what string, m map[string]Counts) {
+func writeNames(w *strings.Builder, what string, m map[string]Counts) {
 	var names []string
 	for n := range m {
 		if n != "" {
--- a/verbenalab/internal/loss/account_test.go
+++ b/verbenalab/internal/loss/account_test.go
@@ -1,7 +1,6 @@
 package loss
 
 import (
-	"bytes"
 	"os"
 	"testing"
 
@@ -21,7 +20,5 @@
 	c.Assert(a.worst(1), qt.DeepEquals, []int64{2})
 	c.Assert(a.Routes["s"].lost(), qt.Equals, 1)
 	c.Assert(a.Workspaces["w"].lost(), qt.Equals, 2)
-	var out bytes.Buffer
-	a.Write(&out)
-	c.Assert(out.String(), qt.Contains, "items that left a slot to a caller: 1, 2 times\nfrom 4s to 6s\n")
+	c.Assert(a.String(), qt.Contains, "items that left a slot to a caller: 1, 2 times\nfrom 4s to 6s\n")
 }
--- a/verbenalab/internal/soak/check_drains.go
+++ b/verbenalab/internal/soak/check_drains.go
@@ -56,7 +56,8 @@
 	for _, c := range e.Calls {
 		for _, r := range runs[c.ID] {
 			if at, ok := passed[notice{c.Life, r.Server, r.Drain}]; ok && c.Sent.After(at.Add(drainBound)) {
-				broken = append(broken, Violation{"draining", c.ID, fmt.Sprintf("%s sent it to %s, %s after it had passed on that it leaves", c.Life, r.Server, c.Sent.Sub(at)), c.Ended})
+				what := fmt.Sprintf("%s sent it to %s, %s after it had passed on that it leaves", c.Life, r.Server, c.Sent.Sub(at))
+				broken = append(broken, Violation{"draining", c.ID, what, c.Ended})
 			}
 		}
 	}
