fix: a watch's timer is ordered with its beginning and its end

The timer could run before it was stored, which is a nil pointer in a process that was held up for 0.3 s; and a look that crossed the end of its watch set the timer again, for good. TestWatchEnds (a stopped watch whose timer ran on, before).

TestBegunItemsAreCarriedOn failed in the same run: since an ask tells what is left of an item, the run's goroutine reads what the test wrote from its own. The test checks that the owner handed the beginning to the run, and then the same assertions on a run of its own.

--- a/verbenad/internal/bulk/carry_test.go
+++ b/verbenad/internal/bulk/carry_test.go
@@ -73,6 +73,10 @@
 		run, _ = ask(t.Context(), r.owner, func() *itemRun { return r.owner.runs[runKey{"a", "aa"}] })
 		return run != nil
 	})
+	c.Assert(run.carried.Load(), qt.IsNotNil)
+	carried := run.carried.Load()
+	run = &itemRun{owner: r.owner} // the owner's own is in use
+	run.carried.Store(carried)
 	run.carryOn()
 	c.Assert(string(run.text), qt.Equals, "one\ntwo")
 	c.Assert(run.take(upstream.Event{ID: "3", Data: []byte("three")}), qt.IsTrue)
--- a/verbenad/internal/slots/watch.go
+++ b/verbenad/internal/slots/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,33 +32,52 @@
 	// progressAt is the last sign of life, in Unix nanoseconds.
 	progressAt atomic.Int64
 	reported   atomic.Bool
-	timer      *time.Timer
+
+	// mu orders the timer's own calls with the beginning and the end of the watch.
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
 }
 
 // Watch begins when a request is sent to the server of a slot. It ends with Stop.
 func (c *Client) Watch(l *Lease) *Watch {
 	w := &Watch{client: c, clock: c.clock, ticket: l.ticket, after: c.firsts.stallAfter(l.Server.Service)}
-	w.progressAt.Store(c.clock.Now().UnixNano())
-	w.timer = time.AfterFunc(w.after, w.look)
+	w.begin()
 	return w
 }
 
+func (w *Watch) begin() {
+	w.progressAt.Store(w.clock.Now().UnixNano())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(w.after, w.look)
+}
+
+// again looks after a time, unless the watch has ended.
+func (w *Watch) again(after time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.timer.Reset(after)
+	}
+}
+
 // look reports the server if nothing has come, and looks again later.
 func (w *Watch) look() {
 	silent := w.clock.Now().Sub(time.Unix(0, w.progressAt.Load()))
 	if silent < 0 {
-		w.timer.Reset(w.after) // paused
+		w.again(w.after) // paused
 		return
 	}
 	if silent < w.after {
-		w.timer.Reset(w.after - silent)
+		w.again(w.after - silent)
 		return
 	}
 	if !w.reported.Swap(true) {
 		stallReports.Inc()
 	}
 	w.client.report(dispatch.StallReport{Ticket: w.ticket, Silent: silent})
-	w.timer.Reset(w.after)
+	w.again(w.after)
 }
 
 // Pause stops counting until the next sign of life: nothing is read from the server meanwhile.
@@ -72,7 +92,12 @@
 }
 
 // Stop ends the watch.
-func (w *Watch) Stop() { w.timer.Stop() }
+func (w *Watch) Stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
 
 // report tells the seats that know of a slot what is seen of its server.
 func (c *Client) report(r dispatch.StallReport) {
--- a/verbenad/internal/slots/watch_test.go
+++ b/verbenad/internal/slots/watch_test.go
@@ -39,6 +39,21 @@
 	c.Assert(serversOf(t, second, 8)[held.Server.ID] > 0, qt.IsTrue, qt.Commentf("it speaks again"))
 }
 
+// TestWatchEnds: a watch that is stopped while it looks doesn't look again, and one that begins late has its timer.
+func TestWatchEnds(t *testing.T) {
+	c := newClient(t, "f", freeAddress(t))
+	w := c.Watch(&Lease{})
+	w.progressAt.Store(0)
+	w.Stop()
+	w.look()
+	qt.Assert(t, w.timer.Stop(), qt.IsFalse, qt.Commentf("the timer runs on"))
+	for range 100 {
+		w := &Watch{client: c, clock: c.clock}
+		w.begin()
+		w.Stop()
+	}
+}
+
 // serversOf takes some slots at once and counts them by server.
 func serversOf(t *testing.T, c *Client, n int) map[ids.BackendID]int {
 	count := make(map[ids.BackendID]int)
