test: TestFleetLeavesDrainingServers asks for more at once than the other servers have slots

One request at a time goes to the server that looks best; one that was slow once, or failed in the case before, is used last, and with a free slot elsewhere never. With 16 at once each server is met. The assertion is stricter: 48 requests that fill all other slots reach the server that leaves no more, in place of 40 one after the other.

--- a/verbenad/cmd/drain_test.go
+++ b/verbenad/cmd/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -38,13 +39,13 @@
 	s.SetFault(func(*http.Request) standin.ServerFault { return fault })
 	s.SetDraining(true)
 	f.eventually(name+": the server is met", func() bool {
-		f.callService(service)
+		f.callAtOnce(service)
 		return s.Arrivals() > before
 	})
 	time.Sleep(noticeTime)
 	before = s.Arrivals()
-	for range 40 {
-		f.callService(service)
+	for range 3 {
+		f.callAtOnce(service)
 	}
 	c.Assert(s.Arrivals(), qt.Equals, before, qt.Commentf("%s", name))
 
@@ -53,11 +54,22 @@
 	s.Restart(time.Now())
 	f.register(s)
 	f.eventually(name+": the server that started again is used", func() bool {
-		f.callService(service)
+		f.callAtOnce(service)
 		return s.Arrivals() > before
 	})
 }
 
+// atOnce is more requests than a service's other servers have slots: a server that was slow once is used last.
+const atOnce = 16
+
+func (f *fleet) callAtOnce(service string) {
+	var all sync.WaitGroup
+	for range atOnce {
+		all.Go(func() { f.callService(service) })
+	}
+	all.Wait()
+}
+
 func (f *fleet) callService(service string) result {
 	if service == "llm" {
 		return f.call("POST", "/stream/x", key, tokens, []byte("q"))
