--- a/scripts/ablate.sh
+++ b/scripts/ablate.sh
@@ -4,7 +4,8 @@
 #   FLEETBENCH=PATH scripts/ablate.sh -o OUT [-s SEEDS] [-j JOBS] [-m MECHANISM,...] SITE.toml DAY...
 #
 # Plays the newest commit in clones under OUT, with `--without MECHANISM` on the command line of both roles. MECHANISMs are
-# those of verbena/dispatch/mechanisms.go. The table is that of scripts/pairs.sh, where "all" has every mechanism.
+# those of verbena/dispatch/mechanisms.go. The table is that of scripts/pairs.sh, against "none", which switches nothing off: the
+# bench draws other chances for another command line.
 set -u
 
 out="" seeds=4 jobs=$(( ($(nproc) + 1) / 2 )) mechanisms=""
@@ -29,13 +30,12 @@
 fi
 
 checkouts=()
-for name in all ${mechanisms//,/ }; do
+for name in none ${mechanisms//,/ }; do
+  [[ " ${checkouts[*]-} " == *" $name="* ]] && continue
   dir=$out/checkouts/$name
   if [ ! -d "$dir" ]; then
     git clone -q "$source" "$dir" || exit 1
-    if [ "$name" != all ]; then
-      sed -i "s/^\(run = \"target\/verbenad [a-z]*\)\"/\1 --without $name\"/" "$dir/deploy/system.toml"
-    fi
+    sed -i "s/^\(run = \"target\/verbenad [a-z]*\)\"/\1 --without $name\"/" "$dir/deploy/system.toml"
   fi
   checkouts+=(-c "$name=$dir")
 done
--- a/verbena/dispatch/mechanisms.go
+++ b/verbena/dispatch/mechanisms.go
@@ -11,6 +11,8 @@
 
 // The mechanisms.
 const (
+	// None switches nothing off: it is the reference of a measurement, with a command line like the others'.
+	None Mechanism = "none"
 	// BatchPlan puts off batch items that can't be in time.
 	BatchPlan Mechanism = "batch_plan"
 	// BatchYields makes batch items leave their slots to callers.
@@ -43,7 +45,7 @@
 
 // Mechanisms are all that can be switched off.
 var Mechanisms = []Mechanism{
-	BatchPlan, BatchYields, BatchReserve, EarlyRefusal, PlacesAway, LateRefusal, LateLast, Stalls, Ejection, Illness, SlowLast, ZoneFirst,
+	None, BatchPlan, BatchYields, BatchReserve, EarlyRefusal, PlacesAway, LateRefusal, LateLast, Stalls, Ejection, Illness, SlowLast, ZoneFirst,
 	CrashSuspects, Absence,
 }
 
--- a/verbena/dispatch/mechanisms_test.go
+++ b/verbena/dispatch/mechanisms_test.go
@@ -12,5 +12,5 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(got, qt.DeepEquals, []Mechanism{Stalls, BatchPlan})
 	_, err = ParseMechanisms("stalls,stall")
-	c.Assert(err, qt.ErrorMatches, `mechanism "stall" is unknown; there are batch_plan, .*stalls.*`)
+	c.Assert(err, qt.ErrorMatches, `mechanism "stall" is unknown; there are none, batch_plan, .*stalls.*`)
 }
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -120,16 +120,16 @@
 // boundEjection takes back a server's ejection if too many others are left alone already. It goes on
 // with one request at a time, as each server that failed.
 func (p *pool) boundEjection(now time.Time, s *server) {
-	if now.Before(s.ejectedUntil) && !p.mayLeave(now, s) {
+	if now.Before(s.ejectedUntil) && !p.mayEject(now, s) {
 		s.ejectedUntil = time.Time{}
 	}
 }
 
-// mayLeave tells whether a server may be left alone beside those that are.
-func (p *pool) mayLeave(now time.Time, s *server) bool {
+// mayEject tells whether a server may be ejected beside those that are.
+func (p *pool) mayEject(now time.Time, s *server) bool {
 	ejected := 1
 	for _, o := range p.servers {
-		if o != s && !o.gone && !o.Draining && o.leftAlone(now) {
+		if o != s && !o.gone && !o.Draining && o.ejectedOrStalled(now) {
 			ejected++
 		}
 	}
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -65,11 +65,11 @@
 }
 
 func (s *server) usable(now time.Time) bool {
-	return !s.gone && !s.Draining && !s.leftAlone(now)
+	return !s.gone && !s.Draining && !s.ejectedOrStalled(now)
 }
 
-// leftAlone tells whether the server gets nothing for a while.
-func (s *server) leftAlone(now time.Time) bool {
+// ejectedOrStalled tells whether the server gets nothing new for a while.
+func (s *server) ejectedOrStalled(now time.Time) bool {
 	return now.Before(s.ejectedUntil) || now.Before(s.stalledUntil)
 }
 
--- a/verbena/dispatch/stall.go
+++ b/verbena/dispatch/stall.go
@@ -45,7 +45,7 @@
 		return
 	}
 	p := m.pool(r.ask.Service)
-	if now.Sub(r.server.aliveAt) < e.Report.Silent || !p.mayLeave(now, r.server) {
+	if now.Sub(r.server.aliveAt) < e.Report.Silent || !p.mayEject(now, r.server) {
 		return // it answers others, or the cause is not the server
 	}
 	r.server.stalledUntil, r.server.unproven = now.Add(stallPause), true
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -164,7 +164,7 @@
 		return itemAgain
 	}
 	defer answer.Close()
-	stall.Heard()
+	stall.Progress()
 	o.First = answer.First
 	if answer.Status != http.StatusOK || !answer.Reply.Signed {
 		o.Verdict, v = i.refused(route, answer)
@@ -174,11 +174,11 @@
 		}).Info("server turned an item away")
 		return v
 	}
-	heard := func() {
-		stall.Heard()
+	progress := func() {
+		stall.Progress()
 		silence.Reset(silentAfter)
 	}
-	return i.read(whole, l, answer, &o, heard)
+	return i.read(whole, l, answer, &o, progress)
 }
 
 // carryOn goes on from a former owner's beginning if it is further.
@@ -234,7 +234,7 @@
 }
 
 // read takes the events of a run.
-func (i *itemRun) read(whole context.Context, l *slots.Lease, a *upstream.Answer, o *dispatch.Outcome, heard func()) itemVerdict {
+func (i *itemRun) read(whole context.Context, l *slots.Lease, a *upstream.Answer, o *dispatch.Outcome, progress func()) itemVerdict {
 	events := upstream.NewEvents(a)
 	start := i.owner.clock.Now()
 	for {
@@ -250,7 +250,7 @@
 			return itemAgain
 		}
 		if upstream.HasEvent(batch) {
-			heard() // comments say nothing of the server's work
+			progress() // comments say nothing of the server's work
 		}
 		if found := upstream.Parse(batch); !a.Spliced(batch) && i.takeAll(found) {
 			o.Units += len(found)
--- a/verbenad/internal/entry/answer.go
+++ b/verbenad/internal/entry/answer.go
@@ -129,7 +129,7 @@
 			return h.streamBroken(ctx, q, j, o, err, quiet)
 		}
 		if upstream.HasEvent(batch) {
-			quiet.heard() // comments say nothing of the server's work
+			quiet.progress() // comments say nothing of the server's work
 		}
 		if a.Spliced(batch) {
 			j.reason = "answer_cut"
@@ -149,7 +149,7 @@
 			return over, o
 		}
 		_ = flusher.Flush() // a caller that is gone shows at the next write
-		quiet.stall.Heard()
+		quiet.stall.Progress()
 		id, n := upstream.LastID(batch)
 		if id != "" {
 			j.lastEvent = id
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -160,7 +160,7 @@
 		return h.sendFailed(ctx, q, j, err, quiet)
 	}
 	defer answer.Close()
-	quiet.stall.Heard()
+	quiet.stall.Progress()
 	o.First = answer.First
 	o.Counted, o.Running, o.Waiting = answer.Reply.Load.Known, answer.Reply.Load.Running, answer.Reply.Load.Waiting
 	switch {
--- a/verbenad/internal/entry/silence.go
+++ b/verbenad/internal/entry/silence.go
@@ -77,9 +77,9 @@
 	return s
 }
 
-// heard begins the wait anew.
-func (s *silence) heard() {
-	s.stall.Heard()
+// progress begins the wait again.
+func (s *silence) progress() {
+	s.stall.Progress()
 	if s.timer != nil && !s.ended.Load() {
 		s.timer.Reset(s.gap)
 	}
--- a/verbenad/internal/slots/watch.go
+++ b/verbenad/internal/slots/watch.go
@@ -28,23 +28,23 @@
 	clock  clock.Clock
 	ticket dispatch.Ticket
 	after  time.Duration
-	// heardAt is the last sign of life, in Unix nanoseconds.
-	heardAt  atomic.Int64
-	reported atomic.Bool
-	timer    *time.Timer
+	// progressAt is the last sign of life, in Unix nanoseconds.
+	progressAt atomic.Int64
+	reported   atomic.Bool
+	timer      *time.Timer
 }
 
 // Watch begins when a request is sent to the server of a slot. It ends with Stop.
 func (c *Client) Watch(l *Lease) *Watch {
 	w := &Watch{client: c, clock: c.clock, ticket: l.ticket, after: c.firsts.stallAfter(l.Server.Service)}
-	w.heardAt.Store(c.clock.Now().UnixNano())
+	w.progressAt.Store(c.clock.Now().UnixNano())
 	w.timer = time.AfterFunc(w.after, w.look)
 	return w
 }
 
 // look reports the server if nothing has come, and looks again later.
 func (w *Watch) look() {
-	silent := w.clock.Now().Sub(time.Unix(0, w.heardAt.Load()))
+	silent := w.clock.Now().Sub(time.Unix(0, w.progressAt.Load()))
 	if silent < 0 {
 		w.timer.Reset(w.after) // paused
 		return
@@ -61,11 +61,11 @@
 }
 
 // Pause stops counting until the next sign of life: nothing is read from the server meanwhile.
-func (w *Watch) Pause() { w.heardAt.Store(math.MaxInt64) }
+func (w *Watch) Pause() { w.progressAt.Store(math.MaxInt64) }
 
-// Heard notes a sign of life.
-func (w *Watch) Heard() {
-	w.heardAt.Store(w.clock.Now().UnixNano())
+// Progress notes that something has come from the server.
+func (w *Watch) Progress() {
+	w.progressAt.Store(w.clock.Now().UnixNano())
 	if w.reported.Swap(false) {
 		w.client.report(dispatch.StallReport{Ticket: w.ticket})
 	}
--- a/verbenad/internal/slots/watch_test.go
+++ b/verbenad/internal/slots/watch_test.go
@@ -31,10 +31,10 @@
 	w.Pause()
 	time.Sleep(2 * leastStall)
 	c.Assert(serversOf(t, second, 4)[held.Server.ID] > 0, qt.IsTrue, qt.Commentf("nothing was read of it"))
-	w.Heard()
+	w.Progress()
 	time.Sleep(leastStall + 100*time.Millisecond)
 	c.Assert(serversOf(t, second, 4)[held.Server.ID], qt.Equals, 0, qt.Commentf("it has stalled"))
-	w.Heard()
+	w.Progress()
 	time.Sleep(100 * time.Millisecond)
 	c.Assert(serversOf(t, second, 8)[held.Server.ID] > 0, qt.IsTrue, qt.Commentf("it speaks again"))
 }
