--- a/verbena/dispatch/scheduler.go
+++ b/verbena/dispatch/scheduler.go
@@ -251,7 +251,9 @@
 	sc.releaseSlot(r)
 	r.server.recordOutcome(now, r.key.Host, o)
 	p.limitEjections(now, r.server)
-	sc.suspects.record(now, r.request.Fingerprint, o.Result)
+	if n := sc.suspects.record(now, r.request.Fingerprint, o.Result); n > 0 {
+		sc.commands = append(sc.commands, BrokenSendCounted{Key: k, Server: r.server.ID, Fingerprint: r.request.Fingerprint, Count: n})
+	}
 	if o.Result == Served {
 		p.recordAnswer(r.request, now.Sub(r.start), o)
 	}
--- a/verbena/dispatch/scheduler_test.go
+++ b/verbena/dispatch/scheduler_test.go
@@ -39,7 +39,9 @@
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%v", words))
 	s.now = s.start.Add(time.Duration(ms) * time.Millisecond)
 	for _, c := range s.scheduler.Step(s.now, s.event(t, words[1], words[2:])) {
-		got = append(got, describe(c))
+		if _, ok := c.(BrokenSendCounted); !ok { // for logs only
+			got = append(got, describe(c))
+		}
 	}
 	return got
 }
--- a/verbena/dispatch/suspects.go
+++ b/verbena/dispatch/suspects.go
@@ -18,9 +18,11 @@
 // suspects holds the requests that may crash servers, by fingerprint.
 type suspects map[uint64]*suspect
 
-func (s suspects) record(now time.Time, fingerprint uint64, result Result) {
+// record counts a broken send, or clears a request that was served. It returns the number of broken sends counted, 0
+// if the result is no broken send.
+func (s suspects) record(now time.Time, fingerprint uint64, result Result) (count int) {
 	if fingerprint == 0 {
-		return
+		return 0
 	}
 	switch result {
 	case Served:
@@ -33,8 +35,10 @@
 		}
 		e.crashes++
 		e.until = now.Add(suspectMemory)
+		return e.crashes
 	case Cancelled, Full, Gone, Unreachable, Failed:
 	}
+	return 0
 }
 
 func (s suspects) isCrashing(fingerprint uint64) bool {
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -246,6 +246,15 @@
 	Inputs     Inputs
 }
 
+// BrokenSendCounted reports, for logs, that a broken send was counted against a request.
+type BrokenSendCounted struct {
+	Key    Key
+	Server ids.BackendID
+	// Count is how many broken sends have been counted against requests with this Fingerprint.
+	Fingerprint uint64
+	Count       int
+}
+
 // Wait tells the host that a request waits for a slot.
 type Wait struct{ Key Key }
 
@@ -257,6 +266,8 @@
 func (Yield) command()  {}
 func (Wait) command()   {}
 
+func (BrokenSendCounted) command() {}
+
 // Reason is why a slot request was refused.
 type Reason int
 
--- a/verbena/exchange/exchange.go
+++ b/verbena/exchange/exchange.go
@@ -20,6 +20,8 @@
 	OutputTokens int
 	// OutputHint is the caller's estimate of the number of output tokens, 0 if unknown.
 	OutputHint int
+	// SharedParts are the parts of the prompt that other requests may have too, in order: all but the last one.
+	SharedParts []ids.PromptPartID
 	// LastEventID is the id of the last event that the caller has; if empty, the stream starts from the beginning.
 	LastEventID string
 	// Wait is how long a read may be kept waiting for results.
--- a/verbena/ids/ids.go
+++ b/verbena/ids/ids.go
@@ -22,6 +22,9 @@
 // RequestID names a caller's request. It is unique over all hosts.
 type RequestID string
 
+// PromptPartID names a part of a prompt. Requests whose prompts have a part in common name it alike.
+type PromptPartID string
+
 // JobID names a batch job.
 type JobID string
 
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -61,6 +61,8 @@
 	placer          slots.Placer
 	inputs          dispatch.Inputs
 	reason          string
+	// result is that of the last send.
+	result dispatch.Result
 	// failure is nil if no server has answered with a 5xx status.
 	failure *serverFailure
 }
@@ -82,6 +84,7 @@
 		slotWaitSeconds.With(string(req.service)).Update(slot.Waited.Seconds())
 		h.logPlaced(req, state)
 		next, outcome := h.attempt(ctx, req, state, slot)
+		state.result = outcome.Result
 		h.slots.Release(slot, outcome)
 		// The dispatcher refunds the rate of a request that a server refused as full, so the next send counts again.
 		state.rateCounted = state.rateCounted || outcome.Result != dispatch.Full
@@ -278,7 +281,7 @@
 func (h *Handler) logPlaced(req *request, state *forwardState) {
 	fields := log.Fields{
 		"request_id": req.info.ID, "workspace": req.workspaceID(), "service": req.service, "server": state.server,
-		"slot_wait_ms": state.slotWait.Milliseconds(), "resume_after": state.lastEventID, "outcome": "placed",
+		"slot_wait_ms": state.slotWait.Milliseconds(), "resume_after": state.lastEventID, "prompt_parts": req.promptPartsText(), "outcome": "placed",
 	}
 	for _, f := range decisionFields(state) {
 		fields[f.name] = f.value
@@ -298,6 +301,6 @@
 		"sends": state.sends, "refusals": state.refusals, "events": state.events, "reason": state.reason, "outcome": outcome,
 		"first_ms": state.timeToFirstByte.Milliseconds(), "slot_wait_ms": state.slotWait.Milliseconds(),
 		"objective_ms": req.route.Objective.Milliseconds(), "took_ms": h.clock.Now().Sub(req.start).Milliseconds(),
-		"patience_ms": req.deadline.Sub(req.start).Milliseconds(),
+		"patience_ms": req.deadline.Sub(req.start).Milliseconds(), "prompt_parts": req.promptPartsText(), "send_result": state.result.String(),
 	}).Info("request ended")
 }
--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -332,6 +332,24 @@
 	return r.route.Name
 }
 
+const (
+	// maxLoggedPromptParts and maxLoggedPromptPartBytes limit what a log line shows of the parts of a prompt.
+	maxLoggedPromptParts     = 8
+	maxLoggedPromptPartBytes = 24
+)
+
+// promptPartsText returns the ids of the prompt's shared parts for a log line.
+func (r *request) promptPartsText() string {
+	var b strings.Builder
+	for n, id := range r.info.SharedParts[:min(len(r.info.SharedParts), maxLoggedPromptParts)] {
+		if n > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(string(id[:min(len(id), maxLoggedPromptPartBytes)]))
+	}
+	return b.String()
+}
+
 // fingerprint returns a hash that is equal for requests with the same workspace, path and body.
 func (r *request) fingerprint() uint64 {
 	d := xxhash.New()
--- a/verbenad/internal/slots/dispatcher.go
+++ b/verbenad/internal/slots/dispatcher.go
@@ -306,6 +306,8 @@
 	case dispatch.Yield:
 		yieldRequests.Inc()
 		d.send(cmd.Key.Host, hostlink.Frame{Yield: cmd.Key.Ticket})
+	case dispatch.BrokenSendCounted:
+		logBrokenSend(cmd)
 	}
 }
 
--- a/verbenad/internal/slots/fallback.go
+++ b/verbenad/internal/slots/fallback.go
@@ -85,6 +85,8 @@
 		c.handleRefusal(cmd.Key.Ticket, RefusedError{Reason: cmd.Reason, RetryAfter: cmd.RetryAfter, Inputs: cmd.Inputs, Placer: PlacerLocal})
 	case dispatch.Yield:
 		c.handleYield(cmd.Key.Ticket)
+	case dispatch.BrokenSendCounted:
+		logBrokenSend(cmd)
 	}
 	events := c.localEvents
 	c.localEvents = nil
