fix: contain requests that share a prompt part which crashes servers

Cause: crashes were counted for each request as a whole. Requests that share only a part of their prompt never reached the count.

Now the scheduler keeps a report of each crash with its candidates: the shared prompt parts of the requests that the server had not begun to answer. An answer that begins clears the parts of its request. A request is incriminated by a crash if it has all of the candidates that are left, and refused after three such crashes, one of them of a trial. From the first crash on, requests with a candidate run as trials: one at a time, on a server that gets nothing else until the answer begins. Reports belong to a software version, are published to all hosts and reach a new dispatcher with the hosts' first messages. Batch items clear parts, but are never the cause.

Ruled out: a threshold per part (sound requests that share the second part of the crashing ones would be refused with them), and blocking without a trial (many servers that crash at once for other reasons all run requests with the same first part).

--- /dev/null
+++ b/verbena/crash/report.go
@@ -0,0 +1,71 @@
+// Package crash decides which requests may run on backend servers although requests with parts of the same prompt were
+// running when servers crashed. It does no I/O.
+package crash
+
+import (
+	"slices"
+	"time"
+
+	"verbenaledge.example/verbena/directory"
+	"verbenaledge.example/verbena/ids"
+)
+
+// ReportID identifies the crash of a server among those that all hosts know.
+type ReportID uint64
+
+// Report is the crash of one server. If a prompt part caused it, that part is one of the candidates.
+type Report struct {
+	ID          ReportID              `cbor:"1,keyasint"`
+	Server      ids.BackendID         `cbor:"2,keyasint"`
+	Incarnation directory.Incarnation `cbor:"3,keyasint,omitempty"`
+	Service     ids.ServiceName       `cbor:"4,keyasint"`
+	// Version is the version of the server's software. Another version may not crash on the same parts.
+	Version directory.SoftwareVersion `cbor:"5,keyasint,omitempty"`
+	// Candidates are the prompt parts of the requests that the server had not begun to answer, without those that a
+	// server has begun to answer since.
+	Candidates []ids.PromptPartID `cbor:"6,keyasint"`
+	// OtherCause is set if the server was also running a request without shared prompt parts, which may be the cause.
+	OtherCause bool `cbor:"7,keyasint,omitempty"`
+	// Trial is set if the server had been reserved for a suspect request, so that the crash shows its cause.
+	Trial bool `cbor:"9,keyasint,omitempty"`
+	// SoundOn are other software versions that have begun to answer a request that the report incriminates.
+	SoundOn []directory.SoftwareVersion `cbor:"10,keyasint,omitempty"`
+	// Age is how long ago the crash was, at the time of sending.
+	Age time.Duration `cbor:"8,keyasint,omitempty"`
+	at  time.Time
+}
+
+// intersects reports whether one of the parts is a candidate.
+func (r *Report) intersects(parts []ids.PromptPartID) bool {
+	return slices.ContainsFunc(r.Candidates, func(c ids.PromptPartID) bool { return slices.Contains(parts, c) })
+}
+
+// concerns reports whether requests with these parts are suspect on a software version because of the report. On another
+// version than that of the crash, only those are that the report incriminates, until one of them has been answered there.
+func (r *Report) concerns(version directory.SoftwareVersion, parts []ids.PromptPartID) bool {
+	if r.Version == version {
+		return r.intersects(parts)
+	}
+	return r.incriminates(parts) && !slices.Contains(r.SoundOn, version)
+}
+
+// maxSoundVersions limits the memory of a report; few versions run at a time.
+const maxSoundVersions = 8
+
+// recordSound records that another software version has begun to answer a request that the report incriminates.
+func (r *Report) recordSound(version directory.SoftwareVersion) (changed bool) {
+	if slices.Contains(r.SoundOn, version) || len(r.SoundOn) >= maxSoundVersions {
+		return false
+	}
+	r.SoundOn = append(slices.Clone(r.SoundOn), version)
+	return true
+}
+
+// incriminates reports whether a request with these parts has the part that caused the crash, if a part caused it: all
+// candidates are among its parts.
+func (r *Report) incriminates(parts []ids.PromptPartID) bool {
+	if r.OtherCause || len(r.Candidates) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(r.Candidates, func(c ids.PromptPartID) bool { return !slices.Contains(parts, c) })
+}
--- /dev/null
+++ b/verbena/crash/reports.go
@@ -0,0 +1,280 @@
+package crash
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"verbenaledge.example/verbena/directory"
+	"verbenaledge.example/verbena/ids"
+)
+
+const (
+	// MaxCrashes is how many crashes must incriminate a request before a scheduler blocks it that decides for all hosts.
+	// One of them must be of a trial: when many servers crash at once for reasons of their own, all of them may have been
+	// running requests with the same parts.
+	MaxCrashes = 3
+	// joinTime is how long after the first sign of a server's crash the ends of its other requests belong to it.
+	joinTime = 500 * time.Millisecond
+	// runTime is how long before a crash a run may have been placed whose answer clears parts: a run that began much
+	// earlier says nothing about the server's present software state.
+	runTime = 5 * time.Second
+	// retention is how long a crash counts that has blocked no request.
+	retention = 10 * time.Minute
+	// maxReports and maxCandidates limit the memory of reports and the messages that carry them.
+	maxReports    = 128
+	maxCandidates = 64
+)
+
+// trialPauses are the times after the last crash until blocked requests are tried again, by the number of failed
+// trials. After the last one they stay blocked on servers of the same software version.
+var trialPauses = []time.Duration{10 * time.Second, time.Minute, 10 * time.Minute}
+
+// Reports holds the crashes that may be due to prompt parts. It is not safe for concurrent use.
+type Reports struct {
+	list []*Report
+	// revision counts the changes.
+	revision uint64
+}
+
+// Revision changes whenever the reports do.
+func (rs *Reports) Revision() uint64 { return rs.revision }
+
+// Len returns the number of reports.
+func (rs *Reports) Len() int { return len(rs.list) }
+
+// Unanswered is a request whose connection broke before its server began to answer.
+type Unanswered struct {
+	// ID becomes the report's id if the request is the first sign of the crash.
+	ID          ReportID
+	Server      ids.BackendID
+	Incarnation directory.Incarnation
+	Service     ids.ServiceName
+	Version     directory.SoftwareVersion
+	Parts       []ids.PromptPartID
+	// Trial is set if the server was reserved for the request.
+	Trial bool
+}
+
+// Add records the end of a request. Those of one server within joinTime are one crash.
+func (rs *Reports) Add(now time.Time, u Unanswered) *Report {
+	rs.revision++
+	rs.removeEmpty(now)
+	r := rs.recent(now, u)
+	if r == nil {
+		r = &Report{ID: u.ID, Server: u.Server, Incarnation: u.Incarnation, Service: u.Service, Version: u.Version, at: now}
+		rs.list = append(rs.list, r)
+		rs.limit()
+	}
+	r.OtherCause = r.OtherCause || len(u.Parts) == 0
+	r.Trial = r.Trial || u.Trial
+	for _, p := range u.Parts {
+		switch {
+		case slices.Contains(r.Candidates, p):
+		case len(r.Candidates) < maxCandidates:
+			r.Candidates = append(r.Candidates, p)
+		default:
+			r.OtherCause = true
+		}
+	}
+	return r
+}
+
+// removeEmpty removes the reports of crashes that only requests without shared parts can have caused.
+func (rs *Reports) removeEmpty(now time.Time) {
+	rs.list = slices.DeleteFunc(rs.list, func(r *Report) bool { return len(r.Candidates) == 0 && now.Sub(r.at) >= joinTime })
+}
+
+// recent returns the report of the crash that ended the request, or nil if it is the first sign of it.
+func (rs *Reports) recent(now time.Time, u Unanswered) *Report {
+	for _, r := range rs.list {
+		if r.Server == u.Server && r.Incarnation == u.Incarnation && now.Sub(r.at) < joinTime {
+			return r
+		}
+	}
+	return nil
+}
+
+// limit removes a report if there are too many: the oldest that incriminates nothing that others do too, or else the oldest.
+func (rs *Reports) limit() {
+	if len(rs.list) <= maxReports {
+		return
+	}
+	for i, r := range rs.list {
+		if !rs.blocks(r) {
+			rs.list = slices.Delete(rs.list, i, i+1)
+			return
+		}
+	}
+	rs.list = slices.Delete(rs.list, 0, 1)
+}
+
+// blocks reports whether requests are blocked because of the report, with others.
+func (rs *Reports) blocks(r *Report) bool {
+	return rs.evidence(r.Service, r.Version, r.Candidates, MaxCrashes).conclusive
+}
+
+// evidence is what the crashes of one software version say of a request.
+type evidence struct {
+	// crashes counts those that incriminate the request.
+	crashes int
+	// conclusive is set once they suffice to block it, failedTrials counts the trials that crashed since.
+	conclusive   bool
+	failedTrials int
+	last         time.Time
+}
+
+// evidence collects what the crashes of a software version say of a request with these parts.
+func (rs *Reports) evidence(service ids.ServiceName, version directory.SoftwareVersion, parts []ids.PromptPartID, maxCrashes int) (e evidence) {
+	trial := false
+	for _, r := range rs.list {
+		if r.Service != service || r.Version != version || !r.incriminates(parts) {
+			continue
+		}
+		e.crashes++
+		e.last = r.at
+		if e.conclusive && r.Trial {
+			e.failedTrials++
+		}
+		trial = trial || r.Trial
+		e.conclusive = trial && e.crashes >= maxCrashes
+	}
+	return e
+}
+
+// Answered clears the parts of a request that a server has begun to answer, as far as they are candidates for crashes of
+// the same software. startedAt is when the request was placed.
+func (rs *Reports) Answered(service ids.ServiceName, version directory.SoftwareVersion, parts []ids.PromptPartID, startedAt time.Time) {
+	if len(rs.list) == 0 || len(parts) == 0 {
+		return
+	}
+	kept := rs.list[:0]
+	for _, r := range rs.list {
+		if r.Service == service && r.Version != version && r.incriminates(parts) && r.recordSound(version) {
+			rs.revision++
+		}
+		if r.Service == service && r.Version == version && r.intersects(parts) && !startedAt.Before(r.at.Add(-runTime)) {
+			rs.revision++
+			r.Candidates = slices.DeleteFunc(slices.Clone(r.Candidates), func(p ids.PromptPartID) bool { return slices.Contains(parts, p) })
+			if len(r.Candidates) == 0 {
+				continue
+			}
+		}
+		kept = append(kept, r)
+	}
+	clear(rs.list[len(kept):])
+	rs.list = kept
+}
+
+// Judge returns the verdict on a request with these parts on servers of a software version. maxCrashes is how many
+// crashes must incriminate the request before it is blocked.
+func (rs *Reports) Judge(
+	now time.Time, service ids.ServiceName, version directory.SoftwareVersion, parts []ids.PromptPartID, maxCrashes int,
+) (j Judgement) {
+	if len(rs.list) == 0 || len(parts) == 0 {
+		return j
+	}
+	if j.Parts = rs.suspectParts(service, version, parts); len(j.Parts) == 0 {
+		return j
+	}
+	j.Verdict = Suspect
+	if rs.conclusiveElsewhere(service, version, parts, maxCrashes) {
+		maxCrashes = 1 // what crashes one version needs no further proof on the next
+	}
+	e := rs.evidence(service, version, parts, maxCrashes)
+	j.Crashes = e.crashes
+	if !e.conclusive {
+		return j
+	}
+	if e.failedTrials < len(trialPauses) {
+		j.NextTrial = e.last.Add(trialPauses[e.failedTrials]).Sub(now)
+		if j.NextTrial <= 0 {
+			j.NextTrial = 0
+			return j
+		}
+	}
+	j.Verdict = Blocked
+	return j
+}
+
+// conclusiveElsewhere reports whether a request with these parts is blocked on another software version.
+func (rs *Reports) conclusiveElsewhere(service ids.ServiceName, version directory.SoftwareVersion, parts []ids.PromptPartID, maxCrashes int) bool {
+	checked := []directory.SoftwareVersion{version}
+	for _, r := range rs.list {
+		if r.Service != service || slices.Contains(checked, r.Version) {
+			continue
+		}
+		if !slices.Contains(r.SoundOn, version) && rs.evidence(service, r.Version, parts, maxCrashes).conclusive {
+			return true
+		}
+		checked = append(checked, r.Version)
+	}
+	return false
+}
+
+// suspectParts returns the parts that are candidates for a crash that concerns a request with these parts.
+func (rs *Reports) suspectParts(service ids.ServiceName, version directory.SoftwareVersion, parts []ids.PromptPartID) (list []ids.PromptPartID) {
+	for _, r := range rs.list {
+		if r.Service != service || !r.concerns(version, parts) {
+			continue
+		}
+		for _, c := range r.Candidates {
+			if slices.Contains(parts, c) && !slices.Contains(list, c) {
+				list = append(list, c)
+			}
+		}
+	}
+	return list
+}
+
+// CrashedOn reports whether the server crashed in a way that makes the request suspect.
+func (rs *Reports) CrashedOn(s ids.BackendID, parts []ids.PromptPartID) bool {
+	return slices.ContainsFunc(rs.list, func(r *Report) bool { return r.Server == s && r.intersects(parts) })
+}
+
+// RemoveExpired removes reports that are older than their retention and block nothing.
+func (rs *Reports) RemoveExpired(now time.Time) {
+	if len(rs.list) == 0 || now.Sub(rs.list[0].at) < retention {
+		return // they are in the order of their times, but for a few received from other hosts
+	}
+	kept := slices.DeleteFunc(slices.Clone(rs.list), func(r *Report) bool { return now.Sub(r.at) >= retention && !rs.blocks(r) })
+	if len(kept) < len(rs.list) {
+		rs.revision++
+	}
+	rs.list = kept
+}
+
+// Snapshot returns the reports that are at least minAge old, for other hosts. Parts of sound requests are mostly cleared
+// sooner, so that they are not sent at all.
+func (rs *Reports) Snapshot(now time.Time, minAge time.Duration) (list []Report) {
+	for _, r := range rs.list {
+		if now.Sub(r.at) >= minAge && len(r.Candidates) > 0 {
+			sent := *r
+			sent.Age = now.Sub(r.at)
+			list = append(list, sent)
+		}
+	}
+	return list
+}
+
+// Merge adds reports of another host, other than those that are known already.
+func (rs *Reports) Merge(now time.Time, list []Report) {
+	for _, r := range list {
+		if slices.ContainsFunc(rs.list, func(o *Report) bool { return o.ID == r.ID }) || len(r.Candidates) == 0 {
+			continue
+		}
+		r.Candidates = r.Candidates[:min(len(r.Candidates), maxCandidates)]
+		r.at = now.Add(-r.Age)
+		rs.revision++
+		rs.list = append(rs.list, &r)
+		rs.limit()
+	}
+	slices.SortStableFunc(rs.list, func(a, b *Report) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+}
+
+// Replace replaces all reports by those of another host.
+func (rs *Reports) Replace(now time.Time, list []Report) {
+	rs.list = nil
+	rs.revision++
+	rs.Merge(now, list)
+}
--- a/verbena/directory/server.go
+++ b/verbena/directory/server.go
@@ -21,8 +21,13 @@
 	WarmupRemaining time.Duration `cbor:"7,keyasint,omitempty"`
 	// Incarnation identifies the server's start that registered this entry.
 	Incarnation Incarnation `cbor:"8,keyasint,omitempty"`
+	// SoftwareVersion is the version of the server's software; empty means unknown.
+	SoftwareVersion SoftwareVersion `cbor:"9,keyasint,omitempty"`
 }
 
+// SoftwareVersion names a version of a server's software.
+type SoftwareVersion string
+
 // List is the set of servers at a revision of the store.
 type List struct {
 	Revision uint64
--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -1,7 +1,10 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
+
+	"verbenaledge.example/verbena/crash"
 )
 
 const (
@@ -39,7 +42,7 @@
 		})
 		return
 	}
-	if !sc.takeToken(now, w) {
+	if sc.refuseIfBlocked(now, w) || !sc.takeToken(now, w) {
 		return
 	}
 	if p.presentServers() == 0 {
@@ -141,12 +144,17 @@
 // place starts an online request at once, on a free slot or on one that a batch item yields. If it can't be placed, free
 // counts the free slots, which only other requests can use.
 func (sc *Scheduler) place(now time.Time, w *waiter) (placed bool, free int) {
-	sel := w.pool.selectServer(now, w.key.Host, w.request)
+	v := sc.judge(now, w)
+	req := v.excludeUnsafe(w.pool, w.request)
+	sel := w.pool.selectServer(now, w.key.Host, req)
+	if v.best.Verdict != crash.Clear {
+		return sc.placeSuspect(now, w), sel.free
+	}
 	s := sel.best
 	if s == nil || s.failing(now) {
 		// Failing servers are left to batch items, which resume elsewhere when their server fails. A caller's request may
 		// have no time for that.
-		if r := w.pool.itemToYield(now, w.key.Host, w.request, s != nil); r != nil {
+		if r := w.pool.itemToYield(now, w.key.Host, req, s != nil); r != nil {
 			r.yielding = true
 			r.server.yieldingSlots++
 			sc.commands = append(sc.commands, Yield{Key: r.key})
@@ -168,19 +176,21 @@
 	return true, sel.free
 }
 
-func (sc *Scheduler) startRun(now time.Time, w *waiter, s *server) {
+func (sc *Scheduler) startRun(now time.Time, w *waiter, s *server) *run {
 	r := &run{key: w.key, request: w.request, server: s, start: now, due: w.due, deadline: w.deadline, deferred: w.deferred}
 	sc.runs[w.key] = r
 	s.usedSlots++
+	s.lastGrant = now
 	p := sc.pool(w.request.Service)
 	if w.request.Class != Batch {
 		p.onlineRuns++
-		return
+		return r
 	}
 	if p.batchRuns == nil {
 		p.batchRuns = make(map[Key]*run)
 	}
 	p.batchRuns[w.key] = r
+	return r
 }
 
 func (sc *Scheduler) removeWaiting(w *waiter) {
@@ -195,11 +205,15 @@
 // servePool gives free slots to waiting requests: to callers' first, and to batch items when no caller waits.
 func (sc *Scheduler) servePool(now time.Time, p *pool) {
 	sc.refuseExpired(now, p)
+	sc.refuseBlocked(now, p)
 	for len(p.onlineQueue) > 0 {
 		if !sc.serveNext(now, p) {
-			return
+			break
 		}
 	}
+	if slices.ContainsFunc(p.onlineQueue, func(w *waiter) bool { return !sc.isSuspect(now, w) }) {
+		return // batch items run when only suspects wait: these wait for a trial and not for a slot
+	}
 	p.planBatch(now)
 	for len(p.batchQueue) > 0 {
 		w := p.batchQueue[0]
--- a/verbena/dispatch/mechanisms.go
+++ b/verbena/dispatch/mechanisms.go
@@ -40,6 +40,8 @@
 	ZoneFirst Mechanism = "zone_first"
 	// CrashSuspects refuses requests that may have crashed several servers.
 	CrashSuspects Mechanism = "crash_suspects"
+	// CrashingParts runs requests apart, and then refuses them, whose prompts may have crashed servers.
+	CrashingParts Mechanism = "crashing_parts"
 	// ReservedRates leaves disconnected hosts their part of the rates.
 	ReservedRates Mechanism = "absence"
 )
@@ -47,7 +49,7 @@
 // Mechanisms lists all mechanisms.
 var Mechanisms = []Mechanism{
 	None, BatchPlan, BatchYields, BatchReserve, EarlyRefusal, CountReturning, LateRefusal, LateLast, Stalls, Ejection, FailureRate, SlowLast, ZoneFirst,
-	CrashSuspects, ReservedRates,
+	CrashSuspects, CrashingParts, ReservedRates,
 }
 
 // ParseMechanisms parses a comma-separated list.
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -44,7 +44,10 @@
 	eventSeconds float64
 	plan         plan
 	returning    returnTimes
-	disabled     disabledMechanisms
+	// trials holds the runs on trial. crashRevision is that of the crash reports for which waiting requests were last checked.
+	trials        map[Key]*run
+	crashRevision uint64
+	disabled      disabledMechanisms
 	// fastestEventSeconds is the shortest time per stream event among the servers, as of fastestAt.
 	fastestEventSeconds float64
 	fastestAt           time.Time
@@ -270,7 +273,7 @@
 
 // accepts reports whether a request may be sent to the server once a batch item yields its slot.
 func (s *server) accepts(now time.Time, host ids.HostID, req SlotRequest) bool {
-	return s.usable(now) && !excluded(req.Exclude, s.ID) && !now.Before(s.pausedUntil) && s.failures.suitabilityFor(now, host) == suitable
+	return s.usable(now) && s.trial == nil && !excluded(req.Exclude, s.ID) && !now.Before(s.pausedUntil) && s.failures.suitabilityFor(now, host) == suitable
 }
 
 // yieldsBefore orders batch items: deferred ones first, then those with the most time left.
--- a/verbena/dispatch/queue.go
+++ b/verbena/dispatch/queue.go
@@ -17,6 +17,7 @@
 	// deferred is set while the batch plan defers the item.
 	deferred bool
 	pool     *pool
+	judged   judgedRequest
 }
 
 // queue is ordered by priority and then by due time; within a priority, deferred items are last.
--- a/verbena/dispatch/scheduler.go
+++ b/verbena/dispatch/scheduler.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"verbenaledge.example/verbena/crash"
 	"verbenaledge.example/verbena/ids"
 )
 
@@ -25,6 +26,9 @@
 	yielding bool
 	// deferred is set while the batch plan defers the item.
 	deferred bool
+	// trialParts are the suspect prompt parts of a run on trial whose answer has not begun. trial is set for any trial.
+	trialParts []ids.PromptPartID
+	trial      bool
 }
 
 // Scheduler is the state machine that makes all decisions. It must be used by one goroutine only.
@@ -43,6 +47,14 @@
 	// slotShare is this scheduler's share of each server's slots.
 	slotShare float64
 	suspects  suspects
+	// crashes holds the crashes that may be due to prompt parts. publishedRevision is the revision that was sent to other
+	// hosts at publishedAt, with the checksum publishedSum.
+	crashes           crash.Reports
+	publishedRevision uint64
+	publishedAt       time.Time
+	publishedSum      uint64
+	// independent is set if other hosts place requests on the same servers, each deciding for itself.
+	independent bool
 	// salt determines the order of servers that are equal otherwise.
 	salt     string
 	disabled disabledMechanisms
@@ -80,6 +92,7 @@
 		sc.setRates(now, e)
 	case IndependentHosts:
 		sc.setSlotShare(1 / float64(max(1, e.Count)))
+		sc.independent = e.Count > 1
 	case StandbyChanged:
 		sc.reservations.setStandby(now, e)
 		if !e.On {
@@ -93,6 +106,11 @@
 		sc.endSend(now, Key{Host: e.Host, Ticket: e.Outcome.Ticket}, e.Outcome)
 	case ServerStalled:
 		sc.recordStall(now, e)
+	case AnswerBegan:
+		sc.recordAnswerBegan(now, e.Key)
+	case CrashReportsReceived:
+		sc.receiveReports(now, e)
+		sc.servePools(now)
 	case HostConnected:
 		sc.connectHost(now, e)
 	case HostDisconnected:
@@ -105,12 +123,13 @@
 	case Tick:
 		sc.tick(now)
 	}
+	sc.publishReports(now)
 	return sc.commands
 }
 
 // NeedsTick reports whether the passage of time alone may change a decision.
 func (sc *Scheduler) NeedsTick() bool {
-	return len(sc.waiting) > 0 || len(sc.heldByDisconnected) > 0
+	return len(sc.waiting) > 0 || len(sc.heldByDisconnected) > 0 || sc.reportsUnpublished()
 }
 
 func (sc *Scheduler) setServers(now time.Time, e ServersChanged) {
@@ -251,6 +270,7 @@
 	sc.releaseSlot(r)
 	r.server.recordOutcome(now, r.key.Host, o)
 	p.limitEjections(now, r.server)
+	sc.recordCrash(now, r, o)
 	if n := sc.suspects.record(now, r.request.Fingerprint, o.Result); n > 0 {
 		sc.commands = append(sc.commands, BrokenSendCounted{Key: k, Server: r.server.ID, Fingerprint: r.request.Fingerprint, Count: n})
 	}
@@ -268,6 +288,7 @@
 
 func (sc *Scheduler) releaseSlot(r *run) {
 	delete(sc.runs, r.key)
+	sc.endTrial(r)
 	r.server.usedSlots--
 	if r.yielding {
 		r.server.yieldingSlots--
--- a/verbena/dispatch/scheduler_test.go
+++ b/verbena/dispatch/scheduler_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"verbenaledge.example/verbena/crash"
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/scripted"
@@ -32,6 +33,8 @@
 	rates     map[ids.WorkspaceID]Rate
 	start     time.Time
 	now       time.Time
+	// reports are the crash reports last sent.
+	reports []crash.Report
 }
 
 func (s *script) step(t *testing.T, words []string) (got []string) {
@@ -39,7 +42,12 @@
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%v", words))
 	s.now = s.start.Add(time.Duration(ms) * time.Millisecond)
 	for _, c := range s.scheduler.Step(s.now, s.event(t, words[1], words[2:])) {
-		if _, ok := c.(BrokenSendCounted); !ok { // for logs only
+		switch c := c.(type) {
+		case BrokenSendCounted, CrashReported: // for logs only
+		case CrashReportsChanged:
+			s.reports = c.Reports
+			got = append(got, describeReports(c.Reports))
+		default:
 			got = append(got, describe(c))
 		}
 	}
@@ -54,7 +62,7 @@
 		id := ids.BackendID(words[0])
 		s.servers[id] = directory.Server{
 			ID: id, Service: ids.ServiceName(words[1]), Slots: o.number("slots", 1), Zone: ids.ZoneID(o["zone"]), Draining: o["draining"] != "",
-			Incarnation: directory.Incarnation(o.number("incarnation", 0)),
+			Incarnation: directory.Incarnation(o.number("incarnation", 0)), SoftwareVersion: directory.SoftwareVersion(o["version"]),
 		}
 		return ServersChanged{Servers: s.servers}
 	case "remove":
@@ -68,8 +76,12 @@
 	case "end":
 		return SendEnded{Host: host(words[0]), Outcome: Outcome{
 			Ticket: ticket(words[0]), Result: results[words[1]], StreamEvents: o.number("events", 0), Elapsed: o.time("elapsed", 0),
-			TimeToFirstByte: o.time("first_byte", 0),
+			TimeToFirstByte: o.time("first_byte", 0), Unanswered: o["unanswered"] != "",
 		}}
+	case "began":
+		return AnswerBegan{Key: Key{Host: host(words[0]), Ticket: ticket(words[0])}}
+	case "reports":
+		return s.reportsReceived(o)
 	case "connect":
 		return hostConnected(t, words, o)
 	case "disconnect":
@@ -91,6 +103,16 @@
 	return nil
 }
 
+// reportsReceived hands the crash reports that the script's scheduler last sent to it again, as those of another host, or
+// with after=new to a scheduler that takes its place.
+func (s *script) reportsReceived(o options) Event {
+	if o["after"] == "new" {
+		s.scheduler = New("")
+		s.scheduler.Step(s.now, ServersChanged{Servers: s.servers})
+	}
+	return CrashReportsReceived{Reports: s.reports, Replace: o["replace"] != ""}
+}
+
 // hostConnected parses a host that connects. Among its words are the slots that it holds, as f1/1@server, and its recent
 // rates of admitted requests a second, as workspace:rate.
 func hostConnected(t *testing.T, words []string, o options) HostConnected {
@@ -124,7 +146,7 @@
 		Ticket: ticket(words[0]), Service: ids.ServiceName(words[1]), Workspace: ids.WorkspaceID(o["workspace"]),
 		Objective: o.time("objective", 300*time.Millisecond), Remaining: o.time("remaining", 5*time.Second), FirstAttemptTime: o.time("route_timeout", 5*time.Second),
 		Priority: o.number("priority", 0), StreamEvents: 1, Metered: o["workspace"] != "" && o["retry"] == "", Retry: o["retry"] != "", Zone: ids.ZoneID(o["zone"]),
-		Fingerprint: uint64(o.number("fingerprint", 0)),
+		Fingerprint: uint64(o.number("fingerprint", 0)), Parts: promptParts(o["parts"]),
 	}
 	if event == "batch" {
 		req.Class, req.Objective, req.Remaining = Batch, o.time("due", 18*time.Second), o.time("remaining", time.Minute)
@@ -143,7 +165,11 @@
 func describe(c Command) string {
 	switch c := c.(type) {
 	case Grant:
-		return fmt.Sprintf("grant %s/%d %s", c.Key.Host, c.Key.Ticket, c.Server.ID)
+		trial := ""
+		if c.Trial {
+			trial = " trial"
+		}
+		return fmt.Sprintf("grant %s/%d %s%s", c.Key.Host, c.Key.Ticket, c.Server.ID, trial)
 	case Refuse:
 		return fmt.Sprintf("refuse %s/%d %s %d", c.Key.Host, c.Key.Ticket, c.Reason, c.RetryAfter.Milliseconds())
 	case Yield:
@@ -154,6 +180,33 @@
 	return "unknown"
 }
 
+// describeReports returns the candidates of each report.
+func describeReports(list []crash.Report) string {
+	text := "reports"
+	for _, r := range list {
+		text += " " + string(r.Server) + ":" + joinParts(r.Candidates)
+	}
+	return text
+}
+
+func promptParts(list string) (parts []ids.PromptPartID) {
+	if list == "" {
+		return nil
+	}
+	for p := range strings.SplitSeq(list, ",") {
+		parts = append(parts, ids.PromptPartID(p))
+	}
+	return parts
+}
+
+func joinParts(parts []ids.PromptPartID) string {
+	names := make([]string, len(parts))
+	for i, p := range parts {
+		names[i] = string(p)
+	}
+	return strings.Join(names, ",")
+}
+
 type options map[string]string
 
 func parseOptions(words []string) options {
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -42,6 +42,9 @@
 	onProbation  bool
 	aliveAt      time.Time
 	failures     failures
+	// trial is the run on trial for which the server is reserved, or nil. lastGrant is when a slot was last granted.
+	trial     *run
+	lastGrant time.Time
 	// eventSeconds is the moving average of the time per stream event; 0 before the first answer.
 	eventSeconds float64
 	// firstByteSeconds is the moving average of the time to the first byte.
@@ -81,7 +84,7 @@
 
 // freeSlots returns the number of slots that requests may take now; it may be negative.
 func (s *server) freeSlots(now time.Time) int {
-	if now.Before(s.pausedUntil) {
+	if now.Before(s.pausedUntil) || s.trial != nil {
 		return 0
 	}
 	slots := s.capacity()
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -57,6 +57,8 @@
 	Retry bool `cbor:"13,keyasint,omitempty"`
 	// Fingerprint is equal for requests with the same caller, path and body; 0 means unknown.
 	Fingerprint uint64 `cbor:"14,keyasint,omitempty"`
+	// Parts are the parts of the prompt that other requests may have too.
+	Parts []ids.PromptPartID `cbor:"15,keyasint,omitempty"`
 }
 
 // Result is how a send to a server ended.
@@ -114,6 +116,9 @@
 	LoadReported bool `cbor:"6,keyasint,omitempty"`
 	Running      int  `cbor:"7,keyasint,omitempty"`
 	Waiting      int  `cbor:"8,keyasint,omitempty"`
+	// Unanswered is set for a broken send if the server closed or reset the connection before it began to answer, as it
+	// does when it crashes.
+	Unanswered bool `cbor:"9,keyasint,omitempty"`
 }
 
 // HeldSlot is a slot that a host holds when it connects to a dispatcher.
@@ -235,6 +240,8 @@
 	// Waited is how long the request waited.
 	Waited time.Duration
 	Inputs Inputs
+	// Trial is set if the host must report when the answer begins.
+	Trial bool
 }
 
 // Refuse rejects a slot request.
@@ -244,6 +251,9 @@
 	// RetryAfter is the time after which the caller should retry.
 	RetryAfter time.Duration
 	Inputs     Inputs
+	// For CrashingPart, Parts are the prompt parts that may crash servers, and Crashes is the number of crashes.
+	Parts   []ids.PromptPartID
+	Crashes int
 }
 
 // BrokenSendCounted reports, for logs, that a broken send was counted against a request.
@@ -283,6 +293,8 @@
 	TooLate
 	// Crashing: the request has had the maximum number of broken sends.
 	Crashing
+	// CrashingPart: a part of the request's prompt has crashed several servers.
+	CrashingPart
 )
 
 // String returns the reason's name in logs.
@@ -298,6 +310,8 @@
 		return "too_late"
 	case Crashing:
 		return "crashing"
+	case CrashingPart:
+		return "crashing_part"
 	}
 	return "unknown"
 }
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -127,9 +127,11 @@
 
 func (i *itemRun) slotRequest(service ids.ServiceName) dispatch.SlotRequest {
 	now := i.owner.clock.Now()
+	_, header := i.owner.protocol.ItemRequest(i.item)
 	return dispatch.SlotRequest{
 		Service: service, Workspace: i.record.Job.Workspace, Class: dispatch.Batch, Objective: i.record.Job.Due.Sub(now),
 		Remaining: i.record.Job.GiveUpAt.Sub(now), StreamEvents: i.owner.estimator.remaining(i.item.Tokens, i.events), Exclude: i.exclude,
+		Parts: i.owner.protocol.ParseRequest(header).SharedParts,
 	}
 }
 
--- a/verbenad/internal/bulk/owner_test.go
+++ b/verbenad/internal/bulk/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"net/http"
 	"testing"
 	"time"
 
@@ -32,6 +33,8 @@
 	return ids.RequestID(i.ID), nil
 }
 
+func (idleProtocol) ParseRequest(http.Header) exchange.RequestInfo { return exchange.RequestInfo{} }
+
 // fixture is an owner with its store and lease.
 type fixture struct {
 	*qt.C
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -63,6 +63,8 @@
 	reason          string
 	// result is that of the last send.
 	result dispatch.Result
+	// slot is that of the current send.
+	slot *slots.Slot
 	// failure is nil if no server has answered with a 5xx status.
 	failure *serverFailure
 }
@@ -79,6 +81,7 @@
 			h.answerNoSlot(ctx, req, state, err)
 			return
 		}
+		state.slot = slot
 		state.server, state.placer, state.inputs = slot.Server.ID, slot.Placer, slot.Inputs
 		state.slotWait += slot.Waited
 		slotWaitSeconds.With(string(req.service)).Update(slot.Waited.Seconds())
@@ -114,6 +117,7 @@
 		Service: req.service, Workspace: req.workspaceID(), Class: dispatch.Online, Priority: req.route.PriorityOf(req.workspace),
 		Objective: req.route.Objective - callerNetworkTime - now.Sub(req.start), Remaining: remaining, FirstAttemptTime: routeTimeout,
 		StreamEvents: nonStreamEvents, Metered: !state.rateCounted, Retry: state.rateCounted, Exclude: state.exclude, Fingerprint: fingerprint,
+		Parts: req.info.SharedParts,
 	}
 	if req.route.Kind == catalog.KindStream {
 		r.StreamEvents = max(1, req.info.OutputTokens)
@@ -130,6 +134,9 @@
 		return
 	}
 	state.reason, state.placer, state.inputs = refused.Reason.String(), refused.Placer, refused.Inputs
+	if refused.Reason == dispatch.CrashingPart {
+		log.WithFields(log.Fields{"request_id": req.info.ID, "crashing_parts": refused.Parts, "crashes": refused.Crashes}).Info("prompt part is blocked")
+	}
 	if state.mayHaveRun || state.responseStarted {
 		h.answerFailed(ctx, req, state)
 		return
@@ -228,6 +235,7 @@
 		outcome.Result = dispatch.Cancelled
 		return stepFail, outcome
 	}
+	outcome.Unanswered = e.Connected && state.lastEventID == "" && !watch.expired.Load() && upstream.ConnectionEnded(err)
 	log.WithError(err).WithFields(log.Fields{"request_id": req.info.ID, "server": state.server, "outcome": state.reason}).Warn("send failed")
 	return h.afterFailure(req, state, e.Execution == upstream.NotSent), outcome
 }
--- a/verbenad/internal/entry/response.go
+++ b/verbenad/internal/entry/response.go
@@ -63,7 +63,7 @@
 		err = upstream.ErrRequestIDMismatch
 	}
 	if err != nil {
-		outcome.Result = dispatch.Broken
+		outcome.Result, outcome.Unanswered = dispatch.Broken, upstream.ConnectionEnded(err)
 		state.reason = "answer_cut"
 		if ctx.Err() != nil {
 			outcome.Result = dispatch.Cancelled
@@ -134,6 +134,9 @@
 		}
 		if upstream.HasEvent(events) {
 			watch.progress() // comments are no sign of progress
+			if outcome.StreamEvents == 0 {
+				h.slots.ReportAnswerBegan(state.slot)
+			}
 		}
 		if response.HasEmbeddedResponse(events) {
 			state.reason = "answer_cut"
@@ -184,6 +187,7 @@
 	ctx context.Context, req *request, state *forwardState, outcome dispatch.Outcome, err error, watch *silenceWatch,
 ) (nextStep, dispatch.Outcome) {
 	outcome.Result = dispatch.Broken
+	outcome.Unanswered = !state.responseStarted && state.lastEventID == "" && !watch.expired.Load() && upstream.ConnectionEnded(err)
 	state.reason = "stream_cut"
 	if watch.expired.Load() {
 		state.reason = "server_silent"
--- a/verbenad/internal/hostlink/frame.go
+++ b/verbenad/internal/hostlink/frame.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"verbenaledge.example/verbena/bulk"
+	"verbenaledge.example/verbena/crash"
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/dispatch"
 	"verbenaledge.example/verbena/ids"
@@ -57,6 +58,15 @@
 	Stall *dispatch.StallReport `cbor:"21,keyasint,omitempty"`
 	// DrainNotices are about servers that announced that they stop soon.
 	DrainNotices []directory.DrainNotice `cbor:"20,keyasint,omitempty"`
+	// AnswerBegan is the ticket of a trial whose server has begun to answer.
+	AnswerBegan dispatch.Ticket `cbor:"22,keyasint,omitempty"`
+	// CrashReports replace those that the receiver knows.
+	CrashReports *CrashReports `cbor:"23,keyasint,omitempty"`
+}
+
+// CrashReports are the crashes of servers that may be due to prompt parts.
+type CrashReports struct {
+	Reports []crash.Report `cbor:"1,keyasint,omitempty"`
 }
 
 // Hello introduces a host on a connection. A host may repeat it with other contents.
@@ -81,6 +91,8 @@
 	AdmittedElsewhere map[ids.WorkspaceID]int `cbor:"11,keyasint,omitempty"`
 	// DrainNotices are about servers that announced that they stop soon.
 	DrainNotices []directory.DrainNotice `cbor:"12,keyasint,omitempty"`
+	// CrashReports are the crash reports that the host knows.
+	CrashReports []crash.Report `cbor:"13,keyasint,omitempty"`
 }
 
 // Grant assigns a server to a ticket.
@@ -89,6 +101,8 @@
 	Server directory.Server `cbor:"2,keyasint"`
 	Waited time.Duration    `cbor:"3,keyasint,omitempty"`
 	Inputs dispatch.Inputs  `cbor:"4,keyasint"`
+	// Trial is set if the host must report when the answer begins.
+	Trial bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Refusal refuses a slot to a ticket.
@@ -97,6 +111,9 @@
 	Reason     dispatch.Reason `cbor:"2,keyasint"`
 	RetryAfter time.Duration   `cbor:"3,keyasint,omitempty"`
 	Inputs     dispatch.Inputs `cbor:"4,keyasint"`
+	// Parts are the prompt parts that may crash servers, Crashes is how often they did.
+	Parts   []ids.PromptPartID `cbor:"5,keyasint,omitempty"`
+	Crashes int                `cbor:"6,keyasint,omitempty"`
 }
 
 // Update holds the changes of a kind's objects between two revisions, or all of its objects if Full is set.
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -74,6 +74,7 @@
 	drainNotices DrainNotices
 	firstBytes   firstByteTimes
 	rates        map[ids.WorkspaceID]dispatch.Rate
+	crashReports crashReports
 	// localEvents are for the local scheduler; they are queued there once mu is unlocked.
 	localEvents []dispatch.Event
 }
--- a/verbenad/internal/slots/dispatcher.go
+++ b/verbenad/internal/slots/dispatcher.go
@@ -36,8 +36,10 @@
 	// connectionOrder is held while a connection's beginning or end is recorded and sent to the scheduler, so that the
 	// end of a host's former connection isn't taken for that of its new one.
 	connectionOrder sync.Mutex
+	clock           clock.Clock
 	mu              sync.Mutex
 	members         map[ids.HostID]*member
+	crashReports    crashReports
 }
 
 // member is a connected host.
@@ -64,7 +66,7 @@
 	c clock.Clock, publisher *objectfeed.Publisher, role func() DispatchRole, ownerMap func() (hostlink.Update, bool), opts ...Option,
 ) *Dispatcher {
 	o := applyOptions(opts)
-	d := &Dispatcher{drainNotices: o.drainNotices, publisher: publisher, role: role, ownerMap: ownerMap, members: make(map[ids.HostID]*member)}
+	d := &Dispatcher{clock: c, drainNotices: o.drainNotices, publisher: publisher, role: role, ownerMap: ownerMap, members: make(map[ids.HostID]*member)}
 	d.runner = NewRunner(c, "", d.execute, dispatch.WithDisabledMechanisms(o.disabled...))
 	return d
 }
@@ -154,6 +156,10 @@
 		Host: h.Host, Held: h.Held, AcceptsCallers: h.AcceptsCallers, Leaving: h.Leaving, EntryHosts: h.EntryHosts,
 		AdmittedPerSecond: h.AdmittedPerSecond, AdmittedElsewhere: h.AdmittedElsewhere,
 	})
+	d.sendCrashReports(l)
+	if len(h.CrashReports) > 0 {
+		d.runner.Enqueue(dispatch.CrashReportsReceived{Reports: h.CrashReports})
+	}
 	d.publisher.Subscribe(l)
 	d.sendStatus(h.Host)
 }
@@ -239,6 +245,8 @@
 		d.runner.Enqueue(dispatch.SendEnded{Host: host, Outcome: *f.Outcome})
 	case f.Stall != nil:
 		d.runner.Enqueue(dispatch.ServerStalled{Host: host, Report: *f.Stall})
+	case f.AnswerBegan != 0:
+		d.runner.Enqueue(dispatch.AnswerBegan{Key: dispatch.Key{Host: host, Ticket: f.AnswerBegan}})
 	case f.Ping:
 		d.sendStatus(host)
 	case f.Leaving:
@@ -297,10 +305,17 @@
 	case dispatch.Grant:
 		grants.Inc()
 		grantWait.Update(cmd.Waited.Seconds())
-		d.send(cmd.Key.Host, hostlink.Frame{Grant: &hostlink.Grant{Ticket: cmd.Key.Ticket, Server: cmd.Server, Waited: cmd.Waited, Inputs: cmd.Inputs}})
+		if cmd.Trial {
+			trials.Inc()
+		}
+		d.send(cmd.Key.Host, hostlink.Frame{Grant: &hostlink.Grant{
+			Ticket: cmd.Key.Ticket, Server: cmd.Server, Waited: cmd.Waited, Inputs: cmd.Inputs, Trial: cmd.Trial,
+		}})
 	case dispatch.Refuse:
 		refusals.Inc()
-		d.send(cmd.Key.Host, hostlink.Frame{Refusal: &hostlink.Refusal{Ticket: cmd.Key.Ticket, Reason: cmd.Reason, RetryAfter: cmd.RetryAfter, Inputs: cmd.Inputs}})
+		d.send(cmd.Key.Host, hostlink.Frame{Refusal: &hostlink.Refusal{
+			Ticket: cmd.Key.Ticket, Reason: cmd.Reason, RetryAfter: cmd.RetryAfter, Inputs: cmd.Inputs, Parts: cmd.Parts, Crashes: cmd.Crashes,
+		}})
 	case dispatch.Wait:
 		d.send(cmd.Key.Host, hostlink.Frame{Queued: cmd.Key.Ticket})
 	case dispatch.Yield:
@@ -308,6 +323,10 @@
 		d.send(cmd.Key.Host, hostlink.Frame{Yield: cmd.Key.Ticket})
 	case dispatch.BrokenSendCounted:
 		logBrokenSend(cmd)
+	case dispatch.CrashReported:
+		logCrash(cmd)
+	case dispatch.CrashReportsChanged:
+		d.broadcastCrashReports(cmd.Reports)
 	}
 }
 
--- a/verbenad/internal/slots/fallback.go
+++ b/verbenad/internal/slots/fallback.go
@@ -80,13 +80,19 @@
 	c.mu.Lock()
 	switch cmd := cmd.(type) {
 	case dispatch.Grant:
-		c.handleGrant(cmd.Key.Ticket, reply{server: cmd.Server, waited: cmd.Waited, inputs: cmd.Inputs, placer: PlacerLocal})
+		c.handleGrant(cmd.Key.Ticket, reply{server: cmd.Server, waited: cmd.Waited, inputs: cmd.Inputs, placer: PlacerLocal, trial: cmd.Trial})
 	case dispatch.Refuse:
-		c.handleRefusal(cmd.Key.Ticket, RefusedError{Reason: cmd.Reason, RetryAfter: cmd.RetryAfter, Inputs: cmd.Inputs, Placer: PlacerLocal})
+		c.handleRefusal(cmd.Key.Ticket, RefusedError{
+			Reason: cmd.Reason, RetryAfter: cmd.RetryAfter, Inputs: cmd.Inputs, Placer: PlacerLocal, Parts: cmd.Parts, Crashes: cmd.Crashes,
+		})
 	case dispatch.Yield:
 		c.handleYield(cmd.Key.Ticket)
 	case dispatch.BrokenSendCounted:
 		logBrokenSend(cmd)
+	case dispatch.CrashReported:
+		logCrash(cmd)
+	case dispatch.CrashReportsChanged:
+		c.crashReports = crashReports{cmd.Reports, c.clock.Now()}
 	}
 	events := c.localEvents
 	c.localEvents = nil
--- a/verbenad/internal/slots/links.go
+++ b/verbenad/internal/slots/links.go
@@ -107,7 +107,7 @@
 	hello := hostlink.Hello{
 		Host: c.host, Zone: c.zone, RequestsSlots: true, ToStandby: conn.placer == PlacerStandby, RelayAddress: c.relayAddress,
 		AcceptsCallers: c.relayAddress != "", Leaving: c.leaving, EntryHosts: c.entryHosts, AdmittedPerSecond: c.localRates.RecentRates(c.clock.Now()),
-		DrainNotices: c.drainNotices.All(), AdmittedElsewhere: c.admissions.ByOthers(c.clock.Now(), conn.reportedAt, int(conn.placer)),
+		CrashReports: c.crashReports.asOf(c.clock.Now()), DrainNotices: c.drainNotices.All(), AdmittedElsewhere: c.admissions.ByOthers(c.clock.Now(), conn.reportedAt, int(conn.placer)),
 	}
 	for _, h := range c.held {
 		hello.Held = append(hello.Held, h.asOf(c.clock.Now()))
@@ -171,9 +171,12 @@
 	}
 	switch {
 	case f.Grant != nil:
-		c.handleGrant(f.Grant.Ticket, reply{server: f.Grant.Server, waited: f.Grant.Waited, inputs: f.Grant.Inputs, placer: conn.placer})
+		c.handleGrant(f.Grant.Ticket, reply{server: f.Grant.Server, waited: f.Grant.Waited, inputs: f.Grant.Inputs, placer: conn.placer, trial: f.Grant.Trial})
 	case f.Refusal != nil:
-		c.handleRefusal(f.Refusal.Ticket, RefusedError{Reason: f.Refusal.Reason, RetryAfter: f.Refusal.RetryAfter, Inputs: f.Refusal.Inputs, Placer: conn.placer})
+		c.handleRefusal(f.Refusal.Ticket, RefusedError{
+			Reason: f.Refusal.Reason, RetryAfter: f.Refusal.RetryAfter, Inputs: f.Refusal.Inputs, Placer: conn.placer,
+			Parts: f.Refusal.Parts, Crashes: f.Refusal.Crashes,
+		})
 	case f.Queued != 0:
 		if p, ok := c.pending[f.Queued]; ok {
 			p.stopTimer()
@@ -184,6 +187,10 @@
 		if conn.placer == c.updateSource || f.Update.Full && !conn.registered {
 			c.feed.Apply(*f.Update)
 		}
+	case f.CrashReports != nil:
+		if conn.registered && conn.placer == c.updateSource {
+			c.applyCrashReports(f.CrashReports.Reports)
+		}
 	case f.Ages != nil:
 		if conn.placer == c.updateSource {
 			c.feed.Confirm(f.Ages)
--- a/verbenad/internal/slots/pending_request.go
+++ b/verbenad/internal/slots/pending_request.go
@@ -28,6 +28,7 @@
 	placer  Placer
 	refused *RefusedError
 	yielded chan struct{}
+	trial   bool
 }
 
 func (p *pendingRequest) stopTimer() {
@@ -48,5 +49,5 @@
 	if r.refused != nil {
 		return nil, r.refused
 	}
-	return &Slot{Server: r.server, Yielded: r.yielded, Waited: r.waited, Inputs: r.inputs, Placer: r.placer, ticket: r.ticket}, nil
+	return &Slot{Server: r.server, Yielded: r.yielded, Waited: r.waited, Inputs: r.inputs, Placer: r.placer, Trial: r.trial, ticket: r.ticket}, nil
 }
--- a/verbenad/internal/slots/slot.go
+++ b/verbenad/internal/slots/slot.go
@@ -10,6 +10,7 @@
 
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/dispatch"
+	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbenad/internal/bounded"
 	"verbenaledge.example/verbenad/internal/hostlink"
 )
@@ -28,6 +29,9 @@
 	Inputs     dispatch.Inputs
 	// Placer is who refused the request.
 	Placer Placer
+	// For the reason CrashingPart, Parts are the prompt parts that may crash servers, and Crashes is how often they did.
+	Parts   []ids.PromptPartID
+	Crashes int
 }
 
 // Error names the reason.
@@ -42,6 +46,8 @@
 	Inputs  dispatch.Inputs
 	// Placer is who granted the slot.
 	Placer Placer
+	// Trial is set if the placer waits for ReportAnswerBegan.
+	Trial  bool
 	ticket dispatch.Ticket
 }
 
