--- a/verbenad/internal/bulk/owner_test.go
+++ b/verbenad/internal/bulk/owner_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
--- a/verbenad/internal/slots/links.go
+++ b/verbenad/internal/slots/links.go
@@ -107,7 +107,8 @@
 	hello := hostlink.Hello{
 		Host: c.host, Zone: c.zone, RequestsSlots: true, ToStandby: conn.placer == PlacerStandby, RelayAddress: c.relayAddress,
 		AcceptsCallers: c.relayAddress != "", Leaving: c.leaving, EntryHosts: c.entryHosts, AdmittedPerSecond: c.localRates.RecentRates(c.clock.Now()),
-		CrashReports: c.crashReports.asOf(c.clock.Now()), DrainNotices: c.drainNotices.All(), AdmittedElsewhere: c.admissions.ByOthers(c.clock.Now(), conn.reportedAt, int(conn.placer)),
+		CrashReports: c.crashReports.asOf(c.clock.Now()), DrainNotices: c.drainNotices.All(),
+		AdmittedElsewhere: c.admissions.ByOthers(c.clock.Now(), conn.reportedAt, int(conn.placer)),
 	}
 	for _, h := range c.held {
 		hello.Held = append(hello.Held, h.asOf(c.clock.Now()))
@@ -169,6 +170,26 @@
 		c.hostCount, c.entryHosts, c.relays = f.Hosts, f.EntryHosts, f.Relays
 		c.localEvents = append(c.localEvents, dispatch.IndependentHosts{Count: f.Hosts})
 	}
+	c.handleReply(conn, f)
+	fromSource := conn.placer == c.updateSource
+	switch {
+	case f.Update != nil:
+		if fromSource || f.Update.Full && !conn.registered {
+			c.feed.Apply(*f.Update)
+		}
+	case f.CrashReports != nil:
+		if fromSource && conn.registered {
+			c.applyCrashReports(f.CrashReports.Reports)
+		}
+	case f.Ages != nil:
+		if fromSource {
+			c.feed.Confirm(f.Ages)
+		}
+	}
+}
+
+// handleReply handles what a placer sends about a slot request. The caller holds mu.
+func (c *Client) handleReply(conn *placerConn, f hostlink.Frame) {
 	switch {
 	case f.Grant != nil:
 		c.handleGrant(f.Grant.Ticket, reply{server: f.Grant.Server, waited: f.Grant.Waited, inputs: f.Grant.Inputs, placer: conn.placer, trial: f.Grant.Trial})
@@ -183,17 +204,5 @@
 		}
 	case f.Yield != 0:
 		c.handleYield(f.Yield)
-	case f.Update != nil:
-		if conn.placer == c.updateSource || f.Update.Full && !conn.registered {
-			c.feed.Apply(*f.Update)
-		}
-	case f.CrashReports != nil:
-		if conn.registered && conn.placer == c.updateSource {
-			c.applyCrashReports(f.CrashReports.Reports)
-		}
-	case f.Ages != nil:
-		if conn.placer == c.updateSource {
-			c.feed.Confirm(f.Ages)
-		}
 	}
 }
