fix: keep batch items through crashes of their servers in the daemon with settings of its own

Its callers saw an item errored, with the code poisonous, after two servers had crashed while they ran it, and after three crashes with the last error: crashes were counted against items as against requests, though an item is handed in for later and is never the cause.

An item's run that a crash ends is now returned as no attempt, isn't reported as a crash of a suspect, and items are routed whatever is known of their fingerprint. A manager of an earlier build still reports such items as poisonous; an owner of this build assigns them again.

--- a/verbena/batch/command.go
+++ b/verbena/batch/command.go
@@ -14,8 +14,7 @@
 // StoreResult adds a result to the shard's next segment.
 type StoreResult struct{ Result Result }
 
-// FailItem records an error as the result of an item that has used up its attempts
-// or is poisonous.
+// FailItem records an error as the result of an item that has used up its attempts.
 type FailItem struct {
 	Item   ItemRef
 	Reason string
--- a/verbena/batch/event.go
+++ b/verbena/batch/event.go
@@ -30,8 +30,8 @@
 	// Yielded is true when the return doesn't count as an attempt: the item gave up its
 	// slot, for example to online requests, never ran, or was lost with its manager.
 	Yielded bool
-	// Poisonous is true when the item crashes backend servers.
-	Poisonous bool
+	// Crashed is true when servers crashed while they ran the item. The item isn't the cause, so this is no attempt.
+	Crashed bool
 	Reason    string
 }
 
--- a/verbena/batch/queue.go
+++ b/verbena/batch/queue.go
@@ -205,12 +205,12 @@
 		return nil
 	}
 	q.endRun(j, e.Item.Index)
-	if e.Yielded {
+	if e.Yielded || e.Crashed {
 		j.requeued = append(j.requeued, e.Item.Index)
 		return j.closeIfDone()
 	}
 	j.attempts[e.Item.Index]++
-	if j.attempts[e.Item.Index] >= q.maxAttempts || e.Poisonous {
+	if j.attempts[e.Item.Index] >= q.maxAttempts {
 		return []Command{FailItem{e.Item, e.Reason}}
 	}
 	j.requeued = append(j.requeued, e.Item.Index)
--- a/verbena/core/traffic.go
+++ b/verbena/core/traffic.go
@@ -142,7 +142,10 @@
 		c.refuse(e.Ticket, refusal.New(refusal.RetryBudget, backendRetryAfter, "the workspace has no retries left"))
 		return
 	}
-	verdict := c.poison.Classify(c.now, e.Fingerprint)
+	verdict := poison.Clean
+	if !e.Batch {
+		verdict = c.poison.Classify(c.now, e.Fingerprint)
+	}
 	if verdict == poison.Poisonous {
 		c.refuse(e.Ticket, refusal.New(refusal.Poisonous, 0, "this request has taken down %d backend servers and isn't run again", poison.MaxCrashedBackends))
 		return
--- a/verbena/peer/message.go
+++ b/verbena/peer/message.go
@@ -71,13 +71,15 @@
 // ItemOutcome is a backend server's response to an item. Status is 0 when there is no
 // response, and Reason says why.
 type ItemOutcome struct {
-	Ref       batch.ItemRef `cbor:"1,keyasint"`
-	Request   ids.RequestID `cbor:"2,keyasint"`
-	Status    int           `cbor:"3,keyasint"`
-	Body      []byte        `cbor:"4,keyasint,omitempty"`
-	Yielded   bool          `cbor:"5,keyasint,omitempty"`
-	Poisonous bool          `cbor:"6,keyasint,omitempty"`
-	Reason    string        `cbor:"7,keyasint,omitempty"`
+	Ref     batch.ItemRef `cbor:"1,keyasint"`
+	Request ids.RequestID `cbor:"2,keyasint"`
+	Status  int           `cbor:"3,keyasint"`
+	Body    []byte        `cbor:"4,keyasint,omitempty"`
+	// Yielded means that this was no attempt: the item gave up its slot, never ran, or its server crashed.
+	Yielded bool `cbor:"5,keyasint,omitempty"`
+	// Crashed is set by managers of earlier builds for an item under which two servers crashed.
+	Crashed bool   `cbor:"6,keyasint,omitempty"`
+	Reason  string `cbor:"7,keyasint,omitempty"`
 }
 
 // CancelItems requests that a manager cancels a job's running items.
--- a/verbenad/internal/backend/runner.go
+++ b/verbenad/internal/backend/runner.go
@@ -45,8 +45,10 @@
 	Body        []byte
 	// Repeatable allows another attempt after the request may have run.
 	Repeatable bool
-	// BatchItem is true for an item of a batch job.
+	// BatchItem is true for an item of a batch job. Items are never the cause of a crash, and have no Fingerprint.
 	BatchItem bool
+	// OnCrash, if set, is called when a server crashes while it runs the request.
+	OnCrash func()
 	// BeforeSend, if set, is called immediately before each attempt is sent and may refuse it.
 	BeforeSend func() *refusal.Refusal
 	// OnlyServer, if set, is the only backend server to try, with a single attempt.
@@ -152,7 +154,10 @@
 	if callErr.Run() != refusal.NotRun {
 		x.possibleRuns++
 	}
-	if callErr.Kind == Crashed {
+	if callErr.Kind == Crashed && x.task.OnCrash != nil {
+		x.task.OnCrash()
+	}
+	if callErr.Kind == Crashed && !x.task.BatchItem {
 		if refused := x.reportCrash(ctx, routed); refused != nil {
 			return refused
 		}
--- a/verbenad/internal/items/runtime.go
+++ b/verbenad/internal/items/runtime.go
@@ -15,7 +15,6 @@
 	"verbenaledge.example/verbena/core"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/peer"
-	"verbenaledge.example/verbena/poison"
 	"verbenaledge.example/verbena/refusal"
 	client "verbenaledge.example/verbenad/internal/backend"
 	"verbenaledge.example/verbenad/internal/metric"
@@ -114,11 +113,12 @@
 // runItem runs an item on a server and returns the outcome.
 func (r *Runtime) runItem(ctx context.Context, s backend.Server, item peer.Item) peer.ItemOutcome {
 	outcome := peer.ItemOutcome{Ref: item.Ref, Request: requestID(item.Ref)}
+	crashed := false
 	task := client.Task{
 		Workspace: item.Workspace, Service: s.Service, RequestID: outcome.Request,
-		Fingerprint: poison.FingerprintOf(item.Workspace, item.Endpoint, item.Body),
-		Method:      http.MethodPost, Path: item.Endpoint, Header: http.Header{"Content-Type": {"application/json"}},
+		Method: http.MethodPost, Path: item.Endpoint, Header: http.Header{"Content-Type": {"application/json"}},
 		Body: item.Body, Repeatable: true, BatchItem: true, OnlyServer: s.ID,
+		OnCrash: func() { crashed = true },
 	}
 	refused := r.runner.Run(ctx, task, func(resp *client.Response) (tokens int, callErr *client.CallError) {
 		body, err := resp.ReadAll()
@@ -134,8 +134,7 @@
 	metric.ItemsRetried.Inc()
 	outcome.Status, outcome.Body = 0, nil
 	outcome.Reason = refused.Message
-	outcome.Poisonous = refused.Code == refusal.Poisonous
-	// An item that no server has started doesn't count as an attempt.
-	outcome.Yielded = refused.Run == refusal.NotRun && !outcome.Poisonous
+	// It is no attempt if no server has started the item, or if the server crashed.
+	outcome.Yielded = refused.Run == refusal.NotRun || crashed
 	return outcome
 }
--- a/verbenad/internal/jobs/runtime.go
+++ b/verbenad/internal/jobs/runtime.go
@@ -150,7 +150,7 @@
 func (r *Runtime) acceptOutcome(ctx context.Context, from ids.HostID, o peer.ItemOutcome) (err error) {
 	if o.Status == 0 {
 		r.poster.Post(core.BatchEvent{Event: batch.ItemReturned{
-			Item: o.Ref, Manager: from, Yielded: o.Yielded, Poisonous: o.Poisonous, Reason: o.Reason,
+			Item: o.Ref, Manager: from, Yielded: o.Yielded, Crashed: o.Crashed, Reason: o.Reason,
 		}})
 		return nil
 	}
