fix: keep trials of suspect requests away from servers that fail

Cause: a server that is down runs the fewest requests, so a trial went there first, then to the next one, until its caller was refused.

--- a/verbena/crash/reports.go
+++ b/verbena/crash/reports.go
@@ -245,16 +245,21 @@
 }
 
 // Snapshot returns the reports that are at least minAge old, for other hosts. Parts of sound requests are mostly cleared
-// sooner, so that they are not sent at all.
-func (rs *Reports) Snapshot(now time.Time, minAge time.Duration) (list []Report) {
+// sooner, so that they are not sent at all. complete is false if there are younger ones.
+func (rs *Reports) Snapshot(now time.Time, minAge time.Duration) (list []Report, complete bool) {
+	complete = true
 	for _, r := range rs.list {
-		if now.Sub(r.at) >= minAge && len(r.Candidates) > 0 {
+		switch age := now.Sub(r.at); {
+		case len(r.Candidates) == 0:
+		case age < minAge:
+			complete = false
+		default:
 			sent := *r
-			sent.Age = now.Sub(r.at)
+			sent.Age = age
 			list = append(list, sent)
 		}
 	}
-	return list
+	return list, complete
 }
 
 // Merge adds reports of another host, other than those that are known already.
--- a/verbena/dispatch/crashes.go
+++ b/verbena/dispatch/crashes.go
@@ -24,6 +24,8 @@
 	// crashes, that request may be the cause too.
 	unansweredCost  = 4.0
 	unansweredTimes = 3
+	// failingTrialCost is added for a server that fails: a server that is down has the fewest running requests.
+	failingTrialCost = 50.0
 	// crashedOnCost is added for a server at which the same parts met a broken connection: a server that resets
 	// connections without crashing must not incriminate them several times.
 	crashedOnCost = 100.0
@@ -218,6 +220,9 @@
 		if now.Sub(s.lastGrant) < unansweredTimes*p.firstByteTime() {
 			cost += unansweredCost
 		}
+		if s.failing(now) {
+			cost += failingTrialCost
+		}
 		if sc.crashes.CrashedOn(s.ID, req.Parts) {
 			cost += crashedOnCost
 		}
@@ -293,8 +298,8 @@
 		return
 	}
 	sc.publishedAt = now
-	list := sc.crashes.Snapshot(now, publishInterval)
-	if len(list) == sc.crashes.Len() {
+	list, complete := sc.crashes.Snapshot(now, publishInterval)
+	if complete {
 		sc.publishedRevision = sc.crashes.Revision()
 	}
 	if sum := checksum(list); sum != sc.publishedSum {
