test: the soak crashes servers, with and without a prompt part as the cause

Streams of the soak have prompts with shared parts; one in eight has a part that crashes servers during the fault part_crashes, and servers_crash ends all requests of two servers. After recovery checkContainment plays a crashing part with all hosts: three seconds after its crashes at most three more requests may reach servers, and half of those that share its other parts must be answered.

--- a/verbena/batch/event.go
+++ b/verbena/batch/event.go
@@ -32,7 +32,7 @@
 	Yielded bool
 	// Crashed is true when servers crashed while they ran the item. The item isn't the cause, so this is no attempt.
 	Crashed bool
-	Reason    string
+	Reason  string
 }
 
 // ResultsCommitted reports that results are stored in the platform.
--- a/verbenalab/internal/soak/callers.go
+++ b/verbenalab/internal/soak/callers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -107,6 +108,11 @@
 }
 
 func (ca *caller) requestTo(h *host, route Route, key string) (c Call) {
+	return ca.requestWithHeader(h, route, key, nil)
+}
+
+// requestWithHeader sends a request with further headers. A stream has prompt parts in any case.
+func (ca *caller) requestWithHeader(h *host, route Route, key string, further map[string]string) (c Call) {
 	c = Call{ID: fmt.Sprintf("call-%d", ca.group.lastID.Add(1)), Route: route, Key: key, Sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
@@ -118,7 +124,9 @@
 	header := map[string]string{}
 	if route == RouteStream || route == RouteResume {
 		header = standin.StreamHeaders()
+		header[standin.HeaderPromptParts] = promptParts(ca.group.lastID.Load())
 	}
+	maps.Copy(header, further)
 	response, err := ca.send(ctx, h, http.MethodPost, "/"+string(route)+"/x", key, c.ID, header, c.ID)
 	if err == nil {
 		body, err := io.ReadAll(response.Body)
--- a/verbenalab/internal/soak/check.go
+++ b/verbenalab/internal/soak/check.go
@@ -3,7 +3,10 @@
 // checker finds the violations of one kind of guarantee.
 type checker func(ev *Evidence) []Violation
 
-var checkers = []checker{checkAnswers, checkRuns, checkKeys, checkRates, checkPositions, checkOutputs, checkRetention, checkAfterRecovery, checkDraining}
+var checkers = []checker{
+	checkAnswers, checkRuns, checkKeys, checkRates, checkPositions, checkOutputs, checkRetention, checkAfterRecovery, checkDraining,
+	checkContainment,
+}
 
 // Check returns the violations of all guarantees.
 func Check(ev *Evidence) (all []Violation) {
--- a/verbenalab/internal/soak/evidence.go
+++ b/verbenalab/internal/soak/evidence.go
@@ -77,6 +77,7 @@
 	DrainedServer string
 	// StillRunning counts the requests that servers still ran after all callers had disconnected and all jobs had ended.
 	StillRunning int
+	Containment  Containment
 }
 
 // journal records the calls of all callers.
--- a/verbenalab/internal/soak/explain_test.go
+++ b/verbenalab/internal/soak/explain_test.go
@@ -35,6 +35,7 @@
 	failed := ca.requestUntil(c, RouteApp, http.StatusInternalServerError)
 	env.setServerFault("app", standin.NoFault)
 	refused := ca.requestUntil(c, RouteApp, http.StatusTooManyRequests)
+	blocked := ca.blockedRequest(c)
 	env.setServerFault("llm", standin.Unprocessable)
 	c.Assert(env.eventually(t.Context(), startTimeout, "job", "a job is accepted", func() bool { return ca.submitJob("job0") }), qt.IsTrue)
 	c.Assert(env.eventually(t.Context(), startTimeout, "job", "its items are listed", func() bool { return ca.hasAllResults(env.hosts[0], "job0") }), qt.IsTrue)
@@ -43,6 +44,7 @@
 		{lost, "answer_lost"},
 		{failed, "server_failure"},
 		{refused, "over_rate"},
+		{blocked, "crashing_part"},
 		{"job0-0", "cannot_be_done"},
 	} {
 		c.Check(env.explainedCause(c, tc.id), qt.Contains, tc.cause, qt.Commentf("%s", tc.id))
@@ -69,6 +71,21 @@
 	return ""
 }
 
+// blockedRequest crashes servers with a prompt part until a request is refused for it, and returns that request's id.
+func (ca *caller) blockedRequest(c *qt.C) string {
+	ca.group.env.crashOn(lateCrashingPart)
+	defer ca.group.env.crashOn("")
+	header := map[string]string{standin.HeaderPromptParts: lateCrashingPart + ":10,own:10"}
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
+		call := ca.requestWithHeader(ca.group.env.hosts[0], RouteStream, keyWithinRate, header)
+		if call.Status == http.StatusServiceUnavailable && strings.Contains(call.Body, "crashing_part") {
+			return call.ID
+		}
+	}
+	c.Fatal("no request was refused")
+	return ""
+}
+
 // explainedCause returns the line of `verbenactl explain` that names the cause of an id. It retries because the last log
 // lines may not have been written yet.
 func (e *Environment) explainedCause(c *qt.C, id string) (cause string) {
--- a/verbenalab/internal/soak/fault.go
+++ b/verbenalab/internal/soak/fault.go
@@ -76,12 +76,15 @@
 
 // FaultKinds returns all kinds in a stable order.
 func FaultKinds() (list []FaultKind) {
-	return append(append(sortedKinds(baseFaults), sortedKinds(laterFaults)...), sortedKinds(drainFaults)...)
+	for _, m := range []map[FaultKind]fault{baseFaults, laterFaults, drainFaults, crashFaults} {
+		list = append(list, sortedKinds(m)...)
+	}
+	return list
 }
 
 // fault returns the implementation of a kind.
 func (k FaultKind) fault() fault {
-	for _, m := range []map[FaultKind]fault{laterFaults, drainFaults} {
+	for _, m := range []map[FaultKind]fault{laterFaults, drainFaults, crashFaults} {
 		if f, ok := m[k]; ok {
 			return f
 		}
--- a/verbenalab/internal/soak/run.go
+++ b/verbenalab/internal/soak/run.go
@@ -104,6 +104,7 @@
 			e.eventually(ctx, recoveryTimeout, "kept", "job "+j+" is complete at "+h.name, func() bool { return ca.hasAllResults(h, j) })
 		}
 	}
+	ev.Containment = e.measureContainment(ctx, c)
 	ev.DrainedServer, ev.DrainedAt = e.servers[0].server.ID, time.Now()
 	e.registerServer(0, "draining")
 	time.Sleep(drainingGrace)
