fix: keep crash reports that block requests in the store

Cause: reports were known to hosts only.

The dispatcher now writes the reports that block requests, at most once a second and only when they change; a storage host reads them once when it starts. Hosts still exchange reports without the store.

--- a/verbena/crash/report.go
+++ b/verbena/crash/report.go
@@ -15,23 +15,23 @@
 
 // Report is the crash of one server. If a prompt part caused it, that part is one of the candidates.
 type Report struct {
-	ID          ReportID              `cbor:"1,keyasint"`
-	Server      ids.BackendID         `cbor:"2,keyasint"`
-	Incarnation directory.Incarnation `cbor:"3,keyasint,omitempty"`
-	Service     ids.ServiceName       `cbor:"4,keyasint"`
+	ID          ReportID              `json:"id" cbor:"1,keyasint"`
+	Server      ids.BackendID         `json:"server" cbor:"2,keyasint"`
+	Incarnation directory.Incarnation `json:"incarnation,omitempty" cbor:"3,keyasint,omitempty"`
+	Service     ids.ServiceName       `json:"service" cbor:"4,keyasint"`
 	// Version is the version of the server's software. Another version may not crash on the same parts.
-	Version directory.SoftwareVersion `cbor:"5,keyasint,omitempty"`
+	Version directory.SoftwareVersion `json:"version,omitempty" cbor:"5,keyasint,omitempty"`
 	// Candidates are the prompt parts of the requests that the server had not begun to answer, without those that a
 	// server has begun to answer since.
-	Candidates []ids.PromptPartID `cbor:"6,keyasint"`
+	Candidates []ids.PromptPartID `json:"candidates" cbor:"6,keyasint"`
 	// OtherCause is set if the server was also running a request without shared prompt parts, which may be the cause.
-	OtherCause bool `cbor:"7,keyasint,omitempty"`
+	OtherCause bool `json:"other_cause,omitempty" cbor:"7,keyasint,omitempty"`
 	// Trial is set if the server had been reserved for a suspect request, so that the crash shows its cause.
-	Trial bool `cbor:"9,keyasint,omitempty"`
+	Trial bool `json:"trial,omitempty" cbor:"9,keyasint,omitempty"`
 	// SoundOn are other software versions that have begun to answer a request that the report incriminates.
-	SoundOn []directory.SoftwareVersion `cbor:"10,keyasint,omitempty"`
+	SoundOn []directory.SoftwareVersion `json:"sound_on,omitempty" cbor:"10,keyasint,omitempty"`
 	// Age is how long ago the crash was, at the time of sending.
-	Age time.Duration `cbor:"8,keyasint,omitempty"`
+	Age time.Duration `json:"age,omitempty" cbor:"8,keyasint,omitempty"`
 	at  time.Time
 }
 
--- a/verbena/crash/reports.go
+++ b/verbena/crash/reports.go
@@ -262,6 +262,18 @@
 	return list, complete
 }
 
+// Blocking returns those of the reports because of which requests are blocked.
+func Blocking(all []Report) (list []Report) {
+	var rs Reports
+	rs.Merge(time.Time{}, all)
+	for _, r := range rs.list {
+		if rs.blocks(r) {
+			list = append(list, *r)
+		}
+	}
+	return list
+}
+
 // Merge adds reports of another host, other than those that are known already.
 func (rs *Reports) Merge(now time.Time, list []Report) {
 	for _, r := range list {
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -60,8 +60,10 @@
 	feed := objectfeed.NewFeed(systemClock)
 	follower := newStoreFollower(env, feed, s.readsStore)
 	notices := newDrainNotices(systemClock)
+	crashReports := newStoredCrashReports(env.Store, systemClock)
 	s.dispatcher = slots.NewDispatcher(
 		systemClock, follower.publisher, s.role, s.ownerMap.AsUpdate, slots.WithDrainNotices(notices), slots.WithDisabledMechanisms(env.DisabledMechanisms),
+		slots.WithCrashReportsSaved(crashReports.save),
 	)
 	s.slotClient = slots.NewClient(
 		env.Settings.Host, env.Settings.Zone, "", systemClock, feed,
@@ -79,6 +81,7 @@
 	// Hosts are accepted once configuration and servers are known: a dispatcher without them would refuse all requests.
 	var initial initialState
 	go s.dispatcher.Run(workCtx)
+	go crashReports.run(workCtx, s.dispatcher.AddCrashReports)
 	go s.jobOwner.Run()
 	go s.slotClient.Run(workCtx)
 	go serveMetrics(workCtx, env.Settings.MetricsAddress())
--- a/verbenad/internal/slots/crash_reports.go
+++ b/verbenad/internal/slots/crash_reports.go
@@ -69,6 +69,9 @@
 		members = append(members, m)
 	}
 	d.mu.Unlock()
+	if d.role() == RoleDispatcher {
+		d.saveCrashes(list)
+	}
 	for _, m := range members {
 		_ = m.link.Send(hostlink.Frame{CrashReports: &hostlink.CrashReports{Reports: list}}) // the reader of a closed link handles the disconnect
 	}
--- a/verbenad/internal/slots/dispatcher.go
+++ b/verbenad/internal/slots/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"verbenaledge.example/verbena/clock"
+	"verbenaledge.example/verbena/crash"
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/dispatch"
 	"verbenaledge.example/verbena/ids"
@@ -32,6 +33,7 @@
 	role         func() DispatchRole
 	ownerMap     func() (hostlink.Update, bool)
 	drainNotices DrainNotices
+	saveCrashes  func([]crash.Report)
 
 	// connectionOrder is held while a connection's beginning or end is recorded and sent to the scheduler, so that the
 	// end of a host's former connection isn't taken for that of its new one.
@@ -66,11 +68,19 @@
 	c clock.Clock, publisher *objectfeed.Publisher, role func() DispatchRole, ownerMap func() (hostlink.Update, bool), opts ...Option,
 ) *Dispatcher {
 	o := applyOptions(opts)
-	d := &Dispatcher{clock: c, drainNotices: o.drainNotices, publisher: publisher, role: role, ownerMap: ownerMap, members: make(map[ids.HostID]*member)}
+	d := &Dispatcher{
+		clock: c, drainNotices: o.drainNotices, saveCrashes: o.saveCrashes, publisher: publisher, role: role, ownerMap: ownerMap,
+		members: make(map[ids.HostID]*member),
+	}
 	d.runner = NewRunner(c, "", d.execute, dispatch.WithDisabledMechanisms(o.disabled...))
 	return d
 }
 
+// AddCrashReports adds crash reports that were known before this host started.
+func (d *Dispatcher) AddCrashReports(list []crash.Report) {
+	d.runner.Enqueue(dispatch.CrashReportsReceived{Reports: list})
+}
+
 // Run decides on slot requests until the context ends.
 func (d *Dispatcher) Run(ctx context.Context) {
 	go d.closeSilentLinks(ctx)
--- a/verbenad/internal/slots/options.go
+++ b/verbenad/internal/slots/options.go
@@ -1,6 +1,9 @@
 package slots
 
-import "verbenaledge.example/verbena/dispatch"
+import (
+	"verbenaledge.example/verbena/crash"
+	"verbenaledge.example/verbena/dispatch"
+)
 
 // Option configures a Client or a Dispatcher.
 type Option func(*options)
@@ -8,6 +11,12 @@
 type options struct {
 	drainNotices DrainNotices
 	disabled     []dispatch.Mechanism
+	saveCrashes  func([]crash.Report)
+}
+
+// WithCrashReportsSaved calls a function, which must not block, with the crash reports in force whenever they change.
+func WithCrashReportsSaved(save func([]crash.Report)) Option {
+	return func(o *options) { o.saveCrashes = save }
 }
 
 // WithDrainNotices keeps requests away from servers that announced that they stop soon, and exchanges the notices
@@ -22,7 +31,7 @@
 }
 
 func applyOptions(opts []Option) options {
-	o := options{drainNotices: noDrainNotices{}}
+	o := options{drainNotices: noDrainNotices{}, saveCrashes: func([]crash.Report) {}}
 	for _, f := range opts {
 		f(&o)
 	}
