fix: a stream that ends with its connection before its first event is cut

A response may have neither a length nor chunks and end with its connection. A server that crashes after such a head ended the stream as a complete one without events: callers got an empty answer, items an empty output, and the crash cleared the request's prompt parts. TestFleetUnframedResponses failed before in its case empty (and passed for whole and cut responses).

--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -242,6 +242,9 @@
 	start := i.owner.clock.Now()
 	for {
 		events, err := reader.Next()
+		if errors.Is(err, io.EOF) && a.EndsWithConnection() && i.events == 0 {
+			err = io.ErrUnexpectedEOF // a complete output has events
+		}
 		if errors.Is(err, io.EOF) {
 			o.Result, o.Elapsed = dispatch.Served, i.owner.clock.Now().Sub(start)
 			return itemComplete
--- a/verbenad/internal/entry/response.go
+++ b/verbenad/internal/entry/response.go
@@ -124,6 +124,9 @@
 	flusher := http.NewResponseController(req.writer)
 	for {
 		events, err := reader.Next()
+		if errors.Is(err, io.EOF) && response.EndsWithConnection() && !state.responseStarted && state.lastEventID == "" {
+			err = io.ErrUnexpectedEOF // a complete stream has events
+		}
 		if errors.Is(err, io.EOF) {
 			h.startResponse(req, state, response)
 			outcome.Result, outcome.Elapsed = dispatch.Served, h.clock.Now().Sub(start)
