--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -239,12 +239,10 @@
 // readEvents reads the answer's events until it ends or breaks off.
 func (i *itemRun) readEvents(runCtx context.Context, slot *slots.Slot, a *upstream.Response, o *dispatch.Outcome, progress func()) sendResult {
 	reader := upstream.NewEventReader(a)
+	reader.RequireEvent(a.EndsWithConnection() && i.events == 0)
 	start := i.owner.clock.Now()
 	for {
 		events, err := reader.Next()
-		if errors.Is(err, io.EOF) && a.EndsWithConnection() && i.events == 0 {
-			err = io.ErrUnexpectedEOF // a complete output has events
-		}
 		if errors.Is(err, io.EOF) {
 			o.Result, o.Elapsed = dispatch.Served, i.owner.clock.Now().Sub(start)
 			return itemComplete
--- a/verbenad/internal/entry/response.go
+++ b/verbenad/internal/entry/response.go
@@ -120,13 +120,11 @@
 	ctx context.Context, req *request, state *forwardState, response *upstream.Response, outcome dispatch.Outcome, watch *silenceWatch,
 ) (nextStep, dispatch.Outcome) {
 	reader := upstream.NewEventReader(response)
+	reader.RequireEvent(response.EndsWithConnection() && !state.responseStarted && state.lastEventID == "")
 	start := h.clock.Now()
 	flusher := http.NewResponseController(req.writer)
 	for {
 		events, err := reader.Next()
-		if errors.Is(err, io.EOF) && response.EndsWithConnection() && !state.responseStarted && state.lastEventID == "" {
-			err = io.ErrUnexpectedEOF // a complete stream has events
-		}
 		if errors.Is(err, io.EOF) {
 			h.startResponse(req, state, response)
 			outcome.Result, outcome.Elapsed = dispatch.Served, h.clock.Now().Sub(start)
