fix: judge new prompt parts when blocked ones fill the memory of crash reports

With 43 blocked parts their reports filled the list, and each new report was the one removed: a further crashing part would never have been judged. Found by reading; TestReportsAreBounded, extended, failed at the 42nd part. Reports that block requests and others now have half of the memory each.

--- a/verbena/crash/reports.go
+++ b/verbena/crash/reports.go
@@ -95,18 +95,27 @@
 	return nil
 }
 
-// limit removes a report if there are too many: the oldest that incriminates nothing that others do too, or else the oldest.
+// limit removes a report if there are too many. Reports that block requests and others have half of the memory each, and
+// may use what the others leave; the oldest one of the kind that has more is removed.
 func (rs *Reports) limit() {
 	if len(rs.list) <= maxReports {
 		return
 	}
-	for i, r := range rs.list {
-		if !rs.blocks(r) {
-			rs.list = slices.Delete(rs.list, i, i+1)
-			return
+	var oldest [2]int // of the reports that block nothing, and of those that do
+	var count [2]int
+	for i, r := range slices.Backward(rs.list) {
+		kind := 0
+		if rs.blocks(r) {
+			kind = 1
 		}
+		oldest[kind] = i
+		count[kind]++
+	}
+	remove := oldest[1]
+	if count[0] > maxReports/2 {
+		remove = oldest[0]
 	}
-	rs.list = slices.Delete(rs.list, 0, 1)
+	rs.list = slices.Delete(rs.list, remove, remove+1)
 }
 
 // blocks reports whether requests are blocked because of the report, with others.
--- a/verbena/crash/reports_test.go
+++ b/verbena/crash/reports_test.go
@@ -94,4 +94,15 @@
 		c.Assert(len(r.Candidates) <= maxCandidates, qt.IsTrue)
 	}
 	c.Assert(rs.Judge(now, testService, "", bad, MaxCrashes).Verdict, qt.Equals, Blocked)
+	// So many blocked parts that their reports fill the memory don't keep a new part from being judged.
+	for n := range maxReports {
+		now = now.Add(time.Second)
+		parts := []ids.PromptPartID{ids.PromptPartID(fmt.Sprint("bad-", n))}
+		for crashes := range MaxCrashes {
+			now = now.Add(time.Second)
+			rs.Add(now, Unanswered{ID: ReportID(10_000 + 10*n + crashes), Server: "s", Service: testService, Parts: parts, Trial: true})
+		}
+		c.Assert(rs.Len() <= maxReports, qt.IsTrue)
+		c.Assert(rs.Judge(now, testService, "", parts, MaxCrashes).Verdict, qt.Equals, Blocked, qt.Commentf("part %d", n))
+	}
 }
