--- a/verbenad/cmd/fleet_test.go
+++ b/verbenad/cmd/fleet_test.go
@@ -45,7 +45,11 @@
 	peerAddresses   []string
 	stopHosts       []context.CancelFunc
 	hostNames       []string
-	requests        atomic.Int64
+	// networks connect the hosts to backend servers, by host.
+	networks map[string]*cuttableNetwork
+	requests atomic.Int64
+	// client sends the callers' requests.
+	client *http.Client
 	// fleetNumber distinguishes the fleets of this process.
 	fleetNumber, hostCount int
 	// grace is the grace period of the hosts that are started next.
@@ -76,7 +80,7 @@
 func newFleetOf(t *testing.T, rate float64, versions ...string) *fleet {
 	f := &fleet{
 		t: t, store: memory.New(), servers: make(map[string]*standin.Server), serverAddresses: make(map[string]string),
-		fleetNumber: int(fleetCount.Add(1)), grace: time.Second,
+		client: http.DefaultClient, networks: make(map[string]*cuttableNetwork), fleetNumber: int(fleetCount.Add(1)), grace: time.Second,
 	}
 	web := httptest.NewServer(&standin.Store{Store: f.store})
 	t.Cleanup(web.Close)
@@ -135,8 +139,12 @@
 	f.peerAddresses = append(f.peerAddresses, s.PeerAddress())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
+	servers := newCuttableNetwork()
+	f.networks[name] = servers
 	go func() {
-		done <- run(ctx, host.Environment{Settings: s, Store: platform.NewStore(f.storeAddress), Decoder: platform.Decoder{}, Protocol: platform.Protocol{}})
+		done <- run(ctx, host.Environment{
+			Settings: s, Store: platform.NewStore(f.storeAddress), Decoder: platform.Decoder{}, Protocol: platform.Protocol{}, ServerDialer: servers,
+		})
 	}()
 	f.stopHosts, f.hostNames = append(f.stopHosts, cancel), append(f.hostNames, name)
 	f.t.Cleanup(func() {
@@ -181,7 +189,7 @@
 			r.id = v
 		}
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := f.client.Do(request)
 	if err != nil {
 		r.err = err
 		return r
--- a/verbenad/internal/host/environment.go
+++ b/verbenad/internal/host/environment.go
@@ -20,6 +20,7 @@
 	"verbenaledge.example/verbena/objects"
 	"verbenaledge.example/verbenad/internal/bulk"
 	"verbenaledge.example/verbenad/internal/entry"
+	"verbenaledge.example/verbenad/internal/upstream"
 )
 
 const (
@@ -63,6 +64,16 @@
 	Protocol Protocol
 	// DisabledMechanisms lists the scheduling mechanisms that are disabled, for measurements.
 	DisabledMechanisms []dispatch.Mechanism
+	// ServerDialer connects to backend servers; nil stands for the network.
+	ServerDialer upstream.Dialer
+}
+
+// serverDialer returns the option for ServerDialer.
+func (e Environment) serverDialer() upstream.Option {
+	if e.ServerDialer == nil {
+		return func(*upstream.Client) {}
+	}
+	return upstream.WithDialer(e.ServerDialer)
 }
 
 // Apply applies those changed settings that a running process can change: the memory limit.
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -74,7 +74,7 @@
 		slots.WithDrainNotices(notices), slots.WithDisabledMechanisms(env.DisabledMechanisms), s.dispatcher.WithKnowledgeReceived(),
 	)
 	notices.apply, notices.notifyDispatcher, notices.notifyHosts = s.dispatcher.SetServers, s.slotClient.ReportDrainNotices, s.dispatcher.BroadcastDrainNotices
-	client := upstream.NewClient(systemClock, upstream.OnDraining(notices.fromServer))
+	client := upstream.NewClient(systemClock, upstream.OnDraining(notices.fromServer), env.serverDialer())
 	s.jobOwner = bulk.New(
 		workCtx, env.Settings.Host, env.Store, env.Settings.StoreValueBytes, s.coordinator, env.Protocol,
 		s.slotClient, client, systemClock, env.Settings.ResultRetention,
--- a/verbenad/internal/upstream/client.go
+++ b/verbenad/internal/upstream/client.go
@@ -25,16 +25,24 @@
 // Client sends requests to backend servers.
 type Client struct {
 	clock      clock.Clock
-	dialer     net.Dialer
+	dialer     Dialer
 	onDraining func(directory.Server)
 
 	mu   sync.Mutex
 	idle map[ids.BackendID][]*conn
 }
 
+// Dialer establishes connections.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Option configures a client.
 type Option func(*Client)
 
+// WithDialer sets how servers are connected to directly.
+func WithDialer(d Dialer) Option { return func(c *Client) { c.dialer = d } }
+
 // OnDraining sets a function that is called for each response, complete or not, in which a server says that it will
 // stop soon.
 func OnDraining(f func(directory.Server)) Option {
@@ -45,7 +53,7 @@
 func NewClient(c clock.Clock, options ...Option) *Client {
 	client := &Client{
 		clock: c, idle: make(map[ids.BackendID][]*conn),
-		dialer:     net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive},
+		dialer:     &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive},
 		onDraining: func(directory.Server) {},
 	}
 	for _, o := range options {
@@ -76,6 +84,8 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	n, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
