--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -145,7 +145,7 @@
 		if !s.disabled[FailureRate] {
 			s.failures.recordFailure(now, host, o.Result)
 		}
-	case Cancelled:
+	case Cancelled, NoPath:
 	}
 }
 
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -88,6 +88,8 @@
 	Broken
 	// Failed: the server answered with an error of its own.
 	Failed
+	// NoPath: the host doesn't reach the server, although others may; it tells nothing about the server.
+	NoPath
 )
 
 // String returns the result's name in metrics.
@@ -107,6 +109,8 @@
 		return "broken"
 	case Failed:
 		return "failed"
+	case NoPath:
+		return "no_path"
 	}
 	return "unknown"
 }
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -81,6 +81,9 @@
 	exclude []ids.BackendID
 	// framing is that of the last answer.
 	framing upstream.Framing
+	// brokenBy is what broke off the last send, nil if nothing did; relayed is set if it went over another host.
+	brokenBy error
+	relayed  bool
 }
 
 // run sends the item to servers until it has a result. done is false if ctx ended first.
@@ -168,7 +171,8 @@
 	defer cancel()
 	i.prepare(slot)
 	var o dispatch.Outcome
-	defer func() { i.owner.slots.Release(slot, o) }()
+	i.brokenBy, i.relayed = nil, false
+	defer func() { i.release(slot, o) }()
 	go func() {
 		select {
 		case <-slot.Yielded:
@@ -195,6 +199,7 @@
 		return itemRetry
 	}
 	defer answer.Close()
+	i.relayed = answer.Relayed
 	stall.Progress()
 	o.TimeToFirstByte, i.framing = answer.TimeToHeaders, answer.Framing()
 	if answer.Status != http.StatusOK || !answer.Info.Signed || !answer.MayBeStream() {
@@ -212,6 +217,22 @@
 	return i.readEvents(runCtx, slot, answer, &o, progress)
 }
 
+// release gives a slot back. If an answer was broken off, it first finds out whether this host has lost the path to the server,
+// which says nothing about the server.
+func (i *itemRun) release(slot *slots.Slot, o dispatch.Outcome) {
+	err, relayed := i.brokenBy, i.relayed
+	if o.Result != dispatch.Broken || err == nil {
+		i.owner.slots.Release(slot, o)
+		return
+	}
+	go func() {
+		if i.owner.client.PathFailed(slot.Server, relayed, err) {
+			o.Result = dispatch.NoPath
+		}
+		i.owner.slots.Release(slot, o)
+	}()
+}
+
 // classifyError returns the dispatch result of a send that ended before its answer was complete. Unless the send was
 // cancelled, it excludes the server from the item's next slot requests.
 func (i *itemRun) classifyError(runCtx context.Context, slot *slots.Slot, err error) dispatch.Result {
@@ -226,11 +247,18 @@
 	log.WithError(err).WithFields(log.Fields{"job": i.record.Job.ID, "item": i.item.ID, "server": slot.Server.ID}).Warn("item's run broke off")
 	i.exclude = []ids.BackendID{slot.Server.ID}
 	i.lost = lostServer{start: startOf(slot.Server), at: i.owner.clock.Now()}
+	i.brokenBy = err
 	var e *upstream.Error
-	if errors.As(err, &e) && !e.Connected {
-		return dispatch.Unreachable
+	switch {
+	case !errors.As(err, &e):
+		return dispatch.Broken
+	case e.Connected:
+		i.relayed = e.Relayed
+		return dispatch.Broken
+	case e.PathBroken:
+		return dispatch.NoPath
 	}
-	return dispatch.Broken
+	return dispatch.Unreachable
 }
 
 // classifyRefusal returns the dispatch result of an answer that isn't an event stream, and its effect on the item.
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -75,6 +75,9 @@
 	// serverStatus and framing are those of the last response of a server.
 	serverStatus int
 	framing      upstream.Framing
+	// brokenBy is what broke off the last send, nil if nothing did; relayed is set if it went over another host.
+	brokenBy error
+	relayed  bool
 	// slot is that of the current send.
 	slot *slots.Slot
 	// streamID identifies the stream among all hosts; streamReportedAt is when it was last reported to run.
@@ -108,9 +111,10 @@
 		state.slotWait += slot.Waited
 		slotWaitSeconds.With(string(req.service)).Update(slot.Waited.Seconds())
 		h.logPlaced(req, state)
+		state.brokenBy, state.relayed = nil, false
 		next, outcome := h.attempt(ctx, req, state, slot)
 		state.result = outcome.Result
-		h.slots.Release(slot, outcome)
+		h.release(slot, state, outcome)
 		// The dispatcher refunds the rate of a request that a server refused as full, so the next send counts again.
 		state.rateCounted = state.rateCounted || outcome.Result != dispatch.Full
 		switch next {
@@ -128,6 +132,22 @@
 	}
 }
 
+// release gives a slot back. If an answer was broken off, it first finds out whether this host has lost the path to the server:
+// that says nothing about the server or the request.
+func (h *Handler) release(slot *slots.Slot, state *forwardState, outcome dispatch.Outcome) {
+	err, relayed := state.brokenBy, state.relayed
+	if outcome.Result != dispatch.Broken || err == nil {
+		h.slots.Release(slot, outcome)
+		return
+	}
+	go func() {
+		if h.client.PathFailed(slot.Server, relayed, err) {
+			outcome.Result, outcome.Unanswered = dispatch.NoPath, false
+		}
+		h.slots.Release(slot, outcome)
+	}()
+}
+
 // slotRequest returns the request for a slot. Until a stream begins, the caller waits only for the route's first-event
 // timeout.
 func (h *Handler) slotRequest(req *request, state *forwardState, fingerprint uint64) dispatch.SlotRequest {
@@ -204,7 +224,7 @@
 	}
 	defer response.Close()
 	watch.stall.Progress()
-	state.serverStatus, state.framing = response.Status, response.Framing()
+	state.serverStatus, state.framing, state.relayed = response.Status, response.Framing(), response.Relayed
 	outcome.TimeToFirstByte = response.TimeToHeaders
 	outcome.LoadReported, outcome.Running, outcome.Waiting = response.Info.Load.Known, response.Info.Load.Running, response.Info.Load.Waiting
 	switch {
@@ -254,9 +274,14 @@
 	}
 	state.reason = "server_unreachable"
 	outcome.Result = dispatch.Unreachable
-	if e.Connected {
+	switch {
+	case e.Connected:
 		state.reason = "answer_lost"
 		outcome.Result = dispatch.Broken
+		state.brokenBy, state.relayed = err, e.Relayed
+	case e.PathBroken:
+		state.reason = "no_path_to_server"
+		outcome.Result = dispatch.NoPath
 	}
 	if watch.expired.Load() {
 		state.reason = "server_silent"
@@ -357,6 +382,6 @@
 		"first_ms": state.timeToFirstByte.Milliseconds(), "slot_wait_ms": state.slotWait.Milliseconds(),
 		"objective_ms": req.route.Objective.Milliseconds(), "took_ms": h.clock.Now().Sub(req.start).Milliseconds(),
 		"patience_ms": req.deadline.Sub(req.start).Milliseconds(), "prompt_parts": req.promptPartsText(), "send_result": state.result.String(),
-		"server_status": state.serverStatus, "framing": state.framing.String(), "unconfirmed_reason": state.unconfirmedReason,
+		"server_status": state.serverStatus, "relayed": state.relayed, "framing": state.framing.String(), "unconfirmed_reason": state.unconfirmedReason,
 	}).Info("request ended")
 }
--- a/verbenad/internal/entry/response.go
+++ b/verbenad/internal/entry/response.go
@@ -67,7 +67,7 @@
 	}
 	if err != nil {
 		outcome.Result, outcome.Unanswered = dispatch.Broken, upstream.ConnectionEnded(err)
-		state.reason = "answer_cut"
+		state.reason, state.brokenBy = "answer_cut", err
 		if ctx.Err() != nil {
 			outcome.Result = dispatch.Cancelled
 			return stepFail, outcome
@@ -233,7 +233,7 @@
 func (h *Handler) streamFailed(
 	ctx context.Context, req *request, state *forwardState, outcome dispatch.Outcome, err error, watch *silenceWatch,
 ) (nextStep, dispatch.Outcome) {
-	outcome.Result = dispatch.Broken
+	outcome.Result, state.brokenBy = dispatch.Broken, err
 	outcome.Unanswered = !state.responseStarted && state.lastEventID == "" && !watch.expired.Load() && upstream.ConnectionEnded(err)
 	state.reason = "stream_cut"
 	if watch.expired.Load() {
--- a/verbenad/internal/host/callers.go
+++ b/verbenad/internal/host/callers.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"verbenaledge.example/verbenad/internal/entry"
+	"verbenaledge.example/verbenad/internal/serverrelay"
 	"verbenaledge.example/verbenad/internal/slots"
 )
 
@@ -25,7 +26,7 @@
 
 // serveCallers serves callers until the context ends. Then it waits for the load balancer to notice, and for requests
 // in progress to end. It doesn't use http.Server.Shutdown, which drops requests that have just been read.
-func serveCallers(ctx context.Context, env Environment, h *entry.Handler, slotClient *slots.Client) error {
+func serveCallers(ctx context.Context, env Environment, h *entry.Handler, slotClient *slots.Client, relay *serverrelay.Relay) error {
 	ln, err := listen(context.WithoutCancel(ctx), env.Settings.CallerAddress)
 	if err != nil {
 		return err
@@ -48,6 +49,11 @@
 	h.Stop()
 	slotClient.AnnounceLeaving()
 	end := time.Now().Add(env.Settings.GracePeriod - graceMargin)
+	relaysEnded := make(chan struct{})
+	go func() {
+		defer close(relaysEnded)
+		relay.Stop(end)
+	}()
 	time.Sleep(min(readinessNotice, env.Settings.GracePeriod/2))
 	listener.drain()
 	if err := <-failed; !errors.Is(err, net.ErrClosed) {
@@ -62,5 +68,6 @@
 	if connections.busy(time.Now()) {
 		log.Warn("stopped with requests in progress")
 	}
+	<-relaysEnded
 	return s.Close()
 }
--- a/verbenad/internal/host/front.go
+++ b/verbenad/internal/host/front.go
@@ -18,6 +18,7 @@
 	"verbenaledge.example/verbenad/internal/hostlink"
 	"verbenaledge.example/verbenad/internal/objectfeed"
 	"verbenaledge.example/verbenad/internal/owners"
+	"verbenaledge.example/verbenad/internal/serverrelay"
 	"verbenaledge.example/verbenad/internal/slots"
 	"verbenaledge.example/verbenad/internal/upstream"
 )
@@ -45,7 +46,10 @@
 		slots.WithListState(follower.serversState),
 	)
 	notices.apply, notices.notifyDispatcher = slotClient.SetServers, slotClient.ReportDrainNotices
-	client := upstream.NewClient(systemClock, upstream.OnDraining(notices.fromServer), env.serverDialer())
+	client := upstream.NewClient(
+		systemClock, upstream.OnDraining(notices.fromServer), upstream.WithRelays(serverrelay.NewDialer(systemClock, slotClient.Relays)),
+		upstream.OnCutOff(slotClient.SetCutOff), env.serverDialer(),
+	)
 	jobs := owners.NewJobsClient(&ownerMap, hostlink.NewRPCClient(env.Settings.Host, slotClient.Relays))
 	handler := entry.New(env.Protocol, env.Protocol, jobs, slotClient, client, systemClock, env.Settings.MemoryMB)
 	var listed atomic.Pointer[map[ids.BackendID]directory.Server]
@@ -60,12 +64,13 @@
 		notices.setServers(s)
 	})
 	follower.run(workCtx)
-	go relayConnections(workCtx, env.Settings.PeerAddress(), &ownerMap)
+	relay := serverrelay.NewRelay(&relayedServers{Client: client, listed: &listed})
+	go relayConnections(workCtx, env.Settings.PeerAddress(), &ownerMap, relay)
 	go ownerMap.FetchFromSeeds(workCtx, env.Settings.Seeds)
 	if err := serveReady(workCtx, env.Settings.ReadyAddress, handler); err != nil {
 		return err
 	}
-	return serveCallers(ctx, env, handler, slotClient)
+	return serveCallers(ctx, env, handler, slotClient, relay)
 }
 
 // closeUnusedConnections closes unused connections to backend servers at intervals, until the context ends.
@@ -78,10 +83,10 @@
 			return
 		case <-t.C:
 			servers := listed.Load()
-			c.CloseUnused(func(id ids.BackendID) bool {
-				if servers == nil {
-					return true
-				}
+			if servers == nil {
+				continue // nothing was sent yet
+			}
+			c.CloseUnused(len(*servers), func(id ids.BackendID) bool {
 				_, ok := (*servers)[id]
 				return ok
 			})
@@ -109,9 +114,9 @@
 	return nil
 }
 
-// relayConnections relays the connections of hosts that can't reach an owner directly.
-func relayConnections(ctx context.Context, address string, ownerMap *owners.View) {
-	err := hostlink.Listen(ctx, address, ownerMap, func(l *hostlink.Link, _ hostlink.Frame) { l.Close() })
+// relayConnections relays the connections of hosts that can't reach an owner or a backend server directly.
+func relayConnections(ctx context.Context, address string, ownerMap *owners.View, relay *serverrelay.Relay) {
+	err := hostlink.Listen(ctx, address, ownerMap, func(l *hostlink.Link, _ hostlink.Frame) { l.Close() }, hostlink.WithServerRelay(relay))
 	if err != nil {
 		log.WithError(err).WithField("address", address).Error("cannot relay connections of other hosts")
 	}
--- a/verbenad/internal/hostlink/frame.go
+++ b/verbenad/internal/hostlink/frame.go
@@ -74,6 +74,16 @@
 	Limits []dispatch.ServerLimit `cbor:"27,keyasint,omitempty"`
 	// HostRank is the receiver's place among the EntryHosts, counted from 1; 0 means that it accepts no callers.
 	HostRank int `cbor:"28,keyasint,omitempty"`
+	// ServerConnect is the first frame of a connection to a backend server, ServerConnectReply its reply.
+	ServerConnect      *ServerConnect      `cbor:"29,keyasint,omitempty"`
+	ServerConnectReply *ServerConnectReply `cbor:"30,keyasint,omitempty"`
+	// CutOff reports whether the sender reaches backend servers directly.
+	CutOff *CutOff `cbor:"31,keyasint,omitempty"`
+}
+
+// CutOff reports whether a host reaches no backend server directly, although other hosts do.
+type CutOff struct {
+	CutOff bool `cbor:"1,keyasint"`
 }
 
 // CrashReports are the crashes of servers that may be due to prompt parts.
@@ -109,6 +119,8 @@
 	Streams []origin.Record `cbor:"14,keyasint,omitempty"`
 	// Limits are the limits of servers that the host knows.
 	Limits []dispatch.ServerLimit `cbor:"15,keyasint,omitempty"`
+	// CutOff is set if the host reaches no backend server directly.
+	CutOff bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Grant assigns a server to a ticket.
--- a/verbenad/internal/hostlink/listen.go
+++ b/verbenad/internal/hostlink/listen.go
@@ -29,8 +29,12 @@
 }
 
 // Listen accepts connections until the context ends. The first frame on a connection decides what is done with it: it is
-// sent the map of owners, relayed to an owner's address, or passed to handle.
-func Listen(ctx context.Context, address string, owners OwnerMap, handle func(*Link, Frame)) error {
+// sent the map of owners, relayed to an owner's address or to a backend server, or passed to handle.
+func Listen(ctx context.Context, address string, owners OwnerMap, handle func(*Link, Frame), options ...ListenOption) error {
+	l := &listener{owners: owners, handle: handle}
+	for _, o := range options {
+		o(l)
+	}
 	lc := net.ListenConfig{KeepAliveConfig: keepAlive}
 	ln, err := lc.Listen(ctx, "tcp", address)
 	if err != nil {
@@ -47,11 +51,18 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		go serveConn(ctx, c, owners, handle)
+		go l.serve(ctx, c)
 	}
 }
 
-func serveConn(ctx context.Context, c net.Conn, owners OwnerMap, handle func(*Link, Frame)) {
+// listener decides what is done with the connections of hosts.
+type listener struct {
+	owners  OwnerMap
+	handle  func(*Link, Frame)
+	servers ServerRelay
+}
+
+func (l *listener) serve(ctx context.Context, c net.Conn) {
 	r := bufio.NewReaderSize(c, readBufferSize)
 	_ = c.SetReadDeadline(time.Now().Add(firstFrameTimeout)) // fails only on a closed connection, as the read then does
 	first, err := decode(r)
@@ -60,16 +71,20 @@
 		return
 	}
 	_ = c.SetReadDeadline(time.Time{}) // as above
+	if first.ServerConnect != nil && l.servers != nil {
+		l.servers.RelayServer(ctx, c, r, *first.ServerConnect)
+		return
+	}
 	if first.ForwardTo == "" && !first.FetchOwners {
-		handle(newLink(c, r), first)
+		l.handle(newLink(c, r), first)
 		return
 	}
 	defer func() { _ = c.Close() }() // nothing more is sent
 	if first.FetchOwners {
-		sendOwners(c, owners)
+		sendOwners(c, l.owners)
 		return
 	}
-	if !owners.IsOwner(first.ForwardTo) {
+	if !l.owners.IsOwner(first.ForwardTo) {
 		log.WithField("address", first.ForwardTo).Warn("connection not relayed: not an owner's address")
 		return
 	}
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -69,6 +69,8 @@
 	entryHosts int
 	// leaving is set when this host will soon accept no callers.
 	leaving bool
+	// cutOff is set while this host reaches no backend server directly.
+	cutOff bool
 	// serversKnown is set once this host knows servers and can decide locally.
 	serversKnown bool
 	relays       []string
@@ -253,6 +255,18 @@
 	}
 }
 
+// SetCutOff notifies the placers whether this host reaches no backend server directly. Such a host doesn't relay.
+func (c *Client) SetCutOff(cutOff bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cutOff = cutOff
+	for _, conn := range []*placerConn{c.dispatcher, c.standby} {
+		if conn.registered {
+			conn.send(hostlink.Frame{CutOff: &hostlink.CutOff{CutOff: cutOff}})
+		}
+	}
+}
+
 // Relays returns the addresses of hosts that may relay connections.
 func (c *Client) Relays() []string {
 	c.mu.Lock()
--- a/verbenad/internal/slots/dispatcher.go
+++ b/verbenad/internal/slots/dispatcher.go
@@ -48,9 +48,11 @@
 	members         map[ids.HostID]*member
 	lastStandby     ids.HostID
 	crashReports    crashReports
-	// limits are those that hosts were sent. ranks are the places of the hosts that accept callers, nil if they changed.
-	limits *knownLimits
-	ranks  map[ids.HostID]int
+	// limits are those that hosts were sent. ranks are the places of the hosts that accept callers, relayHosts the hosts that
+	// relay connections; both are nil if they changed.
+	limits     *knownLimits
+	ranks      map[ids.HostID]int
+	relayHosts relayHosts
 }
 
 // member is a connected host.
@@ -61,8 +63,11 @@
 	// relayAddress is where the host relays connections; empty if it doesn't.
 	relayAddress   string
 	acceptsCallers bool
-	// leaving is set when the host will soon accept no callers.
-	leaving bool
+	// leaving is set when the host will soon accept no callers, cutOff while it reaches no backend server directly.
+	leaving, cutOff bool
+	zone            ids.ZoneID
+	// sentRelays are the addresses of relays last sent to it.
+	sentRelays []string
 	// sentHosts is the number of hosts last sent to it, sentEntryHosts how many of them accept callers.
 	sentHosts, sentEntryHosts int
 	// sentRank is the host's place among those that accept callers, as last sent to it.
@@ -167,8 +172,8 @@
 	defer d.connectionOrder.Unlock()
 	d.mu.Lock()
 	old := d.members[h.Host]
-	d.members[h.Host] = &member{link: l, standby: h.ToStandby, relayAddress: h.RelayAddress, acceptsCallers: h.AcceptsCallers, leaving: h.Leaving}
-	d.ranks = nil
+	d.members[h.Host] = &member{link: l, standby: h.ToStandby, relayAddress: h.RelayAddress, acceptsCallers: h.AcceptsCallers, leaving: h.Leaving, cutOff: h.CutOff, zone: h.Zone}
+	d.ranks, d.relayHosts = nil, nil
 	d.mu.Unlock()
 	if old != nil && old.link != l {
 		old.link.Close()
@@ -203,7 +208,7 @@
 	current := m != nil && m.link == l
 	if current {
 		delete(d.members, host)
-		d.ranks = nil
+		d.ranks, d.relayHosts = nil, nil
 	}
 	d.mu.Unlock()
 	if current {
@@ -249,7 +254,7 @@
 	}
 	m.missedChecks = 0
 	if leaving && !m.leaving {
-		m.leaving, d.ranks = true, nil
+		m.leaving, d.ranks, d.relayHosts = true, nil, nil
 	}
 	return true
 }
@@ -283,6 +288,8 @@
 		d.runner.Enqueue(dispatch.LimitStated{Host: host, Report: *f.Limit})
 	case f.AnswerBegan != 0:
 		d.runner.Enqueue(dispatch.AnswerBegan{Key: dispatch.Key{Host: host, Ticket: f.AnswerBegan}})
+	case f.CutOff != nil:
+		d.setCutOff(host, f.CutOff.CutOff)
 	case f.Ping:
 		d.sendStatus(host)
 	case f.Leaving:
@@ -290,11 +297,8 @@
 	}
 }
 
-// maxRelays bounds the relay addresses that a host is sent.
-const maxRelays = 4
-
 // sendStatus sends a host, when it connects and after each ping, the ages of the objects that this host publishes. If the
-// number of hosts has changed, it sends that too, with relays.
+// number of hosts or its relays have changed, it sends these too.
 func (d *Dispatcher) sendStatus(host ids.HostID) {
 	ages := d.publisher.Ages()
 	d.mu.Lock()
@@ -307,7 +311,10 @@
 	entryHosts, rank := d.entryHosts(), d.ranks[host]
 	if !m.standby && (m.sentHosts != len(d.members) || m.sentEntryHosts != entryHosts || m.sentRank != rank) {
 		m.sentHosts, m.sentEntryHosts, m.sentRank = len(d.members), entryHosts, rank
-		f.Hosts, f.EntryHosts, f.HostRank, f.Relays = m.sentHosts, entryHosts, rank, d.relays(host)
+		f.Hosts, f.EntryHosts, f.HostRank = m.sentHosts, entryHosts, rank
+	}
+	if relays := d.relays(host, m.zone); !m.standby && !slices.Equal(relays, m.sentRelays) {
+		m.sentRelays, f.Relays = relays, relays
 	}
 	d.mu.Unlock()
 	_ = m.link.Send(f) // the reader of a closed link handles the disconnect
@@ -331,19 +338,6 @@
 	return len(d.ranks)
 }
 
-// relays picks addresses of hosts that may relay the connections of one host, in no particular order.
-func (d *Dispatcher) relays(except ids.HostID) (addresses []string) {
-	for h, m := range d.members {
-		if h != except && m.relayAddress != "" {
-			addresses = append(addresses, m.relayAddress)
-		}
-		if len(addresses) == maxRelays {
-			break
-		}
-	}
-	return addresses
-}
-
 // execute carries out a scheduler command. It doesn't block: a host that doesn't read loses its connection.
 func (d *Dispatcher) execute(cmd dispatch.Command) {
 	switch cmd := cmd.(type) {
--- a/verbenad/internal/slots/links.go
+++ b/verbenad/internal/slots/links.go
@@ -108,7 +108,7 @@
 	c.updateSource = conn.placer
 	hello := hostlink.Hello{
 		Host: c.host, Zone: c.zone, RequestsSlots: true, ToStandby: conn.placer == PlacerStandby, RelayAddress: c.relayAddress,
-		AcceptsCallers: c.relayAddress != "", Leaving: c.leaving, EntryHosts: c.entryHosts, AdmittedPerSecond: c.localRates.RecentRates(c.clock.Now()),
+		AcceptsCallers: c.relayAddress != "", Leaving: c.leaving, CutOff: c.cutOff, EntryHosts: c.entryHosts, AdmittedPerSecond: c.localRates.RecentRates(c.clock.Now()),
 		CrashReports: c.crashReports.asOf(c.clock.Now()), DrainNotices: c.drainNotices.All(),
 		AdmittedElsewhere: c.admissions.ByOthers(c.clock.Now(), conn.reportedAt, int(conn.placer)), Streams: c.streams.Recent(c.clock.Now()),
 		Limits: c.limits.report(c.clock.Now(), conn.linkAddress),
@@ -163,6 +163,9 @@
 	conn.lastContact = c.clock.Now()
 	c.endSilence(conn)
 	c.setHosts(f)
+	if len(f.Relays) > 0 {
+		c.relays = f.Relays
+	}
 	c.handleReply(conn, f)
 	fromSource := conn.placer == c.updateSource
 	switch {
@@ -219,7 +222,7 @@
 	if f.Hosts == 0 {
 		return
 	}
-	c.hostCount, c.entryHosts, c.relays = f.Hosts, f.EntryHosts, f.Relays
+	c.hostCount, c.entryHosts = f.Hosts, f.EntryHosts
 	c.localEvents = append(c.localEvents, dispatch.IndependentHosts{Count: f.Hosts, EntryHosts: f.EntryHosts, Rank: f.HostRank})
 }
 
--- a/verbenad/internal/upstream/client.go
+++ b/verbenad/internal/upstream/client.go
@@ -9,6 +9,7 @@
 	"verbenaledge.example/verbena/clock"
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/reachability"
 )
 
 const (
@@ -27,6 +28,9 @@
 	clock      clock.Clock
 	dialer     Dialer
 	onDraining func(directory.Server)
+	// relays is nil if no other host may relay connections.
+	relays RelayDialer
+	paths  paths
 
 	mu   sync.Mutex
 	idle map[ids.BackendID][]*conn
@@ -55,6 +59,7 @@
 		clock: c, idle: make(map[ids.BackendID][]*conn),
 		dialer:     &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive},
 		onDraining: func(directory.Server) {},
+		paths:      paths{clock: c, tracker: reachability.NewTracker(), onCutOff: func(bool) {}},
 	}
 	for _, o := range options {
 		o(client)
@@ -65,6 +70,7 @@
 // takeIdle returns an idle connection that can be reused, or nil.
 func (c *Client) takeIdle(id ids.BackendID) *conn {
 	now := c.clock.Now()
+	bypassed := c.Bypassed(id)
 	for {
 		c.mu.Lock()
 		list := c.idle[id]
@@ -75,24 +81,14 @@
 		conn := list[len(list)-1]
 		c.idle[id] = list[:len(list)-1]
 		c.mu.Unlock()
-		if conn.reusable(now) {
-			conn.reused = true
+		if conn.reusable(now) && (bypassed || !conn.relayed) {
+			conn.reused = conn.carried
 			return conn
 		}
 		_ = conn.Close() // idle, so nothing is lost
 	}
 }
 
-func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	n, err := c.dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return newConn(n), nil
-}
-
 // putIdle keeps a connection for the next request. statedTime is how long the server says that it keeps an idle
 // connection, 0 if it says nothing.
 func (c *Client) putIdle(id ids.BackendID, conn *conn, statedTime time.Duration) {
@@ -111,8 +107,11 @@
 }
 
 // CloseUnused closes idle connections whose idle time is over, and all idle connections to servers that aren't listed.
-func (c *Client) CloseUnused(listed func(ids.BackendID) bool) {
+func (c *Client) CloseUnused(known int, listed func(ids.BackendID) bool) {
 	now := c.clock.Now()
+	c.paths.mu.Lock()
+	c.paths.tracker.SetServers(known, listed)
+	c.paths.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, l := range c.idle {
--- a/verbenad/internal/upstream/conn.go
+++ b/verbenad/internal/upstream/conn.go
@@ -4,9 +4,13 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"syscall"
 	"time"
+
+	"verbenaledge.example/verbena/directory"
+	"verbenaledge.example/verbenad/internal/serverrelay"
 )
 
 // conn is a connection to one server, used by one request at a time.
@@ -17,7 +21,41 @@
 	idleSince time.Time
 	// maxIdleTime is how long after idleSince the connection may be reused.
 	maxIdleTime time.Duration
-	reused      bool
+	// carried is set once the connection has carried a response, reused if it carries a further request.
+	carried, reused bool
+	server          directory.Server
+	// relayed is set if the connection goes over another host.
+	relayed bool
+}
+
+// newConn returns a connection that has carried nothing yet.
+func newConn(n net.Conn) *conn {
+	limit := &headLimitReader{source: n}
+	return &conn{Conn: n, headLimit: limit, reader: bufio.NewReaderSize(limit, readBufferSize)}
+}
+
+// newConn returns a connection to a server that has carried nothing yet.
+func (c *Client) newConn(n net.Conn, s directory.Server, relayed bool) *conn {
+	connection := newConn(n)
+	connection.server, connection.relayed = s, relayed
+	if !relayed {
+		connection.headLimit.source = &receiptReader{source: n, received: func() { c.paths.received(s.ID) }}
+	}
+	return connection
+}
+
+// receiptReader calls a function whenever something was read.
+type receiptReader struct {
+	source   io.Reader
+	received func()
+}
+
+func (r *receiptReader) Read(p []byte) (n int, err error) {
+	n, err = r.source.Read(p)
+	if n > 0 {
+		r.received()
+	}
+	return n, err
 }
 
 const (
@@ -36,6 +74,9 @@
 	if now.Sub(c.idleSince) >= c.maxIdleTime || c.reader.Buffered() > 0 {
 		return false
 	}
+	if r, ok := c.Conn.(*serverrelay.Conn); ok && !r.Reusable() {
+		return false
+	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/verbenad/internal/upstream/head.go
+++ b/verbenad/internal/upstream/head.go
@@ -1,11 +1,9 @@
 package upstream
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 )
 
@@ -53,8 +51,3 @@
 		}
 	}
 }
-
-func newConn(n net.Conn) *conn {
-	limit := &headLimitReader{source: n}
-	return &conn{Conn: n, headLimit: limit, reader: bufio.NewReaderSize(limit, readBufferSize)}
-}
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -34,7 +34,11 @@
 	Execution Execution
 	// Connected is set if a connection to the server was established.
 	Connected bool
-	Err       error
+	// Relayed is set if the request was sent over another host.
+	Relayed bool
+	// PathBroken is set if this host doesn't reach the server, which says nothing about the server.
+	PathBroken bool
+	Err        error
 }
 
 // Error describes the failure.
@@ -68,6 +72,8 @@
 	Info   exchange.ResponseInfo
 	// TimeToHeaders is the time from the send to the response's headers.
 	TimeToHeaders time.Duration
+	// Relayed is set if the response came over another host.
+	Relayed bool
 
 	client       *Client
 	conn         *conn
@@ -86,8 +92,10 @@
 	for {
 		conn := c.takeIdle(r.Server.ID)
 		if conn == nil {
-			if conn, err = c.dial(ctx, r.Server.Address); err != nil {
-				return nil, &Error{Execution: NotSent, Err: fmt.Errorf("connect to %s: %w", r.Server.Address, err)}
+			if conn, err = c.connect(ctx, r.Server, c.paths.plan(r.Server.ID)); err != nil {
+				return nil, &Error{
+					Execution: NotSent, PathBroken: c.Bypassed(r.Server.ID), Err: fmt.Errorf("connect to %s: %w", r.Server.Address, err),
+				}
 			}
 		}
 		response, err = c.roundTrip(ctx, p, r, conn)
@@ -105,8 +113,9 @@
 	failed := func(execution Execution, err error) (*Response, error) {
 		detachContext()
 		_ = conn.Close() // it can't carry another request
-		return nil, &Error{Execution: execution, Connected: true, Err: err}
+		return nil, &Error{Execution: execution, Connected: true, Relayed: conn.relayed, Err: err}
 	}
+	defer c.watchPath(conn, r.Server)()
 	bodyWritten, err := conn.writeRequest(r)
 	if err != nil {
 		return failed(MaybeExecuted, fmt.Errorf("send to %s: %w", r.Server.Address, err))
@@ -130,7 +139,7 @@
 	}
 	return &Response{
 		Status: httpResponse.StatusCode, Header: httpResponse.Header, Length: httpResponse.ContentLength, Info: info,
-		TimeToHeaders: c.clock.Now().Sub(start), client: c, conn: conn, httpResponse: httpResponse, server: r.Server, protocol: p,
+		TimeToHeaders: c.clock.Now().Sub(start), Relayed: conn.relayed, client: c, conn: conn, httpResponse: httpResponse, server: r.Server, protocol: p,
 		bodyWritten: bodyWritten, detachContext: detachContext,
 	}, nil
 }
@@ -202,6 +211,7 @@
 		_ = r.conn.Close() // unread bytes would be taken for the next response
 		return
 	}
+	r.conn.carried = true
 	r.client.putIdle(r.server.ID, r.conn, r.Info.KeepAlive)
 }
 
