--- a/verbenad/cmd/cuttable_network_test.go
+++ b/verbenad/cmd/cuttable_network_test.go
@@ -78,7 +78,7 @@
 		switch mode {
 		case reset:
 			c.reset = true
-			_ = c.Conn.SetDeadline(time.Now()) // pending calls return
+			_ = c.SetDeadline(time.Now()) // pending calls return
 		case connected:
 			c.flush()
 		case silent, refused:
@@ -142,7 +142,7 @@
 func (c *cuttableConn) Close() error {
 	c.closeOnce.Do(func() {
 		close(c.closed)
-		_ = c.Conn.SetReadDeadline(time.Now()) // a pending read returns
+		_ = c.SetReadDeadline(time.Now()) // a pending read returns
 		go c.closeOnceConnected()
 	})
 	return nil
--- a/verbenad/internal/host/environment.go
+++ b/verbenad/internal/host/environment.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 
 	"verbenaledge.example/verbena/catalog"
+	"verbenaledge.example/verbena/clock"
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/dispatch"
 	"verbenaledge.example/verbena/ids"
@@ -20,6 +21,8 @@
 	"verbenaledge.example/verbena/objects"
 	"verbenaledge.example/verbenad/internal/bulk"
 	"verbenaledge.example/verbenad/internal/entry"
+	"verbenaledge.example/verbenad/internal/serverrelay"
+	"verbenaledge.example/verbenad/internal/slots"
 	"verbenaledge.example/verbenad/internal/upstream"
 )
 
@@ -68,12 +71,16 @@
 	ServerDialer upstream.Dialer
 }
 
-// serverDialer returns the option for ServerDialer.
-func (e Environment) serverDialer() upstream.Option {
-	if e.ServerDialer == nil {
-		return func(*upstream.Client) {}
+// newServerClient returns the client of backend servers. It connects over the hosts that the dispatcher names for this purpose
+// to servers that this host doesn't reach.
+func (e Environment) newServerClient(c clock.Clock, notices *drainNotices, slotClient *slots.Client) *upstream.Client {
+	options := []upstream.Option{
+		upstream.OnDraining(notices.fromServer), upstream.WithRelays(serverrelay.NewDialer(c, slotClient.Relays)), upstream.OnCutOff(slotClient.SetCutOff),
 	}
-	return upstream.WithDialer(e.ServerDialer)
+	if e.ServerDialer != nil {
+		options = append(options, upstream.WithDialer(e.ServerDialer))
+	}
+	return upstream.NewClient(c, options...)
 }
 
 // Apply applies those changed settings that a running process can change: the memory limit.
--- a/verbenad/internal/host/front.go
+++ b/verbenad/internal/host/front.go
@@ -46,10 +46,7 @@
 		slots.WithListState(follower.serversState),
 	)
 	notices.apply, notices.notifyDispatcher = slotClient.SetServers, slotClient.ReportDrainNotices
-	client := upstream.NewClient(
-		systemClock, upstream.OnDraining(notices.fromServer), upstream.WithRelays(serverrelay.NewDialer(systemClock, slotClient.Relays)),
-		upstream.OnCutOff(slotClient.SetCutOff), env.serverDialer(),
-	)
+	client := env.newServerClient(systemClock, notices, slotClient)
 	jobs := owners.NewJobsClient(&ownerMap, hostlink.NewRPCClient(env.Settings.Host, slotClient.Relays))
 	handler := entry.New(env.Protocol, env.Protocol, jobs, slotClient, client, systemClock, env.Settings.MemoryMB)
 	var listed atomic.Pointer[map[ids.BackendID]directory.Server]
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -20,9 +20,7 @@
 	"verbenaledge.example/verbenad/internal/hostlink"
 	"verbenaledge.example/verbenad/internal/objectfeed"
 	"verbenaledge.example/verbenad/internal/owners"
-	"verbenaledge.example/verbenad/internal/serverrelay"
 	"verbenaledge.example/verbenad/internal/slots"
-	"verbenaledge.example/verbenad/internal/upstream"
 )
 
 const (
@@ -75,10 +73,7 @@
 		slots.WithDrainNotices(notices), slots.WithDisabledMechanisms(env.DisabledMechanisms), s.dispatcher.WithKnowledgeReceived(),
 	)
 	notices.apply, notices.notifyDispatcher, notices.notifyHosts = s.dispatcher.SetServers, s.slotClient.ReportDrainNotices, s.dispatcher.BroadcastDrainNotices
-	client := upstream.NewClient(
-		systemClock, upstream.OnDraining(notices.fromServer), upstream.WithRelays(serverrelay.NewDialer(systemClock, s.slotClient.Relays)),
-		upstream.OnCutOff(s.slotClient.SetCutOff), env.serverDialer(),
-	)
+	client := env.newServerClient(systemClock, notices, s.slotClient)
 	s.jobOwner = bulk.New(
 		workCtx, env.Settings.Host, env.Store, env.Settings.StoreValueBytes, s.coordinator, env.Protocol,
 		s.slotClient, client, systemClock, env.Settings.ResultRetention,
--- a/verbenad/internal/serverrelay/relay_test.go
+++ b/verbenad/internal/serverrelay/relay_test.go
@@ -25,8 +25,10 @@
 	dialErr  error
 }
 
-func (s *testServers) Listed(id ids.BackendID) (directory.Server, bool) { return s.listed, id == s.listed.ID }
-func (s *testServers) Bypassed(ids.BackendID) bool                      { return s.bypassed }
+func (s *testServers) Listed(id ids.BackendID) (directory.Server, bool) {
+	return s.listed, id == s.listed.ID
+}
+func (s *testServers) Bypassed(ids.BackendID) bool { return s.bypassed }
 func (s *testServers) DialDirect(ctx context.Context, server directory.Server) (net.Conn, error) {
 	if s.dialErr != nil {
 		return nil, s.dialErr
@@ -128,7 +130,7 @@
 			n, err := conn.Read(answer)
 			c.Check(n, qt.Equals, 0)
 			c.Check(errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
-			c.Check(test.want == io.EOF || !errors.Is(err, io.EOF), qt.IsTrue)
+			c.Check(errors.Is(err, io.EOF), qt.Equals, errors.Is(test.want, io.EOF))
 			c.Check(conn.Reusable(), qt.IsFalse)
 		})
 	}
--- a/verbenad/internal/slots/dispatcher.go
+++ b/verbenad/internal/slots/dispatcher.go
@@ -172,7 +172,9 @@
 	defer d.connectionOrder.Unlock()
 	d.mu.Lock()
 	old := d.members[h.Host]
-	d.members[h.Host] = &member{link: l, standby: h.ToStandby, relayAddress: h.RelayAddress, acceptsCallers: h.AcceptsCallers, leaving: h.Leaving, cutOff: h.CutOff, zone: h.Zone}
+	d.members[h.Host] = &member{
+		link: l, standby: h.ToStandby, relayAddress: h.RelayAddress, acceptsCallers: h.AcceptsCallers, leaving: h.Leaving, cutOff: h.CutOff, zone: h.Zone,
+	}
 	d.ranks, d.relayHosts = nil, nil
 	d.mu.Unlock()
 	if old != nil && old.link != l {
--- a/verbenad/internal/slots/relays.go
+++ b/verbenad/internal/slots/relays.go
@@ -63,7 +63,7 @@
 }
 
 // choose returns up to maxRelays addresses.
-func (r relayHosts) choose(host ids.HostID, zone ids.ZoneID) (addresses []string) {
+func (r relayHosts) choose(host ids.HostID, zone ids.ZoneID) []string {
 	var near, far []string
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(host)) // never fails
@@ -76,6 +76,6 @@
 			far = append(far, h.address)
 		}
 	}
-	addresses = append(near, far...)
-	return addresses[:min(len(addresses), maxRelays)]
+	near = append(near, far...)
+	return near[:min(len(near), maxRelays)]
 }
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -110,15 +110,15 @@
 func (c *Client) roundTrip(ctx context.Context, p exchange.Protocol, r Request, conn *conn) (response *Response, err error) {
 	start := c.clock.Now()
 	detachContext := context.AfterFunc(ctx, func() { _ = conn.Close() }) // the server stops working when its connection closes
-	failed := func(execution Execution, err error) (*Response, error) {
+	failed := func(err error) error {
 		detachContext()
 		_ = conn.Close() // it can't carry another request
-		return nil, &Error{Execution: execution, Connected: true, Relayed: conn.relayed, Err: err}
+		return &Error{Execution: MaybeExecuted, Connected: true, Relayed: conn.relayed, Err: err}
 	}
 	defer c.watchPath(conn, r.Server)()
 	bodyWritten, err := conn.writeRequest(r)
 	if err != nil {
-		return failed(MaybeExecuted, fmt.Errorf("send to %s: %w", r.Server.Address, err))
+		return nil, failed(fmt.Errorf("send to %s: %w", r.Server.Address, err))
 	}
 	onHead := func(head *http.Response) {
 		info := p.ParseResponse(head.StatusCode, head.Header)
@@ -131,11 +131,11 @@
 	}
 	httpResponse, err := conn.readResponse(r.Method, onHead) //nolint:bodyclose // that would read the rest; Response.Close closes the connection
 	if err != nil {
-		return failed(MaybeExecuted, fmt.Errorf("read response of %s: %w", r.Server.Address, err))
+		return nil, failed(fmt.Errorf("read response of %s: %w", r.Server.Address, err))
 	}
 	info := p.ParseResponse(httpResponse.StatusCode, httpResponse.Header)
 	if !conn.matches(info, r.ID) {
-		return failed(MaybeExecuted, fmt.Errorf("%s: %w", r.Server.Address, ErrRequestIDMismatch))
+		return nil, failed(fmt.Errorf("%s: %w", r.Server.Address, ErrRequestIDMismatch))
 	}
 	return &Response{
 		Status: httpResponse.StatusCode, Header: httpResponse.Header, Length: httpResponse.ContentLength, Info: info,
