fix: a relay whose own path is lost doesn't declare servers unreachable

A relay now calls a server unreachable only if it heard from another one directly within half a second. TestRelayRejects, case "a path of its own that is reset", failed before.

--- a/verbena/reachability/tracker.go
+++ b/verbena/reachability/tracker.go
@@ -24,6 +24,9 @@
 	// silenceLimit is how long a server may send nothing to this host, while it should answer a request, before its path
 	// is checked.
 	silenceLimit = 300 * time.Millisecond
+	// recentContact is how long ago a server may have sent something for its path to count as sound: a few events of a
+	// stream, or requests of a busy host.
+	recentContact = 500 * time.Millisecond
 	// checkInterval is the time between such checks of one server.
 	checkInterval = time.Second
 )
@@ -88,6 +91,17 @@
 // Bypassed reports whether connections to the server go over another host at present.
 func (t *Tracker) Bypassed(now time.Time, id ids.BackendID) bool { return t.bypassed(now, t.path(id)) }
 
+// ReachesOthers reports whether this host lately heard from another server directly, so that a server that it doesn't reach
+// has failed rather than its own path.
+func (t *Tracker) ReachesOthers(now time.Time, id ids.BackendID) bool {
+	for other, p := range t.paths {
+		if other != id && now.Sub(p.heardAt) < recentContact {
+			return !t.CutOff()
+		}
+	}
+	return false
+}
+
 // KeepsOpenConnections reports whether open direct connections to the server may be used.
 func (t *Tracker) KeepsOpenConnections(now time.Time, id ids.BackendID) bool {
 	p := t.path(id)
--- a/verbena/reachability/tracker_test.go
+++ b/verbena/reachability/tracker_test.go
@@ -42,6 +42,8 @@
 		return []string{fmt.Sprintf("check %t", tracker.CheckDue(now, sentAt, id))}
 	case "open_connections":
 		return []string{fmt.Sprintf("kept %t", tracker.KeepsOpenConnections(now, id))}
+	case "reaches_others":
+		return []string{fmt.Sprint(tracker.ReachesOthers(now, id))}
 	default:
 		t.Fatalf("event %q is unknown", name)
 	}
--- a/verbenad/internal/serverrelay/relay.go
+++ b/verbenad/internal/serverrelay/relay.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
@@ -36,6 +35,8 @@
 	Listed(id ids.BackendID) (s directory.Server, ok bool)
 	// Bypassed reports whether this host itself reaches the server only over another host.
 	Bypassed(id ids.BackendID) bool
+	// ReachesOthers reports whether this host lately heard from another server directly.
+	ReachesOthers(id ids.BackendID) bool
 	// DialDirect connects to a server directly.
 	DialDirect(ctx context.Context, s directory.Server) (net.Conn, error)
 }
@@ -101,8 +102,7 @@
 	if err == nil {
 		return c, hostlink.ServerConnected
 	}
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	if !r.servers.ReachesOthers(request.Server) {
 		return nil, hostlink.RelayCutOff // this host's own path may be broken
 	}
 	return nil, hostlink.ServerUnreachable
--- a/verbenad/internal/serverrelay/relay_test.go
+++ b/verbenad/internal/serverrelay/relay_test.go
@@ -22,13 +22,16 @@
 type testServers struct {
 	listed   directory.Server
 	bypassed bool
-	dialErr  error
+	// reachesOthers is set if the relay hears from other servers.
+	reachesOthers bool
+	dialErr       error
 }
 
 func (s *testServers) Listed(id ids.BackendID) (directory.Server, bool) {
 	return s.listed, id == s.listed.ID
 }
-func (s *testServers) Bypassed(ids.BackendID) bool { return s.bypassed }
+func (s *testServers) Bypassed(ids.BackendID) bool      { return s.bypassed }
+func (s *testServers) ReachesOthers(ids.BackendID) bool { return s.reachesOthers }
 func (s *testServers) DialDirect(ctx context.Context, server directory.Server) (net.Conn, error) {
 	if s.dialErr != nil {
 		return nil, s.dialErr
@@ -168,7 +171,9 @@
 		{"a server that isn't listed", &testServers{listed: s}, directory.Server{ID: "t", Address: s.Address}, ErrNoRelay},
 		{"a host that is cut off itself", &testServers{listed: s, bypassed: true}, s, ErrNoRelay},
 		{"a silent path of its own", &testServers{listed: s, dialErr: context.DeadlineExceeded}, s, ErrNoRelay},
-		{"a server that refuses", &testServers{listed: s, dialErr: syscall.ECONNREFUSED}, s, ErrServerUnreachable},
+		{"a path of its own that is reset", &testServers{listed: s, dialErr: syscall.ECONNRESET}, s, ErrNoRelay},
+		{"a server that refuses", &testServers{listed: s, dialErr: syscall.ECONNREFUSED, reachesOthers: true}, s, ErrServerUnreachable},
+		{"a server that is silent", &testServers{listed: s, dialErr: context.DeadlineExceeded, reachesOthers: true}, s, ErrServerUnreachable},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			address, _ := startRelay(t, NewRelay(test.servers))
--- a/verbenad/internal/upstream/paths.go
+++ b/verbenad/internal/upstream/paths.go
@@ -68,6 +68,13 @@
 	return c.paths.tracker.Bypassed(c.clock.Now(), id)
 }
 
+// ReachesOthers reports whether this host lately heard from another server directly.
+func (c *Client) ReachesOthers(id ids.BackendID) bool {
+	c.paths.mu.Lock()
+	defer c.paths.mu.Unlock()
+	return c.paths.tracker.ReachesOthers(c.clock.Now(), id)
+}
+
 // recordConnected records that a direct connection was established.
 func (c *Client) recordConnected(s directory.Server) {
 	c.paths.mu.Lock()
