--- a/verbenactl/internal/loglines/explain.go
+++ b/verbenactl/internal/loglines/explain.go
@@ -14,6 +14,8 @@
 	"server's limit can't be read": true, "limits of servers received": true,
 	"dispatching host reached": true, "dispatching host lost": true,
 	"dispatching host is silent": true, "store does not answer": true, "store answers again": true,
+	"this host reaches no server directly": true, "this host reaches servers directly again": true,
+	"server is reached only over another host": true, "host reports whether it reaches servers": true,
 	"units owned": true, "shard taken over": true, "shard given up": true, "lease held": true, "lease lost": true, "lease broken": true,
 	"started": true, "stopped": true, "stopping: readiness is withdrawn": true, "stopping: units are handed over": true,
 	"log lines left out": true, "settings read again": true,
@@ -118,7 +120,9 @@
 	"crashing":  "the request had the maximum number of broken sends; every host refuses it for a minute",
 	"crashing_part": "a part of the prompt has crashed several servers: crashing_parts of the line before names it, crashes how often; " +
 		"look for `server crash reported` with the part among its candidates. Trials and new versions of the servers' software end this",
-	"server_refused":      "servers reported that they are full though the hosts counted free slots; something else uses them, or this host decided locally",
+	"server_refused": "servers reported that they are full though the hosts counted free slots; something else uses them, or this host decided locally",
+	"no_path_to_server": "this host doesn't reach servers that other hosts reach, and no host relayed the connection; nothing was sent: " +
+		"look for `this host reaches no server directly` and `server's connection not relayed`",
 	"server_unreachable":  "no connection to the server; it is gone or the network is interrupted",
 	"answer_lost":         "the connection broke after the request was sent: it may have run, so the caller is never told that it didn't run",
 	"answer_cut":          "the server's answer ended early",
--- a/verbenad/internal/upstream/paths.go
+++ b/verbenad/internal/upstream/paths.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
@@ -15,7 +16,11 @@
 	"verbenaledge.example/verbenad/internal/serverrelay"
 )
 
-var brokenPaths = metrics.NewCounter("verbenad_server_paths_broken_total")
+var (
+	brokenPaths = metrics.NewCounter("verbenad_server_paths_broken_total")
+	// cutOffGauge is 1 while this host reaches no server directly.
+	cutOffGauge = metrics.NewGauge("verbenad_host_cut_off", nil)
+)
 
 // paths guards what this host knows of its paths to servers, and logs its changes.
 type paths struct {
@@ -26,6 +31,8 @@
 	mu      sync.Mutex
 	tracker *reachability.Tracker
 	cutOff  bool
+	// since is when cutOff last changed.
+	since time.Time
 }
 
 // OnCutOff sets a function that is called when this host reaches no server directly any more, and when it does again. It must
@@ -52,12 +59,16 @@
 		return
 	}
 	p.cutOff = !p.cutOff
-	f := log.Fields{"server": server, "cause": cause, "broken_paths": p.tracker.BrokenPaths(p.clock.Now()), "cut_off": p.cutOff}
+	f := log.Fields{"last_server": server, "cause": cause, "broken_paths": p.tracker.BrokenPaths(p.clock.Now()), "cut_off": p.cutOff}
 	if p.cutOff {
+		cutOffGauge.Set(1)
 		log.WithFields(f).Warn("this host reaches no server directly")
 	} else {
+		cutOffGauge.Set(0)
+		f["cut_off_ms"] = p.clock.Now().Sub(p.since).Milliseconds()
 		log.WithFields(f).Info("this host reaches servers directly again")
 	}
+	p.since = p.clock.Now()
 	p.onCutOff(p.cutOff)
 }
 
