fix: a host whose path to servers works again notices it while it reuses relayed connections

Hosts that had been cut off went on over other hosts as long as their callers kept the relayed connections busy, seconds or minutes after the cut had ended. They stayed reported as cut off and relayed for nobody; a relay that stopped or failed meanwhile cost them requests.

Cause: the direct path was checked only when a request needed a new connection, and a reused relayed one is none.

Now a request that reuses a relayed connection also has the direct path checked, beside it and in the same rhythm.

--- a/verbena/reachability/tracker.go
+++ b/verbena/reachability/tracker.go
@@ -74,15 +74,26 @@
 	if !t.bypassed(now, p) {
 		return Plan{Direct: true, Relay: relay, RelayDelay: directHeadStart}
 	}
+	return Plan{Direct: t.recheckDue(now, p), Relay: relay}
+}
+
+// RecheckDue reports whether a direct connection to the server must be attempted, although one over another host is open, to
+// learn whether its broken path works again. It counts the attempt as begun.
+func (t *Tracker) RecheckDue(now time.Time, id ids.BackendID) bool {
+	p := t.path(id)
+	return t.bypassed(now, p) && t.recheckDue(now, p)
+}
+
+func (t *Tracker) recheckDue(now time.Time, p *path) bool {
 	triedAt := &p.directTriedAt
 	if t.CutOff() {
 		triedAt = &t.directTriedAt // one server stands for all
 	}
-	direct := now.Sub(*triedAt) >= recheckInterval
-	if direct {
-		*triedAt = now
+	if now.Sub(*triedAt) < recheckInterval {
+		return false
 	}
-	return Plan{Direct: direct, Relay: relay}
+	*triedAt = now
+	return true
 }
 
 // Bypassed reports whether connections to the server go over another host at present.
--- a/verbena/reachability/tracker_test.go
+++ b/verbena/reachability/tracker_test.go
@@ -40,6 +40,8 @@
 	case "waiting": // a request since since=MS
 		sentAt := scripted.Words{words.Option("since")}.Time()
 		return []string{fmt.Sprintf("check %t", tracker.CheckDue(now, sentAt, id))}
+	case "reused": // a connection over another host
+		return []string{fmt.Sprintf("recheck %t", tracker.RecheckDue(now, id))}
 	case "open_connections":
 		return []string{fmt.Sprintf("kept %t", tracker.KeepsOpenConnections(now, id))}
 	default:
--- a/verbenad/internal/upstream/paths.go
+++ b/verbenad/internal/upstream/paths.go
@@ -39,6 +39,13 @@
 	return p.tracker.Plan(p.clock.Now(), id)
 }
 
+// recheckDue reports whether a direct connection to the server must be attempted to learn whether its path works again.
+func (p *paths) recheckDue(id ids.BackendID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.RecheckDue(p.clock.Now(), id)
+}
+
 // received records that a server sent something on a direct connection.
 func (p *paths) received(id ids.BackendID) {
 	p.mu.Lock()
@@ -138,6 +145,16 @@
 	c.putIdle(s.ID, conn, 0)
 }
 
+// recheckPath connects directly to a server to which a connection over another host is open.
+func (c *Client) recheckPath(s directory.Server) {
+	n, err := c.DialDirect(context.Background(), s)
+	if err != nil {
+		c.recordBroken(s, err)
+		return
+	}
+	c.putIdle(s.ID, c.newConn(n, s, false), 0)
+}
+
 // maxOtherChecks bounds the servers that are checked once the path to another one is broken.
 const maxOtherChecks = 2
 
--- /dev/null
+++ b/verbenad/internal/upstream/relayed_test.go
@@ -0,0 +1,113 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/clock"
+	"verbenaledge.example/verbena/directory"
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbenad/internal/hostlink"
+	"verbenaledge.example/verbenad/internal/serverrelay"
+)
+
+// cuttableDialer refuses connections while it is cut.
+type cuttableDialer struct {
+	net.Dialer
+	cut atomic.Bool
+}
+
+func (d *cuttableDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if d.cut.Load() {
+		return nil, errors.New("refused")
+	}
+	return d.Dialer.DialContext(ctx, network, address)
+}
+
+// relayServers are the servers that a relay reaches.
+type relayServers struct {
+	server directory.Server
+	client *Client
+}
+
+func (s *relayServers) Listed(id ids.BackendID) (directory.Server, bool) {
+	return s.server, id == s.server.ID
+}
+func (s *relayServers) Bypassed(ids.BackendID) bool { return false }
+func (s *relayServers) DialDirect(ctx context.Context, server directory.Server) (net.Conn, error) {
+	return s.client.DialDirect(ctx, server)
+}
+
+// noOwners is a map of no owners.
+type noOwners struct{}
+
+func (noOwners) IsOwner(string) bool               { return false }
+func (noOwners) AsUpdate() (hostlink.Update, bool) { return hostlink.Update{}, false }
+
+// startRelay starts a host that relays connections to a server, and returns a dialer that uses it.
+func startRelay(t *testing.T, s directory.Server) *serverrelay.Dialer {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	address := ln.Addr().String()
+	qt.Assert(t, ln.Close(), qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	relay := serverrelay.NewRelay(&relayServers{server: s, client: NewClient(clock.System{})})
+	go func() {
+		ended <- hostlink.Listen(ctx, address, noOwners{}, func(l *hostlink.Link, _ hostlink.Frame) { l.Close() }, hostlink.WithServerRelay(relay))
+	}()
+	t.Cleanup(func() {
+		cancel()
+		qt.Check(t, <-ended, qt.IsNil)
+	})
+	return serverrelay.NewDialer(clock.System{}, func() []string { return []string{address} })
+}
+
+// TestReusedRelayedConnectionsDontHideHealedPath guards against a host that goes on over another one long after its own path
+// works again, as it reuses relayed connections and so needs no new one.
+func TestReusedRelayedConnectionsDontHideHealedPath(t *testing.T) {
+	c := qt.New(t)
+	s := server(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		for {
+			line, body := readRequest(r)
+			if line == "" {
+				return
+			}
+			_, _ = io.WriteString(c, responseText(string(body), line))
+		}
+	})
+	d := &cuttableDialer{}
+	d.cut.Store(true)
+	var cutOff atomic.Bool
+	client := NewClient(clock.System{}, WithDialer(d), WithRelays(startRelay(t, s)), OnCutOff(func(is bool) { cutOff.Store(is) }))
+	relayed := func() bool {
+		response, err := client.Send(t.Context(), testProtocol{}, request(s, "a", []byte("a")))
+		c.Assert(err, qt.IsNil)
+		defer response.Close()
+		_, err = io.ReadAll(response)
+		c.Assert(err, qt.IsNil)
+		return response.Relayed
+	}
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end) && !cutOff.Load(); time.Sleep(20 * time.Millisecond) {
+		_, _ = send(t, client, request(s, "a", []byte("a"))) // fails until the relay listens
+	}
+	c.Assert(relayed(), qt.IsTrue)
+	for end := time.Now().Add(1200 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		c.Assert(relayed(), qt.IsTrue) // a failed check leaves the host cut off
+	}
+	c.Assert(cutOff.Load(), qt.IsTrue)
+	d.cut.Store(false)
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end) && relayed(); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.Check(relayed(), qt.IsFalse)
+	c.Check(cutOff.Load(), qt.IsFalse)
+}
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -91,6 +91,9 @@
 func (c *Client) Send(ctx context.Context, p exchange.Protocol, r Request) (response *Response, err error) {
 	for {
 		conn := c.takeIdle(r.Server.ID)
+		if conn != nil && conn.relayed && c.paths.recheckDue(r.Server.ID) {
+			go c.recheckPath(r.Server) // requests that reuse connections attempt no new ones
+		}
 		if conn == nil {
 			if conn, err = c.connect(ctx, r.Server, c.paths.plan(r.Server.ID)); err != nil {
 				return nil, &Error{
