fix: hosts that lose a few servers don't count as cut off from all

A host that had lost three servers of nine, and used the others over connections that it had open, took itself for cut off: it closed the sound connections, reported that it relays for nobody, and connected to sound servers over other hosts, until the next direct connection; then the checks of the three lost servers made it so again.

Cause: only new connections counted as evidence that servers are reached, and a host that reuses its connections makes none.

Now what a server sends on a direct connection counts, too, where paths are silent. Where connections are refused it doesn't, as open ones may live on while no new one is possible.

some_servers_lost.txt of TestScripts failed before (cut off at the third lost server, 150 ms after another server had answered), and passes.

--- a/verbena/reachability/tracker.go
+++ b/verbena/reachability/tracker.go
@@ -14,8 +14,8 @@
 	directHeadStart = 100 * time.Millisecond
 	// recheckInterval is the time between attempts to connect directly to a server whose path is broken.
 	recheckInterval = 500 * time.Millisecond
-	// cutOffServers is how many servers, or all if there are fewer, must be found on broken paths since the last direct
-	// connection for this host to be cut off.
+	// cutOffServers is how many servers, or all if there are fewer, must be found on broken paths since this host last
+	// reached a server directly for it to be cut off.
 	cutOffServers = 3
 	// brokenExpiry is how long a path counts as broken after it was last found so.
 	brokenExpiry = 5 * time.Second
@@ -34,9 +34,10 @@
 	// cutOffSince is when this host was cut off, zero if it isn't; cutOffBy is the failure that was seen last by then.
 	cutOffSince time.Time
 	cutOffBy    Failure
-	// directAt is when a direct connection was last established, directTriedAt when one was last attempted while this host
-	// was cut off.
-	directAt, directTriedAt time.Time
+	// directAt is when a direct connection was last established, heardAt when a server last sent something on one.
+	directAt, heardAt time.Time
+	// directTriedAt is when a direct connection was last attempted while this host was cut off.
+	directTriedAt time.Time
 	// known is the number of servers that are listed.
 	known int
 }
@@ -122,24 +123,30 @@
 }
 
 // Received records that the server sent something on a direct connection.
-func (t *Tracker) Received(now time.Time, id ids.BackendID) { t.path(id).heardAt = now }
+func (t *Tracker) Received(now time.Time, id ids.BackendID) {
+	t.path(id).heardAt, t.heardAt = now, now
+}
 
 // ReachedByRelay records that another host reached the server and this one didn't. It reports whether this host is cut off
 // now and wasn't before.
 func (t *Tracker) ReachedByRelay(now time.Time, id ids.BackendID, failure Failure) (changed bool) {
 	p := t.path(id)
 	p.brokenAt, p.failure, p.unreachableAt = now, failure, time.Time{}
-	if t.CutOff() || t.brokenSinceDirect(now) < min(cutOffServers, max(1, t.known)) {
+	if t.CutOff() || t.brokenSinceDirect(now, failure) < min(cutOffServers, max(1, t.known)) {
 		return false
 	}
 	t.cutOffSince, t.cutOffBy, t.directTriedAt = now, failure, now
 	return true
 }
 
-// brokenSinceDirect counts the paths that were found broken since a direct connection was last established.
-func (t *Tracker) brokenSinceDirect(now time.Time) (n int) {
+// brokenSinceDirect counts the paths that were found broken since this host last reached a server directly.
+func (t *Tracker) brokenSinceDirect(now time.Time, failure Failure) (n int) {
+	reachedAt := t.directAt
+	if failure == Silent && t.heardAt.After(reachedAt) {
+		reachedAt = t.heardAt // a host that hears servers isn't cut off from all; if it is refused, open connections may live on
+	}
 	for _, p := range t.paths {
-		if p.broken(now) && p.brokenAt.After(t.directAt) {
+		if p.broken(now) && p.brokenAt.After(reachedAt) {
 			n++
 		}
 	}
