fix: a stopping relay serves the connections that it has accepted

A caller of a cut-off host could get a 502 when the host that relays stopped. Many hosts that asked one relay at once got more connections than it may have.

Cause: a connection counted only once the server was connected and the reply was sent. A relay that began to stop meanwhile had replied that the server is connected, and dropped the connection; the request sent on it counts as one that may have run.

Now a connection counts from its acceptance on. One that is established after the stop began is served, with the notice that it may carry no further request, and the stop waits for it.

--- a/verbenad/internal/serverrelay/relay.go
+++ b/verbenad/internal/serverrelay/relay.go
@@ -44,7 +44,9 @@
 type Relay struct {
 	servers Servers
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// open counts the connections that are relayed or being established; pipes are the former.
+	open     int
 	pipes    map[*pipe]bool
 	stopping bool
 }
@@ -56,6 +58,9 @@
 func (r *Relay) RelayServer(ctx context.Context, c net.Conn, reader *bufio.Reader, request hostlink.ServerConnect) {
 	defer func() { _ = c.Close() }() // all that is left to send has been sent
 	server, outcome := r.connect(ctx, request)
+	if server != nil {
+		defer r.release()
+	}
 	if outcome != hostlink.ServerConnected {
 		rejected.Inc()
 		log.WithFields(log.Fields{"server": request.Server, "peer": c.RemoteAddr().String(), "outcome": outcome}).Info("server's connection not relayed")
@@ -71,8 +76,8 @@
 		return
 	}
 	p := &pipe{host: c, server: server}
-	if !r.add(p) {
-		return // the relay has begun to stop
+	if stopping := r.add(p); stopping {
+		p.announceStop() // the relay has begun to stop while it connected
 	}
 	defer r.remove(p)
 	stop := context.AfterFunc(ctx, p.close)
@@ -83,15 +88,16 @@
 
 // connect connects to a listed server.
 func (r *Relay) connect(ctx context.Context, request hostlink.ServerConnect) (c net.Conn, outcome hostlink.ServerConnectOutcome) {
-	r.mu.Lock()
-	stopping, count := r.stopping, len(r.pipes)
-	r.mu.Unlock()
+	if outcome := r.reserve(); outcome != hostlink.ServerConnected {
+		return nil, outcome
+	}
+	defer func() {
+		if c == nil {
+			r.release()
+		}
+	}()
 	s, listed := r.servers.Listed(request.Server)
 	switch {
-	case stopping:
-		return nil, hostlink.RelayStopping
-	case count >= maxConnections:
-		return nil, hostlink.RelayFull
 	case !listed || s.Address != request.Address:
 		return nil, hostlink.ServerNotListed
 	case r.servers.Bypassed(request.Server):
@@ -108,14 +114,33 @@
 	return nil, hostlink.ServerUnreachable
 }
 
-func (r *Relay) add(p *pipe) bool {
+// reserve counts a connection that is to be established. It returns ServerConnected unless the relay accepts none.
+func (r *Relay) reserve() hostlink.ServerConnectOutcome {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.stopping {
-		return false
+	switch {
+	case r.stopping:
+		return hostlink.RelayStopping
+	case r.open >= maxConnections:
+		return hostlink.RelayFull
 	}
+	r.open++
+	return hostlink.ServerConnected
+}
+
+// release ends what reserve began.
+func (r *Relay) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open--
+}
+
+// add adds a pipe. If the relay is stopping, Stop has announced that on those that were added before.
+func (r *Relay) add(p *pipe) (stopping bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.pipes[p] = true
-	return true
+	return r.stopping
 }
 
 func (r *Relay) remove(p *pipe) {
@@ -124,11 +149,11 @@
 	delete(r.pipes, p)
 }
 
-// Connections returns how many connections are relayed.
+// Connections returns how many connections are relayed or being established.
 func (r *Relay) Connections() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.pipes)
+	return r.open
 }
 
 // Stop rejects further connections, and asks the hosts to send no further request on those that are open. It returns once
--- a/verbenad/internal/serverrelay/relay_test.go
+++ b/verbenad/internal/serverrelay/relay_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,6 +24,8 @@
 	listed   directory.Server
 	bypassed bool
 	dialErr  error
+	// onDial is called before each connection, unless it is nil.
+	onDial func()
 }
 
 func (s *testServers) Listed(id ids.BackendID) (directory.Server, bool) {
@@ -30,6 +33,9 @@
 }
 func (s *testServers) Bypassed(ids.BackendID) bool { return s.bypassed }
 func (s *testServers) DialDirect(ctx context.Context, server directory.Server) (net.Conn, error) {
+	if s.onDial != nil {
+		s.onDial()
+	}
 	if s.dialErr != nil {
 		return nil, s.dialErr
 	}
@@ -233,6 +239,66 @@
 	c.Check(r.Connections(), qt.Equals, 0)
 }
 
+// TestStoppingRelayKeepsWhatItAccepted guards against a relay that reports a connection as established and drops it, as it
+// began to stop while it connected: the request sent on it might have run.
+func TestStoppingRelayKeepsWhatItAccepted(t *testing.T) {
+	c := qt.New(t)
+	s := startServer(t, func(c *net.TCPConn) { _, _ = io.Copy(c, c) })
+	servers := &testServers{listed: s}
+	r := NewRelay(servers)
+	stopped := make(chan time.Time, 1)
+	servers.onDial = func() {
+		go func() {
+			r.Stop(time.Now().Add(5 * time.Second))
+			stopped <- time.Now()
+		}()
+		time.Sleep(50 * time.Millisecond)
+	}
+	address, _ := startRelay(t, r)
+	conn, err := dialer(address).DialServer(t.Context(), s)
+	c.Assert(err, qt.IsNil)
+	_, err = io.WriteString(conn, "request\n")
+	c.Assert(err, qt.IsNil)
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	c.Assert(err, qt.IsNil)
+	c.Check(line, qt.Equals, "request\n")
+	c.Check(conn.Reusable(), qt.IsFalse)
+	closedAt := time.Now()
+	c.Assert(conn.Close(), qt.IsNil)
+	c.Check((<-stopped).After(closedAt), qt.IsTrue)
+}
+
+// TestRelayBoundsConnections guards against more connections than a relay may have, if many hosts ask for one at once.
+func TestRelayBoundsConnections(t *testing.T) {
+	c := qt.New(t)
+	s := startServer(t, func(c *net.TCPConn) { _, _ = io.Copy(c, c) })
+	const asked = maxConnections + 8
+	var dials atomic.Int64
+	allAsked := make(chan struct{})
+	r := NewRelay(&testServers{listed: s, onDial: func() {
+		if dials.Add(1) == maxConnections {
+			close(allAsked)
+		}
+		<-allAsked
+	}})
+	address, _ := startRelay(t, r)
+	ended := make(chan attempt, asked)
+	for range asked {
+		go func() {
+			conn, err := connect(t.Context(), address, s)
+			ended <- attempt{conn: conn, err: err}
+		}()
+	}
+	open := 0
+	for range asked {
+		if a := <-ended; a.conn != nil {
+			open++
+			defer func() { _ = a.conn.Close() }()
+		}
+	}
+	c.Check(open, qt.Equals, maxConnections)
+}
+
 // TestInvalidChunks guards against bytes that no relay sends: they end the connection and never look like the server's.
 func TestInvalidChunks(t *testing.T) {
 	for _, raw := range []string{"\x00\x00\x00", "\x09\x00\x00", "\x01\x00\x00", "\x01\xff\xff", "\x02\x00\x01x", "\x01\x00"} {
