fix: hosts that are cut off lean evenly on the others of their zone

At large sites most hosts of an availability zone that were cut off connected over the same three others: 88 hosts over one relay where 234 of 390 are cut off, 6 on average. Such a relay is full at 256 connections, and its end costs them all.

Cause: the choice began at some place in the list of all hosts. That list is ordered by name, so hosts of one zone often follow one another, and from any place outside its zone a host came upon the same first ones.

Now the choice begins at some place among the hosts of the zone, and at some place among all others.

TestRelaysOfZoneAreSpread failed before (88 hosts, 24 allowed), and passes.

--- a/verbenad/internal/slots/relays.go
+++ b/verbenad/internal/slots/relays.go
@@ -65,17 +65,27 @@
 // choose returns up to maxRelays addresses.
 func (r relayHosts) choose(host ids.HostID, zone ids.ZoneID) []string {
 	var near, far []string
-	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(host)) // never fails
-	for n := range r {
-		switch h := r[(int(hash.Sum32()%math.MaxInt32)+n)%len(r)]; {
+	for _, h := range r {
+		switch {
 		case h.name == host:
-		case h.zone == zone && len(near) < maxRelays-1:
+		case h.zone == zone:
 			near = append(near, h.address)
-		case h.zone != zone:
+		default:
 			far = append(far, h.address)
 		}
 	}
-	near = append(near, far...)
-	return near[:min(len(near), maxRelays)]
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(host)) // never fails
+	start := int(hash.Sum32() % math.MaxInt32)
+	// Each list is rotated by itself: most places among all hosts lie before the same few hosts of a zone.
+	addresses := rotated(near, start, maxRelays-1)
+	return append(addresses, rotated(far, start, maxRelays-len(addresses))...)
+}
+
+// rotated returns up to limit elements of a list from a place on, as if the list were a circle.
+func rotated(list []string, start, limit int) (elements []string) {
+	for n := range min(limit, len(list)) {
+		elements = append(elements, list[(start+n)%len(list)])
+	}
+	return elements
 }
--- a/verbenad/internal/slots/relays_test.go
+++ b/verbenad/internal/slots/relays_test.go
@@ -42,6 +42,34 @@
 	c.Check(float64(most) <= 4*mean, qt.IsTrue, qt.Commentf("%d hosts at one relay, %.1f on average", most, mean))
 }
 
+// TestRelaysOfZoneAreSpread guards against hosts that all lean on the same few of their zone: 60 in 100 of each zone are cut off,
+// and the names of a zone's hosts follow one another.
+func TestRelaysOfZoneAreSpread(t *testing.T) {
+	c := qt.New(t)
+	const zones, hosts, cutOff = 3, 130, 78
+	var sound relayHosts
+	for zone := range zones {
+		for n := cutOff; n < hosts; n++ {
+			name := fmt.Sprintf("host-%d-%03d", zone, n)
+			sound = append(sound, relayHost{ids.HostID(name), ids.ZoneID(fmt.Sprint(zone)), name})
+		}
+	}
+	leaning := make(map[string]int)
+	for zone := range zones {
+		for n := range cutOff {
+			for _, r := range sound.choose(ids.HostID(fmt.Sprintf("host-%d-%03d", zone, n)), ids.ZoneID(fmt.Sprint(zone))) {
+				leaning[r]++
+			}
+		}
+	}
+	most := 0
+	for _, n := range leaning {
+		most = max(most, n)
+	}
+	mean := float64(zones*cutOff*maxRelays) / float64(len(sound))
+	c.Check(float64(most) <= 4*mean, qt.IsTrue, qt.Commentf("%d hosts at one relay, %.1f on average", most, mean))
+}
+
 // TestRelaysOfZoneComeFirst checks that a host gets relays of its own availability zone, and one of another zone in case its
 // whole zone is lost; a host doesn't relay for itself.
 func TestRelaysOfZoneComeFirst(t *testing.T) {
