fix: a stopping relay doesn't wait for connections that nobody will use again

A host that relayed for others ended up to 4 s later than its last request, at most at the end of its grace period.

Cause: it asks the other hosts to send nothing more on relayed connections and waits for their end, but they closed unused ones only at the end of the idle time or when a request looked for a connection.

--- a/verbenad/internal/upstream/client.go
+++ b/verbenad/internal/upstream/client.go
@@ -106,7 +106,7 @@
 	c.idle[id] = append(c.idle[id], conn)
 }
 
-// CloseUnused closes idle connections whose idle time is over, and all idle connections to servers that aren't listed.
+// CloseUnused closes idle connections that can't be reused, and all idle connections to servers that aren't listed.
 func (c *Client) CloseUnused(known int, listed func(ids.BackendID) bool) {
 	now := c.clock.Now()
 	c.paths.mu.Lock()
@@ -117,7 +117,7 @@
 	for id, l := range c.idle {
 		kept := l[:0]
 		for _, cn := range l {
-			if listed(id) && now.Sub(cn.idleSince) < cn.maxIdleTime {
+			if listed(id) && cn.reusable(now) { // a stopping relay waits for the others to end
 				kept = append(kept, cn)
 				continue
 			}
--- a/verbenad/internal/upstream/relayed_test.go
+++ b/verbenad/internal/upstream/relayed_test.go
@@ -53,7 +53,7 @@
 func (noOwners) AsUpdate() (hostlink.Update, bool) { return hostlink.Update{}, false }
 
 // startRelay starts a host that relays connections to a server, and returns a dialer that uses it.
-func startRelay(t *testing.T, s directory.Server) *serverrelay.Dialer {
+func startRelay(t *testing.T, s directory.Server) (*serverrelay.Dialer, *serverrelay.Relay) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	address := ln.Addr().String()
@@ -68,7 +68,7 @@
 		cancel()
 		qt.Check(t, <-ended, qt.IsNil)
 	})
-	return serverrelay.NewDialer(clock.System{}, func() []string { return []string{address} })
+	return serverrelay.NewDialer(clock.System{}, func() []string { return []string{address} }), relay
 }
 
 // TestReusedRelayedConnectionsDontHideHealedPath guards against a host that goes on over another one long after its own path
@@ -87,7 +87,8 @@
 	d := &cuttableDialer{}
 	d.cut.Store(true)
 	var cutOff atomic.Bool
-	client := NewClient(clock.System{}, WithDialer(d), WithRelays(startRelay(t, s)), OnCutOff(func(is bool) { cutOff.Store(is) }))
+	relays, _ := startRelay(t, s)
+	client := NewClient(clock.System{}, WithDialer(d), WithRelays(relays), OnCutOff(func(is bool) { cutOff.Store(is) }))
 	relayed := func() bool {
 		response, err := client.Send(t.Context(), testProtocol{}, request(s, "a", []byte("a")))
 		c.Assert(err, qt.IsNil)
@@ -111,3 +112,34 @@
 	c.Check(relayed(), qt.IsFalse)
 	c.Check(cutOff.Load(), qt.IsFalse)
 }
+
+// TestUnusedRelayedConnectionsDontDelayStop guards against a relay that waits, while it stops, for connections that carry nothing
+// and that nobody will use again.
+func TestUnusedRelayedConnectionsDontDelayStop(t *testing.T) {
+	c := qt.New(t)
+	s := server(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		_, body := readRequest(r)
+		_, _ = io.WriteString(c, responseText(string(body), "x"))
+		_, _ = readRequest(r)
+	})
+	d := &cuttableDialer{}
+	d.cut.Store(true)
+	relays, relay := startRelay(t, s)
+	client := NewClient(clock.System{}, WithDialer(d), WithRelays(relays))
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if _, err := send(t, client, request(s, "a", []byte("a"))); err == nil {
+			break
+		}
+	}
+	c.Assert(relay.Connections(), qt.Equals, 1)
+	stopped := make(chan struct{})
+	start := time.Now()
+	go func() {
+		defer close(stopped)
+		relay.Stop(start.Add(3 * time.Second))
+	}()
+	time.Sleep(100 * time.Millisecond)
+	client.CloseUnused(1, func(ids.BackendID) bool { return true })
+	<-stopped
+	c.Check(time.Since(start) < 2*time.Second, qt.IsTrue)
+}
