fix: the silence of a lost path or of a relay doesn't count against the server

Sound servers got failures, and soon no requests from anyone, when hosts were cut off without a reset: requests on open connections got no answer, and the host gave them up and reported the server as one that breaks answers off. The same held for requests over a relay that was frozen or cut off meanwhile.

Cause: only an answer that the connection's end had broken off led to the question whether the path is lost. One that the host itself had given up after a silence didn't. Class: a fault of the observer taken for one of the observed.

Now the path is asked in both cases. A silence on a direct connection counts if the path is sound, or open connections go on; one over a relay never does, as other hosts tell whether the server is silent.

TestSilenceOfLostPathsIsNotTheServers failed before (silence over a relay and on a lost path), and passes 3 of 3 with the race detector.

--- a/verbenad/internal/upstream/paths.go
+++ b/verbenad/internal/upstream/paths.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -199,16 +200,19 @@
 	}
 }
 
-// PathFailed reports whether the path to a server, and not the server, is why an answer was broken off by an error. It may take
-// as long as a connection. relayed is set if the request was sent over another host.
+// PathFailed reports whether the path to a server, and not the server, is why an answer was broken off by an error, or given up
+// by this host after a silence. It may take as long as a connection. relayed is set if the request was sent over another host.
 func (c *Client) PathFailed(s directory.Server, relayed bool, err error) bool {
+	silent := errors.Is(err, net.ErrClosed) // closed by this host, which had waited long enough
 	switch {
 	case errors.Is(err, serverrelay.ErrRelayLost):
 		return true
-	case relayed || c.relays == nil || !ConnectionEnded(err):
+	case relayed:
+		return silent // the relay may be frozen
+	case c.relays == nil || !silent && !ConnectionEnded(err):
 		return false
 	case c.Bypassed(s.ID):
-		return true
+		return !silent || !c.keepsOpenConnections(s.ID)
 	}
 	conn, err := c.connect(context.Background(), s, reachability.CheckPlan())
 	if err != nil {
@@ -217,3 +221,9 @@
 	c.putIdle(s.ID, conn, 0)
 	return conn.relayed
 }
+
+func (c *Client) keepsOpenConnections(id ids.BackendID) bool {
+	c.paths.mu.Lock()
+	defer c.paths.mu.Unlock()
+	return c.paths.tracker.KeepsOpenConnections(c.clock.Now(), id)
+}
--- a/verbenad/internal/upstream/relayed_test.go
+++ b/verbenad/internal/upstream/relayed_test.go
@@ -143,3 +143,27 @@
 	<-stopped
 	c.Check(time.Since(start) < 2*time.Second, qt.IsTrue)
 }
+
+// TestSilenceOfLostPathsIsNotTheServers guards against a host that counts its own silence against servers: requests that it gave
+// up on open connections over a lost path, or over a relay, which may be frozen.
+func TestSilenceOfLostPathsIsNotTheServers(t *testing.T) {
+	c := qt.New(t)
+	s := server(t, func(_ int, r *bufio.Reader, c net.Conn) {
+		_, _ = readRequest(r)
+		_, _ = r.ReadByte() // never answers
+	})
+	relays, _ := startRelay(t, s)
+	client := NewClient(clock.System{}, WithRelays(relays))
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := client.Send(ctx, testProtocol{}, request(s, "a", []byte("a")))
+	c.Assert(err, qt.IsNotNil)
+	c.Check(client.PathFailed(s, false, err), qt.IsFalse)
+	c.Check(client.PathFailed(s, true, err), qt.IsTrue)
+	client.recordBroken(s, errors.New("refused"))
+	c.Check(client.PathFailed(s, false, err), qt.IsFalse) // open connections go on
+	client.recordConnected(s)
+	client.recordBroken(s, errSilent)
+	c.Check(client.PathFailed(s, false, err), qt.IsTrue)
+	c.Check(client.PathFailed(s, false, ErrRequestIDMismatch), qt.IsFalse)
+}
