--- a/verbenad/internal/upstream/paths.go
+++ b/verbenad/internal/upstream/paths.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -46,6 +47,13 @@
 	return p.tracker.Plan(p.clock.Now(), id)
 }
 
+// recheckDue reports whether a direct connection to the server must be attempted to learn whether its path works again.
+func (p *paths) recheckDue(id ids.BackendID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.RecheckDue(p.clock.Now(), id)
+}
+
 // received records that a server sent something on a direct connection.
 func (p *paths) received(id ids.BackendID) {
 	p.mu.Lock()
@@ -156,6 +164,16 @@
 	c.putIdle(s.ID, conn, 0)
 }
 
+// recheckPath connects directly to a server to which a connection over another host is open.
+func (c *Client) recheckPath(s directory.Server) {
+	n, err := c.DialDirect(context.Background(), s)
+	if err != nil {
+		c.recordBroken(s, err)
+		return
+	}
+	c.putIdle(s.ID, c.newConn(n, s, false), 0)
+}
+
 // maxOtherChecks bounds the servers that are checked once the path to another one is broken.
 const maxOtherChecks = 2
 
@@ -200,16 +218,19 @@
 	}
 }
 
-// PathFailed reports whether the path to a server, and not the server, is why an answer was broken off by an error. It may take
-// as long as a connection. relayed is set if the request was sent over another host.
+// PathFailed reports whether the path to a server, and not the server, is why an answer was broken off by an error, or given up
+// by this host after a silence. It may take as long as a connection. relayed is set if the request was sent over another host.
 func (c *Client) PathFailed(s directory.Server, relayed bool, err error) bool {
+	silent := errors.Is(err, net.ErrClosed) // closed by this host, which had waited long enough
 	switch {
 	case errors.Is(err, serverrelay.ErrRelayLost):
 		return true
-	case relayed || c.relays == nil || !ConnectionEnded(err):
+	case relayed:
+		return silent // the relay may be frozen
+	case c.relays == nil || !silent && !ConnectionEnded(err):
 		return false
 	case c.Bypassed(s.ID):
-		return true
+		return !silent || !c.keepsOpenConnections(s.ID)
 	}
 	conn, err := c.connect(context.Background(), s, reachability.CheckPlan())
 	if err != nil {
@@ -218,3 +239,9 @@
 	c.putIdle(s.ID, conn, 0)
 	return conn.relayed
 }
+
+func (c *Client) keepsOpenConnections(id ids.BackendID) bool {
+	c.paths.mu.Lock()
+	defer c.paths.mu.Unlock()
+	return c.paths.tracker.KeepsOpenConnections(c.clock.Now(), id)
+}
