fix: take a stream's version as unconfirmed if its server leaves before a later list shows its start

Cause: a stream that begins at a server whose new start isn't listed yet is recorded with the former version. A list with the new start corrects that; a list on which the server is missing did not, as when it was replaced during an outage. Class: an entry that a list doesn't contradict was taken for confirmed. Ruled out: that the host's own knowledge is of another kind; it is kept by the same records. Before: record_of_unseen_start, record_of_unseen_start_in_outage, record_of_server_that_left and resumed_after_unseen_start failed on the old code. After: they hold. Conclusion: a record is certain once a current list has shown the server's start again. The reason no_server_of_version is kept for unconfirmed records whose version has no server left.

--- a/verbena/dispatch/list_view.go
+++ b/verbena/dispatch/list_view.go
@@ -25,6 +25,7 @@
 	if !sc.list.outdated {
 		sc.list.currentFor = l.CurrentFor
 	}
+	sc.origins.ObserveList(sc.list.outdated)
 }
 
 // versionsUncertain reports whether a service's servers may run as other software versions than their entries say: a server
--- a/verbena/dispatch/resumption.go
+++ b/verbena/dispatch/resumption.go
@@ -53,8 +53,9 @@
 
 // ResumptionInputs are the inputs of a decision on a resumed stream, for logs.
 type ResumptionInputs struct {
-	Evidence Evidence      `cbor:"1,keyasint,omitempty"`
-	Origin   origin.Origin `cbor:"2,keyasint,omitempty"`
+	Evidence Evidence `cbor:"1,keyasint,omitempty"`
+	// Origin is where the stream began, without evidence where it probably did.
+	Origin origin.Origin `cbor:"2,keyasint,omitempty"`
 	// Age is the time since the stream was last known to run, if it was recorded.
 	Age time.Duration `cbor:"3,keyasint,omitempty"`
 	// Versions are those of the service's servers that are neither gone nor draining.
@@ -168,12 +169,8 @@
 	w.request.Resumption, w.resumption = &r, in
 	switch {
 	case !r.Known:
-		retryAfter := time.Duration(0)
-		if sc.local() || sc.list.outdated || now.Sub(sc.hostConnectedAt) < reportWait {
-			retryAfter = clampRetryAfter(unknownRetryAfter, w.request.Remaining)
-		}
 		w.pool.addVersions(in)
-		sc.refuseResumption(now, w, UnknownOrigin, retryAfter)
+		sc.refuseUnknown(now, w)
 		return false
 	case len(r.Services) > 0 && !slices.Contains(r.Services, r.Origin.Service):
 		sc.refuseResumption(now, w, OtherService, 0)
@@ -193,6 +190,22 @@
 	return true
 }
 
+// refuseUnknown refuses a stream of which it isn't certain where it began. If no server is left of the version that probably
+// began it, it can't be resumed in any case.
+func (sc *Scheduler) refuseUnknown(now time.Time, w *waiter) {
+	o := w.request.Resumption.Origin
+	if o != (origin.Origin{}) && sc.pool(o.Service).presentServersFor(w.request) == 0 {
+		w.request.Service, w.pool = o.Service, sc.pool(o.Service)
+		sc.refuseResumption(now, w, NoServerOfVersion, sc.versionRetryAfter(now, w))
+		return
+	}
+	retryAfter := time.Duration(0)
+	if sc.local() || sc.list.outdated || now.Sub(sc.hostConnectedAt) < reportWait {
+		retryAfter = clampRetryAfter(unknownRetryAfter, w.request.Remaining)
+	}
+	sc.refuseResumption(now, w, UnknownOrigin, retryAfter)
+}
+
 // local reports whether this scheduler decides for its own host only, which has no records of other hosts' streams.
 func (sc *Scheduler) local() bool { return sc.salt != "" }
 
@@ -205,17 +218,20 @@
 	if r.Known {
 		return &ResumptionInputs{Evidence: SeenByHost, Origin: r.Origin}
 	}
+	var probable origin.Origin
 	if r.Stream != (origin.StreamID{}) {
-		if o, age, ok := sc.origins.Lookup(now, r.Stream, sc.list.currentFor); ok {
+		o, age, ok := sc.origins.Lookup(now, r.Stream, sc.list.currentFor)
+		if ok {
 			return &ResumptionInputs{Evidence: Recorded, Origin: o, Age: age}
 		}
+		probable = o
 	}
 	if !sc.list.outdated && len(r.Services) == 1 {
 		if version, ok := sc.versions.Sole(now, r.Services[0]); ok {
 			return &ResumptionInputs{Evidence: SoleVersion, Origin: origin.Origin{Service: r.Services[0], Version: version}}
 		}
 	}
-	return &ResumptionInputs{}
+	return &ResumptionInputs{Origin: probable}
 }
 
 func (sc *Scheduler) refuseResumption(now time.Time, w *waiter, reason Reason, retryAfter time.Duration) {
--- a/verbena/origin/generation.go
+++ b/verbena/origin/generation.go
@@ -19,8 +19,8 @@
 	at     time.Duration
 	origin *Origin
 	server *start
-	// unconfirmed is the record's Unconfirmed.
-	unconfirmed bool
+	// unconfirmed is the record's Unconfirmed, settled its Settled.
+	unconfirmed, settled bool
 }
 
 // start is a start of a server.
@@ -46,5 +46,5 @@
 		s = &start{r.Server, r.Incarnation}
 		g.servers[*s] = s
 	}
-	g.records[r.Stream] = entry{at: at, origin: o, server: s, unconfirmed: r.Unconfirmed}
+	g.records[r.Stream] = entry{at: at, origin: o, server: s, unconfirmed: r.Unconfirmed, settled: r.Settled}
 }
--- a/verbena/origin/origin_test.go
+++ b/verbena/origin/origin_test.go
@@ -38,6 +38,7 @@
 	case "limit":
 		s.records.limit = w.Number(2)
 	case "add":
+		s.records.ObserveList(currentFor(t, w) == 0)
 		s.records.Add(now, parseRecord(t, w))
 	case "lookup":
 		return s.lookup(t, now, w)
@@ -106,6 +107,7 @@
 		Stream: streamID(w.At(2)), Origin: Origin{Service: ids.ServiceName(service), Version: directory.SoftwareVersion(version)},
 		Server: ids.BackendID(w.Option("server")), Incarnation: directory.Incarnation(milliseconds(t, w.Option("incarnation")).Milliseconds()),
 		Age: milliseconds(t, w.Option("age")), Unconfirmed: slices.Contains(w, "unconfirmed"),
+		Settled: slices.Contains(w, "settled"),
 	}
 }
 
--- a/verbena/origin/record.go
+++ b/verbena/origin/record.go
@@ -25,4 +25,7 @@
 	// Unconfirmed is set if the list of servers was outdated when the stream began, so that the server may have been another
 	// start than Incarnation, of another version.
 	Unconfirmed bool `cbor:"6,keyasint,omitempty"`
+	// Settled is set once a current list has shown Incarnation so long after the stream began that no later start of the
+	// server can have begun it.
+	Settled bool `cbor:"7,keyasint,omitempty"`
 }
--- a/verbena/origin/records.go
+++ b/verbena/origin/records.go
@@ -32,6 +32,8 @@
 	epoch time.Time
 	// listed holds the servers last listed, and those that were removed within the retention time.
 	listed map[ids.BackendID]listedStart
+	// listOutdated is set while the list doesn't show the present servers.
+	listOutdated bool
 }
 
 // listedStart is the start of a server that the list shows, or showed last.
@@ -47,35 +49,63 @@
 	return &Records{current: newGeneration(), previous: newGeneration(), limit: maxRecords}
 }
 
+// ObserveList sets whether the list of servers is outdated. It is called before Add.
+func (rs *Records) ObserveList(outdated bool) { rs.listOutdated = outdated }
+
 // Add adds a record or replaces an older one of the same stream. It ignores one of a server's former start that was another
 // software version.
 func (rs *Records) Add(now time.Time, r Record) {
 	rs.rotate(now)
-	if s, ok := rs.listed[r.Server]; ok && s.incarnation > r.Incarnation && s.version != r.Origin.Version {
+	s, listed := rs.listed[r.Server]
+	if listed && s.incarnation > r.Incarnation && s.version != r.Origin.Version {
 		return // placed by an outdated entry: either start may have brought the first event
 	}
 	at := now.Add(-r.Age).Sub(rs.epoch)
-	if old, ok := rs.find(r.Stream); ok {
-		if old.at > at {
-			return
-		}
-		if old.unconfirmed { // a stream goes on as it began
-			r.Unconfirmed, r.Server, r.Incarnation = true, old.server.id, old.server.incarnation
-		} else if *old.origin == r.Origin {
-			r.Unconfirmed = false
-		}
+	old, known := rs.find(r.Stream)
+	switch {
+	case known && old.at > at:
+		return
+	case known:
+		rs.goOn(&r, old, at)
+	case listed && !s.removedAt.IsZero() && !r.Settled && now.Add(-r.Age).After(s.removedAt.Add(-returnTime)):
+		r.Unconfirmed = true // placed by an outdated entry, of a server that may have started again before it left
 	}
 	rs.current.add(at, r)
 }
 
+// goOn changes a further record of a stream to what the earlier one says of its beginning: a stream goes on as it began.
+func (rs *Records) goOn(r *Record, old entry, at time.Duration) {
+	switch {
+	case old.unconfirmed:
+		r.Unconfirmed, r.Server, r.Incarnation = true, old.server.id, old.server.incarnation
+	case *old.origin == r.Origin:
+		r.Unconfirmed = false
+		r.Settled = r.Settled || old.settled || rs.settles(old, at)
+		if !r.Settled {
+			r.Server, r.Incarnation = old.server.id, old.server.incarnation
+		}
+	}
+}
+
+// settles reports whether a current list shows the start of the server that began a stream, and would show a later one that
+// served at the time of the record.
+func (rs *Records) settles(old entry, at time.Duration) bool {
+	s, ok := rs.listed[old.server.id]
+	return ok && !rs.listOutdated && s.removedAt.IsZero() && s.incarnation == old.server.incarnation && at-old.at >= returnTime
+}
+
 // Lookup returns where a stream began, and how long ago it was last known to run. An unconfirmed record holds only if the
-// list of servers, which has been current for some time, shows the same start of its server.
+// list of servers, which has been current for some time, shows the same start of its server; otherwise o is where the stream
+// probably began.
 func (rs *Records) Lookup(now time.Time, id StreamID, currentFor time.Duration) (o Origin, age time.Duration, ok bool) {
 	rs.rotate(now)
 	e, ok := rs.find(id)
-	if !ok || e.unconfirmed && !rs.confirms(e, currentFor) {
+	if !ok {
 		return o, 0, false
 	}
+	if e.unconfirmed && !rs.confirms(e, currentFor) {
+		return *e.origin, 0, false
+	}
 	return *e.origin, rs.since(now, e), true
 }
 
@@ -96,50 +126,13 @@
 			}
 			list = append(list, Record{
 				Stream: id, Origin: *e.origin, Server: e.server.id, Incarnation: e.server.incarnation, Age: age, Unconfirmed: e.unconfirmed,
+				Settled: e.settled,
 			})
 		}
 	}
 	return list
 }
 
-// ObserveServers drops the records of servers that started again as another software version, if the new start may have
-// brought the first event: its entry follows a little later than its first answers, or after an outage of the store.
-// currentFor is for how long the list has been current.
-func (rs *Records) ObserveServers(now time.Time, servers map[ids.BackendID]directory.Server, currentFor time.Duration) {
-	doubtful := entryLag
-	if currentFor < returnTime {
-		doubtful = 2 * Retention
-	}
-	listed := make(map[ids.BackendID]listedStart, len(servers))
-	restarted := false
-	for id, s := range servers {
-		listed[id] = listedStart{incarnation: s.Incarnation, version: s.SoftwareVersion}
-		if before, ok := rs.listed[id]; ok && before.incarnation != s.Incarnation {
-			restarted = true
-		}
-	}
-	for id, s := range rs.listed {
-		if s.removedAt.IsZero() {
-			s.removedAt = now
-		}
-		if _, ok := listed[id]; !ok && now.Sub(s.removedAt) < 2*Retention {
-			listed[id] = s
-		}
-	}
-	rs.listed = listed
-	if !restarted {
-		return
-	}
-	for _, g := range []*generation{rs.current, rs.previous} {
-		for stream, e := range g.records {
-			s, ok := servers[e.server.id]
-			if ok && e.server.incarnation != s.Incarnation && e.origin.Version != s.SoftwareVersion && rs.since(now, e) < doubtful {
-				delete(g.records, stream)
-			}
-		}
-	}
-}
-
 // Len returns the number of records, those counted twice that were renewed.
 func (rs *Records) Len() int { return len(rs.current.records) + len(rs.previous.records) }
 
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -82,6 +82,8 @@
 	crashReports   crashReports
 	// streams says where the streams began that this host passed on.
 	streams *origin.Records
+	// listState returns how current the list of servers is.
+	listState func() directory.ListState
 	// originsReceived gets what a dispatcher sends its standby.
 	originsReceived func([]origin.Record, *origin.History)
 	// localEvents are for the local scheduler; they are queued there once mu is unlocked.
@@ -95,7 +97,7 @@
 ) *Client {
 	o := applyOptions(opts)
 	client := &Client{
-		streams: origin.NewRecords(), originsReceived: o.originsReceived,
+		streams: origin.NewRecords(), listState: o.listState, originsReceived: o.originsReceived,
 		drainNotices: o.drainNotices, limits: newKnownLimits(), limitLog: newLimitLog(), limitsReceived: o.limitsReceived,
 		relayAddress: relayAddress, host: host, zone: zone, clock: c, feed: feed,
 		hostCount: defaultHostCount, localRates: dispatch.NewLocalRates(),
--- a/verbenad/internal/slots/origins.go
+++ b/verbenad/internal/slots/origins.go
@@ -26,6 +26,7 @@
 func (c *Client) ReportStreamBegan(r origin.Record) {
 	c.mu.Lock()
 	defer c.unlockAndEnqueue()
+	c.streams.ObserveList(c.listState().Outdated())
 	c.streams.Add(c.clock.Now(), r)
 	list := []origin.Record{r}
 	for _, conn := range []*placerConn{c.dispatcher, c.standby} {
