fix: begin an item again if its server left before a later list showed its start

Ruled out: a wrong placement of the resumed run: its server was one of the recorded version. Before: TestItemIsNotJoinedFromTwoVersions failed in the case 'first server left, maybe after another start'. After: it holds, and an item whose server is listed again with the same start is resumed.

--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -69,6 +69,8 @@
 	origin          origin.Origin
 	beganAt         serverStart
 	originUncertain bool
+	// begunAt is when the output was begun.
+	begunAt time.Time
 
 	lost     lostServer
 	failures int
--- a/verbenad/internal/bulk/item_origin.go
+++ b/verbenad/internal/bulk/item_origin.go
@@ -69,6 +69,7 @@
 	}
 	if i.events == 0 {
 		i.origin, i.beganAt, i.originUncertain = originOf(slot.Server), startOf(slot.Server), slot.VersionUncertain
+		i.begunAt = i.owner.clock.Now()
 	}
 }
 
@@ -105,6 +106,10 @@
 	if began, ok := i.owner.listedServer(i.beganAt.id); ok && startOf(began) != i.beganAt && originOf(began) != i.origin {
 		return "origin_uncertain"
 	}
+	// It may have left before a list has shown the new start.
+	if i.owner.hasLeft(i.beganAt) && i.owner.clock.Now().Sub(i.begunAt) < origin.Retention {
+		return "origin_uncertain"
+	}
 	return ""
 }
 
--- a/verbenad/internal/bulk/item_origin_test.go
+++ b/verbenad/internal/bulk/item_origin_test.go
@@ -143,6 +143,21 @@
 				o.SetServers(map[ids.BackendID]directory.Server{first.ID: first})
 			},
 		},
+		{
+			name: "first server left, maybe after another start", service: "llm", version: "1",
+			change: func(o *Owner, first, second directory.Server, _ *slots.Slot) {
+				o.SetServers(map[ids.BackendID]directory.Server{first.ID: first, second.ID: second})
+				o.SetServers(map[ids.BackendID]directory.Server{second.ID: second})
+			},
+		},
+		{
+			name: "first server left and is listed again", service: "llm", version: "1", resumed: true,
+			change: func(o *Owner, first, second directory.Server, _ *slots.Slot) {
+				o.SetServers(map[ids.BackendID]directory.Server{first.ID: first, second.ID: second})
+				o.SetServers(map[ids.BackendID]directory.Server{second.ID: second})
+				o.SetServers(map[ids.BackendID]directory.Server{first.ID: first, second.ID: second})
+			},
+		},
 	} {
 		t.Run(tc.name, tc.run)
 	}
--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -13,7 +13,6 @@
 	"verbenaledge.example/verbena/bulk"
 	"verbenaledge.example/verbena/catalog"
 	"verbenaledge.example/verbena/clock"
-	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/exchange"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/objects"
@@ -49,7 +48,7 @@
 	clock      clock.Clock
 	estimator  eventEstimator
 	// servers are those listed last.
-	servers atomic.Pointer[map[ids.BackendID]directory.Server]
+	servers atomic.Pointer[listedServers]
 	tasks   chan func()
 	ctx     context.Context
 
@@ -133,17 +132,6 @@
 	o.post(func() { o.catalog = c })
 }
 
-// SetServers sets the servers that are listed now. The map must not change afterwards.
-func (o *Owner) SetServers(servers map[ids.BackendID]directory.Server) { o.servers.Store(&servers) }
-
-// listedServer returns a server's entry in the last list.
-func (o *Owner) listedServer(id ids.BackendID) (s directory.Server, ok bool) {
-	if listed := o.servers.Load(); listed != nil {
-		s, ok = (*listed)[id]
-	}
-	return s, ok
-}
-
 // SetShards sets the shards that this host owns and their epochs. A shard with a new epoch is loaded again.
 func (o *Owner) SetShards(owned map[bulk.Shard]ids.Epoch) {
 	o.post(func() {
