fix: a standby and a host that decides locally resume streams only by a list confirmed after the stream came

Cause: the standby's list came through the dispatcher that was lost and counts as current for 2 s; it shows no new start, and the standby doesn't know the failures that the dispatcher has seen. Class: evidence that is valid where failures are collected was taken over by a placer that doesn't collect them. Ruled out for these streams: a wrong record (their text before the cut was of the recorded version). Before: resumed_by_standby_list failed on the old code at its first line (grant in place of wait). Conclusion: where several versions are known, such placers wait for a confirmation or refuse. Records that another start makes uncertain stay as unconfirmed, so that a placer can tell them from unknown ones. The dispatcher doesn't wait: while its own link to the store is silent for up to 2 s, it may still place by an outdated list.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -158,6 +158,9 @@
 // place starts an online request at once, on a free slot or on one that a batch item yields. If it can't be placed, only
 // other requests can use the free slots of the selection.
 func (sc *Scheduler) place(now time.Time, w *waiter) (placed bool, sel selection) {
+	if w.awaitsList() {
+		return false, sel
+	}
 	v := sc.judge(now, w)
 	req := v.excludeUnsafe(w.pool, w.request)
 	sel = w.pool.selectServer(now, w.key.Host, req)
@@ -253,13 +256,22 @@
 	}
 }
 
+// itemRequest returns the request of a batch item, without its condition on the version once it should begin again at another.
+func (p *pool) itemRequest(now time.Time, w *waiter) SlotRequest {
+	req := w.request
+	if req.Resumption != nil && (now.Sub(w.since) >= otherVersionAfter || !p.hasOther(now, req)) {
+		req.Resumption = nil
+	}
+	return req
+}
+
 // nextItem returns the first batch item that can start now, and its server. An item that waits for a server of the version
 // that began its output doesn't hold up the others.
 func (p *pool) nextItem(now time.Time) (w *waiter, s *server, in Inputs) {
 	for _, w := range p.batchQueue {
-		req := w.request
-		if req.Resumption != nil && (now.Sub(w.since) >= otherVersionAfter || !p.hasOther(now, req)) {
-			req.Resumption = nil
+		req := p.itemRequest(now, w)
+		if req.Resumption != nil && w.awaitsList() {
+			continue
 		}
 		sel := p.selectServer(now, w.key.Host, req)
 		if w == p.batchQueue[0] {
@@ -274,7 +286,7 @@
 		}
 		if s != nil {
 			if w.resumption != nil {
-				w.resumption.MayHaveRestarted = s.mayHaveRestarted(now)
+				w.resumption.MayHaveRestarted = s.mayHaveRestarted(now) || w.awaitsList()
 			}
 			return w, s, p.inputs(sel)
 		}
@@ -321,7 +333,7 @@
 func (sc *Scheduler) resumeNext(now time.Time, p *pool) bool {
 	var left map[origin.Origin][]*server // of the versions searched: what the first stream that waits for one couldn't use
 	for _, w := range p.onlineQueue {
-		if w.resumption == nil {
+		if w.resumption == nil || w.awaitsList() {
 			continue
 		}
 		o := w.request.Resumption.Origin
--- a/verbena/dispatch/list_view.go
+++ b/verbena/dispatch/list_view.go
@@ -5,6 +5,7 @@
 
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/origin"
 )
 
 // listView is how current the scheduler's list of servers is.
@@ -44,8 +45,20 @@
 	return sc.list.outdated && (s.lastFailure.After(sc.list.confirmedAt) || sc.versionsUncertain(now, s.Service))
 }
 
-// refuseUncertain refuses the resumed streams that wait while the list of servers has become outdated. Those of a service
-// with one version go on waiting for servers that haven't failed since.
+// needsNewerList reports whether a stream of a service may be resumed only once the list has been confirmed after the stream
+// came. The list of a standby came through the dispatcher that failed, and neither a standby nor a host that decides locally
+// knows how servers have failed elsewhere: a list that counts as current may not show that a server has started again as
+// another version. A service that has had one version is taken to have no other.
+func (sc *Scheduler) needsNewerList(now time.Time, service ids.ServiceName) bool {
+	return (sc.local() || sc.reservations.standby) && sc.versions.Several(now, service)
+}
+
+// awaitsList reports whether the request must wait until the list of servers is confirmed.
+func (w *waiter) awaitsList() bool { return w.list != nil && w.list.confirmedAt.Before(w.since) }
+
+// refuseUncertain refuses the resumed streams that wait while the list of servers has become outdated, and those that have
+// waited for a list which makes their origin uncertain. Those of a service with one version go on waiting for servers that
+// haven't failed since.
 func (sc *Scheduler) refuseUncertain(now time.Time, p *pool) {
 	for i := 0; i < len(p.onlineQueue); {
 		w := p.onlineQueue[i]
@@ -54,11 +67,28 @@
 			continue
 		}
 		w.request.ListOutdated, w.request.ListConfirmedAt = sc.list.outdated, sc.list.confirmedAt
-		if !sc.versionsUncertain(now, w.request.Service) {
+		switch {
+		case sc.versionsUncertain(now, w.request.Service):
+			sc.removeWaiting(w)
+			sc.refuse(now, w, VersionsUncertain, clampRetryAfter(unknownRetryAfter, w.deadline.Sub(now)))
+		case sc.originRefuted(now, w):
+			sc.removeWaiting(w)
+			sc.refundToken(w.request)
+			sc.refuseUnknown(now, w)
+		default:
 			i++
-			continue
 		}
-		sc.removeWaiting(w)
-		sc.refuse(now, w, VersionsUncertain, clampRetryAfter(unknownRetryAfter, w.deadline.Sub(now)))
 	}
 }
+
+// originRefuted reports whether the list for which a stream has waited made the record of its origin uncertain.
+func (sc *Scheduler) originRefuted(now time.Time, w *waiter) bool {
+	if w.list == nil || w.awaitsList() {
+		return false
+	}
+	o, _, ok := sc.origins.Lookup(now, w.request.Resumption.Stream, sc.list.currentFor)
+	if ok {
+		return false
+	}
+	return w.resumption.Evidence == Recorded || o != (origin.Origin{})
+}
--- a/verbena/dispatch/queue.go
+++ b/verbena/dispatch/queue.go
@@ -20,6 +20,8 @@
 	judged   judgedRequest
 	// resumption is set for a resumed stream.
 	resumption *ResumptionInputs
+	// list is set if the list of servers must have been confirmed since the request came.
+	list *listView
 }
 
 // queue is ordered by priority and then by due time; within a priority, deferred items are last.
--- a/verbena/dispatch/resumption.go
+++ b/verbena/dispatch/resumption.go
@@ -178,6 +178,9 @@
 	}
 	w.request.Service, w.pool = r.Origin.Service, sc.pool(r.Origin.Service)
 	w.pool.addVersions(in)
+	if sc.needsNewerList(now, r.Origin.Service) {
+		w.list = &sc.list
+	}
 	switch {
 	case w.request.Class != Online:
 	case w.pool.presentServersFor(w.request) == 0:
--- a/verbena/origin/observed_servers.go
+++ b/verbena/origin/observed_servers.go
@@ -7,10 +7,9 @@
 	"verbenaledge.example/verbena/ids"
 )
 
-// ObserveServers drops the records of servers that started again as another software version, if the new start may have
-// brought the first event: its entry follows a little later than its first answers, or after an outage of the store. Where no
-// list may have shown the new start, since the server has left, the records become unconfirmed. currentFor is for how long the
-// list has been current.
+// ObserveServers marks the records as unconfirmed of which another start of their server may have brought the first event, as
+// another software version. The entry of such a start follows its first answers a little later, or after an outage of the
+// store; no list shows it if the server leaves before the next one. currentFor is for how long the list has been current.
 func (rs *Records) ObserveServers(now time.Time, servers map[ids.BackendID]directory.Server, currentFor time.Duration) {
 	restarted, removed := rs.setListed(now, servers)
 	if !restarted && len(removed) == 0 {
@@ -25,10 +24,7 @@
 			s, listed := servers[e.server.id]
 			restartedAsOther := listed && e.server.incarnation != s.Incarnation && e.origin.Version != s.SoftwareVersion
 			age := rs.since(now, e)
-			switch {
-			case restartedAsOther && age < sinceRestart:
-				delete(g.records, stream)
-			case removed[e.server.id] && !e.settled && age < sinceRemoval:
+			if restartedAsOther && age < sinceRestart || removed[e.server.id] && !e.settled && age < sinceRemoval {
 				e.unconfirmed = true
 				g.records[stream] = e
 			}
--- a/verbena/origin/versions.go
+++ b/verbena/origin/versions.go
@@ -121,6 +121,24 @@
 	return v.observed && now.Sub(v.since) >= keepTime
 }
 
+// Several reports whether several versions are known at which a stream of the service that is taken up now can have begun.
+func (v *Versions) Several(now time.Time, service ids.ServiceName) bool {
+	v.removeExpired(now)
+	return len(v.found(service)) > 1
+}
+
+// found returns the versions that are listed or were a short time ago.
+func (v *Versions) found(service ids.ServiceName) map[directory.SoftwareVersion]bool {
+	found := make(map[directory.SoftwareVersion]bool)
+	for version := range v.listed[service] {
+		found[version] = true
+	}
+	for version := range v.leftAt[service] {
+		found[version] = true
+	}
+	return found
+}
+
 // Sole returns the only version at which a stream of the service that is taken up now can have begun. ok is false if
 // there are several, or if versions may be unknown.
 func (v *Versions) Sole(now time.Time, service ids.ServiceName) (version directory.SoftwareVersion, ok bool) {
@@ -128,14 +146,11 @@
 	if !v.Complete(now) {
 		return "", false
 	}
-	found := make(map[directory.SoftwareVersion]bool)
-	for listed := range v.listed[service] {
-		found[listed], version = true, listed
-	}
-	for left := range v.leftAt[service] {
-		found[left], version = true, left
+	found := slices.Collect(maps.Keys(v.found(service)))
+	if len(found) != 1 {
+		return "", false
 	}
-	return version, len(found) == 1
+	return found[0], true
 }
 
 // LastListed returns how long ago a version was last listed. ok is false if that was longer ago than keepTime, or never.
