fix: let no older crash hide that a prompt part is proved on another software version

Cause: a part that is proved on one version needs a single crash on the next. Of each other version only the first report was looked at for a sound answer on this one, whether or not it concerned the request; an older crash of other parts hid the later ones. Class: a property of one report was taken for one of its version. Ruled out: an item as another possible cause; an item's broken run makes no report. Before: crashing_part_after_sound_part failed (a second trial in place of the refusal). After: it holds. Conclusion: only reports that incriminate the request and that this version hasn't shown to be sound are looked at.

--- a/verbena/crash/reports.go
+++ b/verbena/crash/reports.go
@@ -210,10 +210,10 @@
 func (rs *Reports) conclusiveElsewhere(service ids.ServiceName, version directory.SoftwareVersion, parts []ids.PromptPartID, maxCrashes int) bool {
 	checked := []directory.SoftwareVersion{version}
 	for _, r := range rs.list {
-		if r.Service != service || slices.Contains(checked, r.Version) {
+		if r.Service != service || slices.Contains(checked, r.Version) || !r.incriminates(parts) || slices.Contains(r.SoundOn, version) {
 			continue
 		}
-		if !slices.Contains(r.SoundOn, version) && rs.evidence(service, r.Version, parts, maxCrashes).conclusive {
+		if rs.evidence(service, r.Version, parts, maxCrashes).conclusive {
 			return true
 		}
 		checked = append(checked, r.Version)
