fix: start no trial of a suspect prompt part at a server where one failed in the last half second

Cause: broken connections of one start of a server within 500 ms count as one crash, since a crash ends all its requests. Servers that come back under the same start within that time were crashed again by trials that could add nothing to the count. Class: an action was repeated whose result would not be counted. Ruled out: counting each such trial as a crash of its own; a server that resets connections would then incriminate sound parts within milliseconds. A first trial goes on at once: it adds to a crash that none showed (crashes_without_cause_in_prompts). Before: crashing_part_counted_once_a_crash failed (a trial in place of the wait). After: it holds. Conclusion: a failed trial keeps further ones from its server for half a second; other servers get them as before.

--- a/verbena/crash/reports.go
+++ b/verbena/crash/reports.go
@@ -80,6 +80,12 @@
 	return r
 }
 
+// TrialFailed reports whether a trial crashed a start of a server so recently that another one would count as the same crash.
+func (rs *Reports) TrialFailed(now time.Time, server ids.BackendID, incarnation directory.Incarnation) bool {
+	r := rs.recent(now, Unanswered{Server: server, Incarnation: incarnation})
+	return r != nil && r.Trial
+}
+
 // removeEmpty removes the reports of crashes that only requests without shared parts can have caused.
 func (rs *Reports) removeEmpty(now time.Time) {
 	rs.list = slices.DeleteFunc(rs.list, func(r *Report) bool { return len(r.Candidates) == 0 && now.Sub(r.at) >= joinTime })
--- a/verbena/dispatch/trial.go
+++ b/verbena/dispatch/trial.go
@@ -75,8 +75,8 @@
 		if !s.usable(now) || s.freeSlots(now) <= 0 || !req.mayRunOn(now, s) || s.failures.suitabilityFor(now, w.key.Host) == unsuitable {
 			continue
 		}
-		if v.on(s) == crash.Blocked {
-			continue
+		if v.on(s) == crash.Blocked || sc.crashes.TrialFailed(now, s.ID, s.Incarnation) {
+			continue // a further crash would prove nothing
 		}
 		cost := s.cost(now, req.Zone, p.fastestEventSeconds) + trialLoadCost*float64(s.usedSlots)
 		if now.Sub(s.lastGrant) < unansweredTimes*p.firstByteTime() {
