test: wait for the list of servers before streams of a version that has left are taken up

Cause: the test waited until ten new streams began at the new version. They do so before the deletion, too, since the old version's servers say that they are slow. So take-ups could come before the dispatcher had the new list, and were rightly resumed: servers serve on. The replacement is as strict: the same ten streams must be refused within the same time and not run. It waits until a further stream of the old version is refused at each host; those may have no text of two versions.

--- a/verbenad/cmd/stream_versions_test.go
+++ b/verbenad/cmd/stream_versions_test.go
@@ -128,18 +128,20 @@
 }
 
 func testServersOfVersionLeft(c *qt.C, f *fleet) {
-	streams := f.beginStreams(oldVersion, versionStreams)
+	streams := f.beginStreams(oldVersion, versionStreams+len(f.callerAddresses))
+	streams, probes := streams[:versionStreams], streams[versionStreams:]
 	for _, id := range []string{"llm-0", "llm-2"} {
 		c.Assert(f.store.Delete(f.t.Context(), "servers", id, 0), qt.IsNil)
 	}
-	f.eventually("ten streams in succession begin at the new version", func() bool {
-		for n := range 10 {
-			if !slices.Equal(f.beginStream(f.callerAddresses[n%2], workspaceKey, 1).versions(), []string{newVersion}) {
-				return false
-			}
-		}
-		return true
-	})
+	for n, address := range f.callerAddresses {
+		f.eventually("a stream of the old version is refused", func() bool {
+			probe := *probes[n]
+			probe.attempts = slices.Clone(probe.attempts)
+			refused := f.tryStream(&probe, address, eventsPerStream, nil).status == http.StatusServiceUnavailable
+			checkOneVersion(c, &probe)
+			return refused
+		})
+	}
 	for n, s := range streams {
 		a := f.tryStream(s, f.callerAddresses[(n+1)%2], eventsPerStream, nil)
 		c.Check(a.status, qt.Equals, http.StatusServiceUnavailable)
