refactor: the end of a response's body is a sealed type

An error that arrives together with bytes stays with the event reader.

Tests of upstream read bodies through the new interface; what they check is the same.

--- a/verbena/completion/stream.go
+++ b/verbena/completion/stream.go
@@ -68,6 +68,19 @@
 	s.endClaimed, s.senderClaimedEnd = false, false
 }
 
+// End records the end of the current response. resumable is whether another server can be asked for the events after the
+// last one.
+func (s *Stream) End(end End, resumable bool) Verdict {
+	switch end.(type) {
+	case Whole:
+		return Complete
+	case Claimed:
+		return s.CloseConnection(resumable)
+	case BrokenOff:
+	}
+	return Broken
+}
+
 // CloseConnection records that the server of the current response has closed its connection in order, and that nothing
 // else shows the end of the response. resumable is whether another server can be asked for the events after the last one.
 func (s *Stream) CloseConnection(resumable bool) Verdict {
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -36,6 +36,8 @@
 	maxEmptyAnswers = 3
 	// maxRefusalBytes bounds how much is read of an answer that isn't an event stream.
 	maxRefusalBytes = 1 << 20
+	// refusalPartBytes is how much of such an answer is read at once.
+	refusalPartBytes = 4 << 10
 	// statusCannotBeDone is a server's status for an item that can never succeed.
 	statusCannotBeDone = http.StatusUnprocessableEntity
 )
@@ -241,8 +243,7 @@
 		}
 		return dispatch.Full, itemRetry
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(a, maxRefusalBytes))
-	if err != nil || n == maxRefusalBytes || !a.Info.Signed {
+	if !a.Info.Signed || !endsWithin(a, maxRefusalBytes) {
 		return dispatch.Broken, itemRetry
 	}
 	if a.Status == statusCannotBeDone {
@@ -259,22 +260,40 @@
 	return dispatch.Failed, itemRetry
 }
 
+// endsWithin reports whether a body ends within a number of bytes, and isn't broken off.
+func endsWithin(b completion.Body, limit int) bool {
+	part := make([]byte, min(limit, refusalPartBytes))
+	for read := 0; read < limit; {
+		n, end := b.ReadBody(part)
+		switch end.(type) {
+		case nil:
+		case completion.Whole, completion.Claimed:
+			return read+n < limit
+		case completion.BrokenOff:
+			return false
+		}
+		read += n
+	}
+	return false
+}
+
 // readEvents reads the answer's events until it ends or breaks off.
 func (i *itemRun) readEvents(runCtx context.Context, slot *slots.Slot, a *upstream.Response, o *dispatch.Outcome, progress func()) sendResult {
 	reader := upstream.NewEventReader(a)
 	i.stream.BeginResponse(slot.Server.ID)
 	start := i.owner.clock.Now()
 	for {
-		events, err := reader.Next()
-		if errors.Is(err, io.EOF) {
+		events, end := reader.Next()
+		switch end := end.(type) {
+		case nil:
+		case completion.Whole, completion.Claimed:
 			o.Elapsed = i.owner.clock.Now().Sub(start)
-			return i.answerEnded(runCtx, slot, a, o)
-		}
-		if err != nil {
+			return i.answerEnded(runCtx, slot, end, o)
+		case completion.BrokenOff:
 			if reader.HoldsPartialEvent() {
 				i.stream.Refute()
 			}
-			return i.answerBroken(runCtx, slot, err, o)
+			return i.answerBroken(runCtx, slot, end.Err, o)
 		}
 		if upstream.HasEvent(events) {
 			progress() // comments don't count: a server can send them without working on the item
@@ -298,13 +317,9 @@
 
 // answerEnded returns the effect of an answer that its server has ended. If only the end of its connection shows that,
 // another server is asked for the rest, as the answer may have been broken off.
-func (i *itemRun) answerEnded(runCtx context.Context, slot *slots.Slot, a *upstream.Response, o *dispatch.Outcome) sendResult {
-	verdict := completion.Complete
-	if a.Framing() == upstream.FramedByConnection {
-		verdict = i.stream.CloseConnection(i.lastEventID != "")
-	}
+func (i *itemRun) answerEnded(runCtx context.Context, slot *slots.Slot, end completion.End, o *dispatch.Outcome) sendResult {
 	result := itemUnconfirmed
-	switch verdict {
+	switch i.stream.End(end, i.lastEventID != "") {
 	case completion.Complete:
 		o.Result = dispatch.Served
 		return itemComplete
--- a/verbenad/internal/entry/response.go
+++ b/verbenad/internal/entry/response.go
@@ -21,14 +21,18 @@
 
 // saveFailure reads a server's 5xx response to its end and keeps it. It drops one that is cut off or exceeds the buffer.
 func (h *Handler) saveFailure(state *forwardState, response *upstream.Response) {
-	buffer, err := h.bufferResponse(response)
+	buffer := h.bufferResponse(response)
 	defer buffer.release()
-	if err != nil || !buffer.complete || response.HasEmbeddedResponse(buffer.body) {
-		state.reason = "answer_lost"
-		return
+	state.reason = "answer_lost"
+	switch buffer.end.(type) {
+	case nil, completion.BrokenOff:
+	case completion.Whole, completion.Claimed:
+		if response.HasEmbeddedResponse(buffer.body) {
+			return
+		}
+		state.failure = &serverFailure{status: response.Status, header: response.Header, body: buffer.body}
+		state.reason = "server_failure"
 	}
-	state.failure = &serverFailure{status: response.Status, header: response.Header, body: buffer.body}
-	state.reason = "server_failure"
 }
 
 func (f *serverFailure) write(h *Handler, req *request) {
@@ -60,30 +64,46 @@
 func (h *Handler) relay(
 	ctx context.Context, req *request, state *forwardState, response *upstream.Response, outcome dispatch.Outcome,
 ) (nextStep, dispatch.Outcome) {
-	buffer, err := h.bufferResponse(response)
+	buffer := h.bufferResponse(response)
 	defer buffer.release()
-	if err == nil && response.HasEmbeddedResponse(buffer.body) {
-		err = upstream.ErrRequestIDMismatch
-	}
-	if err != nil {
-		outcome.Result, outcome.Unanswered = dispatch.Broken, upstream.ConnectionEnded(err)
-		state.reason = "answer_cut"
-		if ctx.Err() != nil {
-			outcome.Result = dispatch.Cancelled
-			return stepFail, outcome
-		}
-		return h.afterFailure(req, state, false), outcome
+	if _, broken := buffer.end.(completion.BrokenOff); !broken && response.HasEmbeddedResponse(buffer.body) {
+		buffer.end = completion.BrokenOff{Err: upstream.ErrRequestIDMismatch}
 	}
-	if !buffer.complete {
+	switch end := buffer.end.(type) {
+	case nil:
 		return h.relayLong(req, state, response, buffer.body, outcome)
+	case completion.BrokenOff:
+		return h.answerCut(ctx, req, state, outcome, end)
+	case completion.Whole, completion.Claimed:
+		return h.relayBuffered(req, state, response, buffer.body, outcome)
 	}
-	length := len(buffer.body)
+	return stepFail, outcome
+}
+
+// answerCut decides what to do after a response was broken off before any of it was forwarded.
+func (h *Handler) answerCut(
+	ctx context.Context, req *request, state *forwardState, outcome dispatch.Outcome, end completion.BrokenOff,
+) (nextStep, dispatch.Outcome) {
+	outcome.Result, outcome.Unanswered = dispatch.Broken, upstream.ConnectionEnded(end.Err)
+	state.reason = "answer_cut"
+	if ctx.Err() != nil {
+		outcome.Result = dispatch.Cancelled
+		return stepFail, outcome
+	}
+	return h.afterFailure(req, state, false), outcome
+}
+
+// relayBuffered forwards a response that has been buffered to its end.
+func (h *Handler) relayBuffered(
+	req *request, state *forwardState, response *upstream.Response, body []byte, outcome dispatch.Outcome,
+) (nextStep, dispatch.Outcome) {
+	length := len(body)
 	if req.httpRequest.Method == http.MethodHead {
 		length = int(response.Length)
 	}
 	h.writeHead(req, response.Status, response.Header, length)
 	h.recordFirstByte(req, state)
-	_, _ = req.writer.Write(buffer.body) // the caller may be gone; http.Server closes the connection
+	_, _ = req.writer.Write(body) // the caller may be gone; http.Server closes the connection
 	outcome.Result, outcome.StreamEvents, outcome.Elapsed = dispatch.Served, nonStreamEvents, response.TimeToHeaders
 	if response.Status >= http.StatusInternalServerError {
 		outcome.Result = dispatch.Failed
@@ -102,20 +122,34 @@
 		outcome.Result = dispatch.Cancelled
 		return stepFail, outcome
 	}
-	n, err := io.Copy(req.writer, io.LimitReader(response.Rest(buffered), responseLimit))
-	if err == nil && n == responseLimit {
-		err = errResponseTooLong
-	}
-	if err != nil {
-		outcome.Result = dispatch.Broken
+	switch end := copyRest(req.writer, response.Rest(buffered)).(type) {
+	case completion.Whole, completion.Claimed:
+		outcome.Result = dispatch.Served
+		return stepDone, outcome
+	case completion.BrokenOff:
 		state.reason = "answer_cut"
-		if errors.Is(err, errResponseTooLong) {
+		if errors.Is(end.Err, errResponseTooLong) {
 			state.reason = "answer_too_long"
 		}
-		return stepFail, outcome
 	}
-	outcome.Result = dispatch.Served
-	return stepDone, outcome
+	outcome.Result = dispatch.Broken
+	return stepFail, outcome
+}
+
+// copyRest forwards the rest of a body as it arrives, up to responseLimit, and returns its end.
+func copyRest(w io.Writer, body completion.Body) completion.End {
+	part := make([]byte, copyBytes)
+	for sent := 0; sent < responseLimit; {
+		n, end := body.ReadBody(part[:min(len(part), responseLimit-sent)])
+		if _, err := w.Write(part[:n]); err != nil {
+			return completion.BrokenOff{Err: err}
+		}
+		if end != nil {
+			return end
+		}
+		sent += n
+	}
+	return completion.BrokenOff{Err: errResponseTooLong}
 }
 
 // relayStream forwards complete events as they arrive.
@@ -126,16 +160,17 @@
 	state.stream.BeginResponse(state.server)
 	start := h.clock.Now()
 	for {
-		events, err := reader.Next()
-		if errors.Is(err, io.EOF) {
+		events, end := reader.Next()
+		switch end := end.(type) {
+		case nil:
+		case completion.Whole, completion.Claimed:
 			outcome.Elapsed = h.clock.Now().Sub(start)
-			return h.streamEnded(ctx, req, state, response, outcome, watch)
-		}
-		if err != nil {
+			return h.streamEnded(ctx, req, state, response, end, outcome, watch)
+		case completion.BrokenOff:
 			if reader.HoldsPartialEvent() {
 				state.stream.Refute()
 			}
-			return h.streamFailed(ctx, req, state, outcome, err, watch)
+			return h.streamFailed(ctx, req, state, outcome, end.Err, watch)
 		}
 		if upstream.HasEvent(events) {
 			watch.progress() // comments are no sign of progress
@@ -182,12 +217,9 @@
 // streamEnded decides what to do after a server has ended its response in order. If only the end of its connection shows
 // that, the stream may have been broken off.
 func (h *Handler) streamEnded(
-	ctx context.Context, req *request, state *forwardState, response *upstream.Response, outcome dispatch.Outcome, watch *silenceWatch,
+	ctx context.Context, req *request, state *forwardState, response *upstream.Response, end completion.End, outcome dispatch.Outcome, watch *silenceWatch,
 ) (nextStep, dispatch.Outcome) {
-	verdict := completion.Complete
-	if response.Framing() == upstream.FramedByConnection {
-		verdict = state.stream.CloseConnection(req.route.Resumable && state.lastEventID != "")
-	}
+	verdict := state.stream.End(end, req.route.Resumable && state.lastEventID != "")
 	outcome.Result = dispatch.Served
 	switch verdict {
 	case completion.Broken:
--- a/verbenad/internal/entry/response_buffer.go
+++ b/verbenad/internal/entry/response_buffer.go
@@ -2,7 +2,8 @@
 
 import (
 	"errors"
-	"io"
+
+	"verbenaledge.example/verbena/completion"
 )
 
 const (
@@ -11,6 +12,8 @@
 	bufferLimit = 512 << 10
 	// bufferGrowth is the least number of bytes by which a buffer grows.
 	bufferGrowth = 8 << 10
+	// copyBytes is how many bytes of a response are forwarded at once after the buffered ones.
+	copyBytes = 32 << 10
 	// responseLimit is how many bytes of a response are forwarded as they arrive before it is cut off. A server that
 	// never stops sending would otherwise occupy its slot until the caller's deadline.
 	responseLimit = 16 << 20
@@ -23,25 +26,18 @@
 	budget   *memoryBudget
 	reserved int64
 	body     []byte
-	// complete is set once the response has ended.
-	complete bool
+	// end is that of the response; it is nil if more of it follows than may be buffered.
+	end completion.End
 }
 
 // bufferResponse reads a response until it ends, or until no more of it may be buffered.
-func (h *Handler) bufferResponse(r io.Reader) (b *responseBuffer, err error) {
-	b = &responseBuffer{budget: h.memory}
-	for len(b.body) < bufferLimit && b.grow() {
-		n, err := r.Read(b.body[len(b.body):cap(b.body)])
-		b.body = b.body[:len(b.body)+n]
-		if errors.Is(err, io.EOF) {
-			b.complete = true
-			return b, nil
-		}
-		if err != nil {
-			return b, err
-		}
+func (h *Handler) bufferResponse(source completion.Body) *responseBuffer {
+	b := &responseBuffer{budget: h.memory}
+	for b.end == nil && len(b.body) < bufferLimit && b.grow() {
+		n, end := source.ReadBody(b.body[len(b.body):cap(b.body)])
+		b.body, b.end = b.body[:len(b.body)+n], end
 	}
-	return b, nil
+	return b
 }
 
 // grow makes room for more bytes. It returns false if the memory budget is used up.
--- a/verbenad/internal/upstream/client_test.go
+++ b/verbenad/internal/upstream/client_test.go
@@ -15,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"verbenaledge.example/verbena/clock"
+	"verbenaledge.example/verbena/completion"
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/exchange"
 	"verbenaledge.example/verbena/ids"
@@ -64,13 +65,29 @@
 	return request.Method + " " + request.RequestURI + " " + request.Host, body
 }
 
+// readBody reads a body to its end. A body that is broken off returns an error.
+func readBody(b completion.Body) (body []byte, err error) {
+	part := make([]byte, 512)
+	for {
+		n, end := b.ReadBody(part)
+		body = append(body, part[:n]...)
+		switch end := end.(type) {
+		case nil:
+		case completion.Whole, completion.Claimed:
+			return body, nil
+		case completion.BrokenOff:
+			return body, end.Err
+		}
+	}
+}
+
 func send(t *testing.T, c *Client, r Request) (string, error) {
 	response, err := c.Send(t.Context(), testProtocol{}, r)
 	if err != nil {
 		return "", err
 	}
 	defer response.Close()
-	b, err := io.ReadAll(response)
+	b, err := readBody(response)
 	return string(b), err
 }
 
@@ -164,7 +181,7 @@
 			})
 			response, err := NewClient(clock.System{}).Send(t.Context(), testProtocol{}, request(s, "a", nil))
 			qt.Assert(t, err, qt.IsNil)
-			body, err := io.ReadAll(response)
+			body, err := readBody(response)
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, string(body), qt.Equals, tc.body)
 			qt.Assert(t, response.HasEmbeddedResponse(body), qt.Equals, tc.want && framing == "", qt.Commentf("%q", tc.body))
--- a/verbenad/internal/upstream/embedded_rest.go
+++ b/verbenad/internal/upstream/embedded_rest.go
@@ -1,6 +1,6 @@
 package upstream
 
-import "io"
+import "verbenaledge.example/verbena/completion"
 
 // embeddedTailBytes is how much of a body is searched again together with what follows it. The head of a late response is
 // shorter.
@@ -13,22 +13,22 @@
 	tail []byte
 }
 
-// Rest returns a reader of the body after its beginning. It fails with ErrRequestIDMismatch, and before the end of the
-// body, if that seems to contain another response.
-func (r *Response) Rest(beginning []byte) io.Reader {
+// Rest returns the body after its beginning. It is broken off with ErrRequestIDMismatch, and before its end, if it seems to
+// contain another response.
+func (r *Response) Rest(beginning []byte) completion.Body {
 	e := &restReader{response: r}
 	e.keepTail(beginning)
 	return e
 }
 
-func (e *restReader) Read(p []byte) (n int, err error) {
-	n, err = e.response.Read(p)
+func (e *restReader) ReadBody(p []byte) (n int, end completion.End) {
+	n, end = e.response.ReadBody(p)
 	e.tail = append(e.tail, p[:n]...)
 	if e.response.HasEmbeddedResponse(e.tail) {
-		return 0, ErrRequestIDMismatch
+		return 0, completion.BrokenOff{Err: ErrRequestIDMismatch}
 	}
 	e.keepTail(e.tail)
-	return n, err
+	return n, end
 }
 
 func (e *restReader) keepTail(b []byte) {
--- a/verbenad/internal/upstream/embedded_rest_test.go
+++ b/verbenad/internal/upstream/embedded_rest_test.go
@@ -36,9 +36,12 @@
 	qt.Assert(t, err, qt.IsNil)
 	defer response.Close()
 	buffered := make([]byte, length/3)
-	_, err = io.ReadFull(response, buffered)
-	qt.Assert(t, err, qt.IsNil)
-	rest, err := io.ReadAll(response.Rest(buffered))
+	for n := 0; n < len(buffered); {
+		read, end := response.ReadBody(buffered[n:])
+		qt.Assert(t, end, qt.IsNil)
+		n += read
+	}
+	rest, err := readBody(response.Rest(buffered))
 	qt.Assert(t, err, qt.ErrorIs, ErrRequestIDMismatch)
 	qt.Assert(t, len(buffered)+len(rest) < length, qt.IsTrue)
 }
--- a/verbenad/internal/upstream/events.go
+++ b/verbenad/internal/upstream/events.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"verbenaledge.example/verbena/completion"
 )
 
 // maxEventBytes limits one event of a stream. Each stream may take up this much memory.
@@ -14,32 +16,39 @@
 
 // EventReader splits a stream into complete events.
 type EventReader struct {
-	source io.Reader
+	source completion.Body
 	buffer []byte
 	start  int
+	// end is that of the source, nil until it has ended.
+	end completion.End
 }
 
 // NewEventReader returns a reader of a stream's events.
-func NewEventReader(r io.Reader) *EventReader {
-	return &EventReader{source: r, buffer: make([]byte, 0, 1024)}
+func NewEventReader(b completion.Body) *EventReader {
+	return &EventReader{source: b, buffer: make([]byte, 0, 1024)}
 }
 
-// Next returns the complete events that have arrived, at least one, with their closing blank lines. It returns io.EOF
-// after the last event of a stream that ended properly, and io.ErrUnexpectedEOF if the stream ended within an event.
-// The bytes are valid until the next call.
-func (e *EventReader) Next() (events []byte, err error) {
+// Next returns the complete events that have arrived, at least one, with their closing blank lines, or the end of the
+// stream. A stream that ends within an event has been broken off. The bytes are valid until the next call.
+func (e *EventReader) Next() (events []byte, end completion.End) {
 	for {
-		if end := lastBlankLine(e.buffer[e.start:]); end > 0 {
-			events = e.buffer[e.start : e.start+end]
-			e.start += end
+		if length := lastBlankLine(e.buffer[e.start:]); length > 0 {
+			events = e.buffer[e.start : e.start+length]
+			e.start += length
 			return events, nil
 		}
-		if err := e.fill(); err != nil {
-			if errors.Is(err, io.EOF) && len(e.buffer) > e.start {
-				return nil, io.ErrUnexpectedEOF
+		if e.end == nil {
+			e.fill()
+			continue
+		}
+		switch e.end.(type) {
+		case completion.Whole, completion.Claimed:
+			if len(e.buffer) > e.start {
+				return nil, completion.BrokenOff{Err: io.ErrUnexpectedEOF}
 			}
-			return nil, err
+		case completion.BrokenOff:
 		}
+		return nil, e.end
 	}
 }
 
@@ -53,25 +62,23 @@
 	return false
 }
 
-func (e *EventReader) fill() error {
+// fill reads more bytes, or the end of the source.
+func (e *EventReader) fill() {
 	if e.start > 0 {
 		e.buffer = e.buffer[:copy(e.buffer, e.buffer[e.start:])]
 		e.start = 0
 	}
 	if len(e.buffer) >= maxEventBytes {
-		return ErrEventTooLong
+		e.end = completion.BrokenOff{Err: ErrEventTooLong}
+		return
 	}
 	if cap(e.buffer)-len(e.buffer) < 512 {
 		grown := make([]byte, len(e.buffer), 2*cap(e.buffer)+512)
 		copy(grown, e.buffer)
 		e.buffer = grown
 	}
-	n, err := e.source.Read(e.buffer[len(e.buffer):cap(e.buffer)])
-	e.buffer = e.buffer[:len(e.buffer)+n]
-	if n > 0 {
-		return nil
-	}
-	return err
+	n, end := e.source.ReadBody(e.buffer[len(e.buffer):cap(e.buffer)])
+	e.buffer, e.end = e.buffer[:len(e.buffer)+n], end
 }
 
 // lastBlankLine returns the length of the bytes up to the end of the last blank line, 0 if there is none.
--- a/verbenad/internal/upstream/events_test.go
+++ b/verbenad/internal/upstream/events_test.go
@@ -9,29 +9,45 @@
 	"testing/iotest"
 
 	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/completion"
 )
 
-func readAllEvents(r io.Reader) (text string, err error) {
-	e := NewEventReader(r)
+// wholeBody is a body that is whole when its source ends with io.EOF.
+type wholeBody struct{ io.Reader }
+
+func (w wholeBody) ReadBody(p []byte) (n int, end completion.End) {
+	n, err := w.Read(p)
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF):
+		return n, completion.Whole{}
+	}
+	return n, completion.BrokenOff{Err: err}
+}
+
+func readAllEvents(r io.Reader) (text string, end completion.End) {
+	e := NewEventReader(wholeBody{r})
 	var b bytes.Buffer
 	for {
-		events, err := e.Next()
+		events, end := e.Next()
 		b.Write(events)
-		if err != nil {
-			return b.String(), err
+		if end != nil {
+			return b.String(), end
 		}
 	}
 }
 
 func TestCompleteEvents(t *testing.T) {
-	text, err := readAllEvents(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
-	qt.Assert(t, err, qt.Equals, io.EOF)
+	text, end := readAllEvents(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+	qt.Assert(t, end, qt.Equals, completion.Whole{})
 	qt.Assert(t, text, qt.Equals, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 }
 
 func TestIncompleteEvent(t *testing.T) {
-	text, err := readAllEvents(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"))
-	qt.Assert(t, err, qt.Equals, io.ErrUnexpectedEOF)
+	text, end := readAllEvents(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"))
+	qt.Assert(t, end, qt.Equals, completion.BrokenOff{Err: io.ErrUnexpectedEOF})
 	qt.Assert(t, text, qt.Equals, "id: 1\ndata: a\n\n")
 }
 
@@ -42,10 +58,10 @@
 		"id: 1\n\ni": true, "id: 1\n\n: comment\nid: 2\ndata: b\n": true, "x-version: 7\n": true,
 	} {
 		for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, io.ErrClosedPipe} {
-			e := NewEventReader(io.MultiReader(strings.NewReader(text), iotest.ErrReader(end)))
-			var err error
-			for err == nil {
-				_, err = e.Next()
+			e := NewEventReader(wholeBody{io.MultiReader(strings.NewReader(text), iotest.ErrReader(end))})
+			var ended completion.End
+			for ended == nil {
+				_, ended = e.Next()
 			}
 			qt.Check(t, e.HoldsPartialEvent(), qt.Equals, want, qt.Commentf("%q, %v", text, end))
 		}
@@ -53,8 +69,8 @@
 }
 
 func TestEndlessEvent(t *testing.T) {
-	_, err := readAllEvents(strings.NewReader("data: " + strings.Repeat("x", maxEventBytes+1)))
-	qt.Assert(t, err, qt.Equals, ErrEventTooLong)
+	_, end := readAllEvents(strings.NewReader("data: " + strings.Repeat("x", maxEventBytes+1)))
+	qt.Assert(t, end, qt.Equals, completion.BrokenOff{Err: ErrEventTooLong})
 }
 
 func TestParseEvents(t *testing.T) {
@@ -71,12 +87,12 @@
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid"))
 	f.Add([]byte("\n\n\n"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		text, err := readAllEvents(iotest.OneByteReader(bytes.NewReader(raw)))
+		text, end := readAllEvents(iotest.OneByteReader(bytes.NewReader(raw)))
 		if !bytes.HasPrefix(raw, []byte(text)) {
 			t.Fatalf("%q is not a prefix of %q", text, raw)
 		}
 		rest := raw[len(text):]
-		if errors.Is(err, io.EOF) && len(rest) > 0 {
+		if end == (completion.Whole{}) && len(rest) > 0 {
 			t.Fatalf("%q was lost from a stream that ended properly", rest)
 		}
 		if lastBlankLine(rest) > 0 {
--- a/verbenad/internal/upstream/fuzz_test.go
+++ b/verbenad/internal/upstream/fuzz_test.go
@@ -67,7 +67,7 @@
 		}
 		defer response.Close()
 		qt.Assert(t, response.Info.NotExecuted, qt.IsFalse)
-		body, err := io.ReadAll(response)
+		body, err := readBody(response)
 		if err != nil || response.HasEmbeddedResponse(body) || response.httpResponse.ContentLength < 0 && len(response.httpResponse.TransferEncoding) == 0 {
 			return
 		}
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"verbenaledge.example/verbena/completion"
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/exchange"
 	"verbenaledge.example/verbena/ids"
@@ -179,19 +180,25 @@
 // later than the end although all of the body has been sent.
 const bodyResultTimeout = 300 * time.Millisecond
 
-// Read reads the body. It returns io.EOF only after the complete body.
-func (r *Response) Read(p []byte) (n int, err error) {
-	n, err = r.httpResponse.Body.Read(p)
-	if err == io.EOF && r.Framing() == FramedByConnection {
-		r.awaitBodyResult()
-		if !r.bodySent() {
-			err = io.ErrUnexpectedEOF // the kernel reports a reset only once: the write of the request's body got it
-		}
-	}
-	if err == io.EOF {
+// ReadBody reads the body. The end is nil until all of the body has arrived or it can't be read further.
+func (r *Response) ReadBody(p []byte) (n int, end completion.End) {
+	n, err := r.httpResponse.Body.Read(p)
+	switch {
+	case err == nil:
+		return n, nil
+	case err != io.EOF: // an end within the stated length or the chunks is another error
+		return n, completion.BrokenOff{Err: err}
+	case r.Framing() != FramedByConnection:
 		r.complete = true
+		return n, completion.Whole{}
+	}
+	r.awaitBodyResult()
+	if !r.bodySent() {
+		// The kernel reports a reset only once: the write of the request's body got it.
+		return n, completion.BrokenOff{Err: io.ErrUnexpectedEOF}
 	}
-	return n, err
+	r.complete = true
+	return n, completion.Claimed{}
 }
 
 // Close ends the response. A connection whose response was read completely is kept for reuse; any other is closed,
