--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -23,7 +23,6 @@
 	"verbenaledge.example/verbena/clock"
 	"verbenaledge.example/verbena/exchange"
 	"verbenaledge.example/verbena/ids"
-	"verbenaledge.example/verbenad/internal/slots"
 	"verbenaledge.example/verbenad/internal/upstream"
 )
 
@@ -59,7 +58,7 @@
 	protocol    exchange.Protocol
 	jobProtocol JobProtocol
 	jobOwners   JobOwners
-	slots       *slots.Client
+	slots       SlotSource
 	client      *upstream.Client
 	clock       clock.Clock
 	catalog     atomic.Pointer[catalog.Catalog]
@@ -75,7 +74,7 @@
 
 // New returns a handler without a configuration.
 func New(
-	p exchange.Protocol, jobProtocol JobProtocol, jobOwners JobOwners, s *slots.Client, u *upstream.Client, c clock.Clock, memoryMB int,
+	p exchange.Protocol, jobProtocol JobProtocol, jobOwners JobOwners, s SlotSource, u *upstream.Client, c clock.Clock, memoryMB int,
 ) *Handler {
 	return &Handler{
 		protocol: p, jobProtocol: jobProtocol, jobOwners: jobOwners, slots: s, client: u, clock: c, retryBudget: newRetryBudget(),
