fix: an answer with HTTP/1.0 and chunks looked complete wherever its connection ended

Callers saw: 200 with the server's chunk sizes within the body, and a proper end at any byte at which the server closed the connection; a stream ended as complete after any whole event.

Cause: HTTP/1.0 has no chunks. net/http drops the header Transfer-Encoding of such a response without a sign and reads up to the end of the connection, which then counts as the server's word on a body that shows its own end. RFC 9112, 6.1: the framing of such a message is faulty. It is refused now (ErrFaultyFraming), as an answer that was lost: repeated where the route allows it, else 502.

No server was seen to answer in this form. A head that exceeds the read buffer of 4 KiB before it states the encoding isn't found.

--- a/verbenad/internal/upstream/head.go
+++ b/verbenad/internal/upstream/head.go
@@ -40,7 +40,9 @@
 	c.headLimit.remaining, c.headLimit.active = maxHeadBytes, true
 	defer func() { c.headLimit.active = false }()
 	for {
-		response, err = http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err = c.checkFraming(); err == nil {
+			response, err = http.ReadResponse(c.reader, &http.Request{Method: method})
+		}
 		if err != nil && c.headLimit.remaining <= 0 {
 			err = fmt.Errorf("%w: %w", ErrHeadTooLong, err) // the parser may only have reported a line that is cut off
 		}
