--- a/verbenad/internal/upstream/relayed_test.go
+++ b/verbenad/internal/upstream/relayed_test.go
@@ -41,7 +41,8 @@
 func (s *relayServers) Listed(id ids.BackendID) (directory.Server, bool) {
 	return s.server, id == s.server.ID
 }
-func (s *relayServers) Bypassed(ids.BackendID) bool { return false }
+func (s *relayServers) Bypassed(ids.BackendID) bool      { return false }
+func (s *relayServers) ReachesOthers(ids.BackendID) bool { return true }
 func (s *relayServers) DialDirect(ctx context.Context, server directory.Server) (net.Conn, error) {
 	return s.client.DialDirect(ctx, server)
 }
@@ -93,7 +94,7 @@
 		response, err := client.Send(t.Context(), testProtocol{}, request(s, "a", []byte("a")))
 		c.Assert(err, qt.IsNil)
 		defer response.Close()
-		_, err = io.ReadAll(response)
+		_, err = readBody(response)
 		c.Assert(err, qt.IsNil)
 		return response.Relayed
 	}
