fix: lines that are logged after the log is closed are dropped

Seen: verbenad ended an orderly stop with a panic and exit status 2 (5 of 5 hosts in a rolling restart on the users' platform, before this commit): send on closed channel in logs.(*Writer).Write, after Writer.Close. Cause: the role returns, closes the log and exits; the connections to other hosts end with the same context and log that they ended. Writer.Close closed the channel that Write sends to. Ruled out: a second Close; it is called once. Test: TestLinesAfterCloseAreDropped, TestWritersDuringClose (32 goroutines write while it closes, with -race) and TestCloseOfBlockedOutputEnds; before, all three failed: two with the panic, the second with a data race as well. Conclusion: the queue is closed under a lock that Write takes as a reader. A line that comes later is dropped and counted; neither waits for the reader of the output. Lines that were queued before are written.

--- a/verbenad/internal/logs/writer.go
+++ b/verbenad/internal/logs/writer.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,13 +22,17 @@
 
 var droppedTotal = metrics.NewCounter("verbenad_log_lines_dropped_total")
 
-// Writer queues lines for another writer, and drops them if there are too many.
+// Writer queues lines for another writer, and drops them if there are too many or if it is closed.
 type Writer struct {
-	lines   chan []byte
 	second  atomic.Int64
 	count   atomic.Int64
 	dropped atomic.Int64
 	done    chan struct{}
+
+	// mu keeps Close from closing lines while Write sends to it.
+	mu     sync.RWMutex
+	closed bool
+	lines  chan []byte
 }
 
 // NewWriter returns a Writer that writes to out in a goroutine of its own.
@@ -39,16 +44,25 @@
 
 // Write queues a line, or drops it and counts it. It never fails.
 func (w *Writer) Write(p []byte) (int, error) {
-	if !w.takeQuota(time.Now().Unix()) {
+	if !w.takeQuota(time.Now().Unix()) || !w.enqueue(append([]byte(nil), p...)) {
 		w.drop()
-		return len(p), nil
+	}
+	return len(p), nil
+}
+
+// enqueue queues a line, unless the queue is full or closed.
+func (w *Writer) enqueue(line []byte) (queued bool) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		return false
 	}
 	select {
-	case w.lines <- append([]byte(nil), p...):
+	case w.lines <- line:
+		return true
 	default:
-		w.drop()
+		return false
 	}
-	return len(p), nil
 }
 
 func (w *Writer) takeQuota(second int64) bool {
@@ -75,11 +89,21 @@
 	}
 }
 
-// Close writes the queued lines, for at most closeTimeout.
+// Close writes the queued lines, for at most closeTimeout. Connections that end with the process log after that; their
+// lines are dropped and counted.
 func (w *Writer) Close() {
-	close(w.lines)
+	w.closeQueue()
 	select {
 	case <-w.done:
 	case <-time.After(closeTimeout):
 	}
 }
+
+func (w *Writer) closeQueue() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+}
