test: the soak checks how processes end, and looks for crash reports

A process that ended by itself was started again unnoticed by the end of another fault, and after the faults nobody looked. The tests of fleets did the same. Now: processes are asked to stop at the end; one that is asked ends with status 0 in time (stop); none ends by itself, at any time, and no output has panic:, fatal error:, panic serving or a data race (crash). Tests of fleets check status and output as well. Open: a program that gets SIGTERM within the first milliseconds, before it has set its handler, ends by the signal and breaks stop.

--- a/verbenalab/internal/fleet/fleet_test.go
+++ b/verbenalab/internal/fleet/fleet_test.go
@@ -16,6 +16,7 @@
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbenalab/internal/fleet"
 	"verbenaledge.example/verbenalab/internal/load"
+	"verbenaledge.example/verbenalab/internal/process"
 )
 
 const (
@@ -95,6 +96,7 @@
 			logTails(t, config.Dir)
 		}
 		started.Close()
+		checkNoCrash(checker, config.Dir)
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -115,6 +117,18 @@
 	return f
 }
 
+// checkNoCrash checks that no process of a fleet has written a crash report.
+func checkNoCrash(c *qt.C, dir string) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	c.Check(err, qt.IsNil)
+	c.Check(files, qt.Not(qt.HasLen), 0)
+	for _, n := range files {
+		reports, err := process.CrashReports(n, 0)
+		c.Check(err, qt.IsNil)
+		c.Check(reports, qt.HasLen, 0, qt.Commentf("%s", filepath.Base(n)))
+	}
+}
+
 // logTails logs the last lines of the daemons' logs and timelines.
 func logTails(t *testing.T, dir string) {
 	t.Helper()
--- a/verbenalab/internal/fleet/restart_test.go
+++ b/verbenalab/internal/fleet/restart_test.go
@@ -19,7 +19,7 @@
 func (f *testFleet) rollingRestart() {
 	for _, h := range f.Hosts {
 		time.Sleep(time.Second)
-		f.Assert(h.Terminate(40*time.Second), qt.IsTrue)
+		f.Assert(h.Terminate(40*time.Second), qt.IsNil)
 		f.Assert(f.StartHost(h), qt.IsNil)
 		f.Assert(f.WaitReady(), qt.IsNil)
 	}
--- a/verbenalab/internal/fleet/upgrade_test.go
+++ b/verbenalab/internal/fleet/upgrade_test.go
@@ -51,7 +51,7 @@
 
 	var collector answerCollector
 	for i, h := range f.Hosts {
-		f.Assert(h.Terminate(upgradeStopLimit), qt.IsTrue)
+		f.Assert(h.Terminate(upgradeStopLimit), qt.IsNil)
 		f.Assert(f.StartHostFrom(newProgramsDir, h), qt.IsNil)
 		f.Assert(f.WaitReady(), qt.IsNil)
 		for j := range 100 {
--- a/verbenalab/internal/process/process.go
+++ b/verbenalab/internal/process/process.go
@@ -40,7 +40,7 @@
 	}
 	p = &Process{Name: name, cmd: cmd, exited: make(chan struct{})}
 	go func() {
-		_ = cmd.Wait() // the program's log shows why it exited
+		_ = cmd.Wait() // ExitStatus returns how the program exited, and its log shows why
 		_ = out.Close()
 		close(p.exited)
 	}()
@@ -67,15 +67,36 @@
 // Resume continues a paused process.
 func (p *Process) Resume() { p.Signal(syscall.SIGCONT) }
 
-// Terminate sends SIGTERM and waits for the exit. It reports whether the process exited within the limit.
-func (p *Process) Terminate(limit time.Duration) (ok bool) {
+// Terminate sends SIGTERM and waits for the exit. It returns an error unless the process exits within the limit with
+// status 0.
+func (p *Process) Terminate(limit time.Duration) error {
 	p.Signal(syscall.SIGTERM)
 	select {
 	case <-p.exited:
-		return true
 	case <-time.After(limit):
+		return fmt.Errorf("%s still runs %s after SIGTERM", p.Name, limit)
+	}
+	if p.cmd.ProcessState.ExitCode() != 0 {
+		return fmt.Errorf("%s was asked to stop and ended with %s", p.Name, p.ExitStatus())
+	}
+	return nil
+}
+
+// Killed reports whether the process ended with SIGKILL. It is false while the process runs.
+func (p *Process) Killed() bool {
+	if !p.Exited() {
 		return false
 	}
+	status, ok := p.cmd.ProcessState.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == syscall.SIGKILL
+}
+
+// ExitStatus describes how the process exited, for instance "exit status 2"; empty while it runs.
+func (p *Process) ExitStatus() string {
+	if !p.Exited() {
+		return ""
+	}
+	return p.cmd.ProcessState.String()
 }
 
 // Exited reports whether the process has exited.
--- a/verbenalab/internal/soak/check_test.go
+++ b/verbenalab/internal/soak/check_test.go
@@ -74,6 +74,7 @@
 			readCall(2, 3500), readCall(1, 3600, completedItem("job1-1")),
 		},
 	}
+	ev.ProcessEnds = append(ev.ProcessEnds, soak.ProcessEnd{Process: "front-0#2", Asked: true, Status: "exit status 0", At: at(4000)})
 	withdrawn := appCall("f", 401, "{}")
 	withdrawn.Key, withdrawn.Sent, withdrawn.Ended = "key-withdrawn", at(2000), at(2010)
 	ev.Calls = append(ev.Calls, withdrawn)
@@ -159,6 +160,13 @@
 		}},
 		{"a result that was read is gone", "kept", func(ev *soak.Evidence) { ev.JobCalls = append(ev.JobCalls, readCall(1, 5000)) }},
 		{"a draining server receives requests", "leaving", func(ev *soak.Evidence) { ev.ServerRuns = append(ev.ServerRuns, serverRun("x", "server-0", 63_500)) }},
+		{"a process that crashes when asked to stop", "stop", func(ev *soak.Evidence) { ev.ProcessEnds[0].Status = "exit status 2" }},
+		{"a process that SIGTERM ends without its doing", "stop", func(ev *soak.Evidence) { ev.ProcessEnds[0].Status = "signal: terminated" }},
+		{"a process that doesn't stop", "stop", func(ev *soak.Evidence) { ev.ProcessEnds[0].Status = "" }},
+		{"a process that ends by itself", "crash", func(ev *soak.Evidence) { ev.ProcessEnds[0].Asked = false }},
+		{"a panic in a log", "crash", func(ev *soak.Evidence) {
+			ev.CrashReports = append(ev.CrashReports, soak.CrashReport{Host: "front-0", Text: "panic: send on closed channel"})
+		}},
 		{"requests without a caller", "left running", func(ev *soak.Evidence) { ev.StillRunning = 1 }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/verbenalab/internal/soak/environment.go
+++ b/verbenalab/internal/soak/environment.go
@@ -95,6 +95,7 @@
 	keyWithdrawn bool
 	violations   []Violation
 	disturbances []Disturbance
+	processEnds  []ProcessEnd
 }
 
 func address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
--- a/verbenalab/internal/soak/evidence.go
+++ b/verbenalab/internal/soak/evidence.go
@@ -85,6 +85,10 @@
 	Containment  Containment
 	LimitPeriods []LimitPeriod
 	Disturbances []Disturbance
+	ProcessEnds  []ProcessEnd
+	CrashReports []CrashReport
+	// EndedAt is the time when all processes had ended.
+	EndedAt time.Time
 }
 
 // journal records the calls of all callers.
--- a/verbenalab/internal/soak/host.go
+++ b/verbenalab/internal/soak/host.go
@@ -34,12 +34,17 @@
 	starts    int
 	shouldRun bool
 	stopping  sync.WaitGroup
+	// logOffset is the size of the log file before the first start.
+	logOffset int64
 }
 
 func (h *host) settingsFile() string { return filepath.Join(h.env.options.Dir, h.name+".json") }
 
 // prepare writes the settings file and starts the relays.
 func (h *host) prepare(seeds []string) (err error) {
+	if info, err := os.Stat(h.logFile()); err == nil {
+		h.logOffset = info.Size() // the folder has logs of an earlier run
+	}
 	s := standin.HostSettings{
 		Name: h.name, IP: h.ip, Zone: "z", Serves: h.role, PeerPort: peerPort, Store: address(h.advertisedIP, storePort), Seeds: seeds,
 	}
@@ -62,7 +67,8 @@
 func (h *host) ensureRunning() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.process != nil && !h.process.Exited() && h.shouldRun {
+	h.recordCrash()
+	if h.process != nil && h.shouldRun {
 		return
 	}
 	h.stopping.Wait()
@@ -81,9 +87,11 @@
 func (h *host) processName() (name string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return fmt.Sprintf("%s#%d", h.name, h.starts)
+	return h.currentName()
 }
 
+func (h *host) currentName() string { return fmt.Sprintf("%s#%d", h.name, h.starts) }
+
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -95,38 +103,47 @@
 func (h *host) kill() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.recordCrash()
 	if h.process == nil || !h.shouldRun {
 		return
 	}
 	h.shouldRun = false
 	h.process.Kill()
+	if !h.process.Killed() { // it ended just before
+		h.env.addEnd(ProcessEnd{h.currentName(), false, h.process.ExitStatus(), time.Now()})
+	}
 }
 
-// stop sends SIGTERM. A process that doesn't exit within stopTimeout is a violation and is killed.
+// stop sends SIGTERM. A process that doesn't exit within stopTimeout is killed.
 func (h *host) stop() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.recordCrash()
 	if h.process == nil || !h.shouldRun {
 		return
 	}
 	h.shouldRun = false
-	p := h.process
+	p, name := h.process, h.currentName()
 	p.Resume() // a paused process can't exit
 	h.stopping.Go(func() {
-		if !p.Terminate(stopTimeout) {
-			h.env.addViolation("stop", h.name, fmt.Sprintf("still runs %s after SIGTERM", stopTimeout))
-			p.Kill()
-		}
+		_ = p.Terminate(stopTimeout) // its end is recorded, empty if it still runs
+		h.env.addEnd(ProcessEnd{name, true, p.ExitStatus(), time.Now()})
+		p.Kill()
 	})
 }
 
-// checkCrashed records a violation if the process exited without being stopped.
+// checkCrashed records the end of a process that exited without being stopped.
 func (h *host) checkCrashed() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.recordCrash()
+}
+
+// recordCrash is called with h.mu held.
+func (h *host) recordCrash() {
 	if h.shouldRun && h.process != nil && h.process.Exited() {
 		h.shouldRun = false
-		h.env.addViolation("crash", h.name, "the process exited unexpectedly")
+		h.env.addEnd(ProcessEnd{h.currentName(), false, h.process.ExitStatus(), time.Now()})
 	}
 }
 
--- a/verbenalab/internal/soak/run.go
+++ b/verbenalab/internal/soak/run.go
@@ -185,7 +185,9 @@
 // maxLogLines bounds the log lines that are reported for a violation.
 const maxLogLines = 30
 
+// finishReport stops the processes and checks the evidence.
 func (e *Environment) finishReport(r Report, ev *Evidence) Report {
+	e.stopHosts(ev)
 	e.mu.Lock()
 	r.Violations = append(slices.Clone(e.violations), Check(ev)...)
 	e.mu.Unlock()
