fix: panics of callers' handlers are logged

Cause: net/http recovers from a panic of a handler and logs it; the loggers of both programs' servers took such lines for broken connections and only counted or dropped them. The caller sees a connection that is closed, the operator nothing.

--- a/verbenad/internal/daemon/executor.go
+++ b/verbenad/internal/daemon/executor.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	stdlog "log"
 	"sync"
 	"sync/atomic"
 
@@ -236,8 +234,3 @@
 	}
 	return nil
 }
-
-// discardLogger drops the HTTP library's log lines about broken connections, which the daemon counts itself.
-func discardLogger() *stdlog.Logger {
-	return stdlog.New(io.Discard, "", 0)
-}
--- a/verbenad/internal/daemon/start_steps.go
+++ b/verbenad/internal/daemon/start_steps.go
@@ -24,6 +24,7 @@
 	"verbenaledge.example/verbenad/internal/control"
 	"verbenaledge.example/verbenad/internal/items"
 	"verbenaledge.example/verbenad/internal/jobs"
+	"verbenaledge.example/verbenad/internal/logs"
 	"verbenaledge.example/verbenad/internal/metric"
 	"verbenaledge.example/verbenad/internal/operator"
 	"verbenaledge.example/verbenad/internal/peer"
@@ -208,7 +209,7 @@
 	if err != nil {
 		return err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: discardLogger()}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: logs.NewServerErrorLog(func() {})}
 	d.httpServers = append(d.httpServers, s)
 	d.cleanup = append(d.cleanup, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
--- a/verbenad/internal/host/callers.go
+++ b/verbenad/internal/host/callers.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"verbenaledge.example/verbenad/internal/entry"
+	"verbenaledge.example/verbenad/internal/logs"
 	"verbenaledge.example/verbenad/internal/slots"
 )
 
@@ -33,8 +34,8 @@
 	connections := newCallerConnections()
 	listener := &drainingListener{Listener: ln}
 	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: newConnectionErrorLog(),
-		ConnState: connections.stateChanged, ConnContext: entry.ConnContext,
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: logs.NewServerErrorLog(callerConnectionErrors.Inc), ConnState: connections.stateChanged, ConnContext: entry.ConnContext,
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- s.Serve(listener) }()
