--- a/verbenalab/internal/soak/environment.go
+++ b/verbenalab/internal/soak/environment.go
@@ -95,6 +95,10 @@
 	keyWithdrawn bool
 	violations   []Violation
 	disturbances []Disturbance
+	processEnds  []ProcessEnd
+	hostFaults   []Disturbance
+	cutsInForce  []cutInForce
+	cutPeriods   []CutPeriod
 }
 
 func address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
