--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -221,50 +220,6 @@
 	return i.readEvents(runCtx, slot, answer, &o, progress)
 }
 
-// release gives a slot back. If an answer was broken off, it first finds out whether this host has lost the path to the server,
-// which says nothing about the server.
-func (i *itemRun) release(slot *slots.Slot, o dispatch.Outcome) {
-	err, relayed := i.brokenBy, i.relayed
-	if o.Result != dispatch.Broken || err == nil {
-		i.owner.slots.Release(slot, o)
-		return
-	}
-	go func() {
-		if i.owner.client.PathFailed(slot.Server, relayed, err) {
-			o.Result = dispatch.NoPath
-		}
-		i.owner.slots.Release(slot, o)
-	}()
-}
-
-// classifyError returns the dispatch result of a send that ended before its answer was complete. Unless the send was
-// cancelled, it excludes the server from the item's next slot requests.
-func (i *itemRun) classifyError(runCtx context.Context, slot *slots.Slot, err error) dispatch.Result {
-	select {
-	case <-slot.Yielded:
-		return dispatch.Cancelled
-	default:
-	}
-	if runCtx.Err() != nil {
-		return dispatch.Cancelled
-	}
-	log.WithError(err).WithFields(log.Fields{"job": i.record.Job.ID, "item": i.item.ID, "server": slot.Server.ID}).Warn("item's run broke off")
-	i.exclude = []ids.BackendID{slot.Server.ID}
-	i.lost = lostServer{start: startOf(slot.Server), at: i.owner.clock.Now()}
-	i.brokenBy = err
-	var e *upstream.Error
-	switch {
-	case !errors.As(err, &e):
-		return dispatch.Broken
-	case e.Connected:
-		i.relayed = e.Relayed
-		return dispatch.Broken
-	case e.PathBroken:
-		return dispatch.NoPath
-	}
-	return dispatch.Unreachable
-}
-
 // classifyRefusal returns the dispatch result of an answer that isn't an event stream, and its effect on the item.
 func (i *itemRun) classifyRefusal(route *catalog.Route, a *upstream.Response) (dispatch.Result, sendResult) {
 	if a.Info.NotExecuted {
