fix: a connection that its server closed in one direction and then reset counted as closed in order

A response without length and chunks is complete if its server closed the connection in order. Callers would get such a response as complete although the connection was reset.

Cause: once the end of one direction has arrived, the kernel reports that end to each read, and no reset that follows. A request of which the rest waits in this host's buffers counts as written, so the check of the write's result doesn't find it either. The state of the connection is asked now: the server must have received the whole request, and the connection must not have been reset by the time its end is read. An answer to HEAD is whole with its head, and asks nothing.

Ruled out: an early answer of a server that closes its direction and reads on (TestEarlyUnframedAnswerLooksBroken).

Before: TestResetAfterCloseLooksComplete failed in 3 of 3 cases, TestCloseBeforeRequestArrivedLooksComplete in 1 of 1. After: both pass, with the other tests of upstream and the race detector. A reset that arrives after the end has been read isn't seen: the server's word stands then.

--- /dev/null
+++ b/verbenad/internal/upstream/orderly_close.go
@@ -0,0 +1,56 @@
+package upstream
+
+import (
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sys/unix"
+)
+
+// acknowledgementPoll is the time between checks whether a server has received the rest of a request.
+const acknowledgementPoll = 5 * time.Millisecond
+
+// tcpCloseWait is the kernel's state of a connection whose other direction has been closed in order, and that hasn't been
+// reset since. A read can't tell: once the end of a direction has arrived, it reports that end and no reset.
+const tcpCloseWait = 8
+
+// closedInOrder reports whether the server has closed its direction of the connection in order after it had received the
+// whole request. It waits for the receipt, as it does for the result of writing the body. Other connections than those of the
+// kernel report no end but an orderly one.
+func (c *conn) closedInOrder() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	for end := time.Now().Add(bodyResultTimeout); ; time.Sleep(acknowledgementPoll) {
+		info, err := tcpInfo(sc)
+		if err != nil {
+			log.WithError(err).WithField("server", c.RemoteAddr().String()).Warn("cannot read the state of a connection")
+			return false
+		}
+		if info.State != tcpCloseWait {
+			return false
+		}
+		if info.Unacked == 0 && info.Notsent_bytes == 0 {
+			return true
+		}
+		if time.Now().After(end) {
+			return false
+		}
+	}
+}
+
+func tcpInfo(c syscall.Conn) (info *unix.TCPInfo, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	controlErr := raw.Control(func(fd uintptr) {
+		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if controlErr != nil {
+		return nil, controlErr
+	}
+	return info, err
+}
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -188,12 +188,12 @@
 		return n, nil
 	case err != io.EOF: // an end within the stated length or the chunks is another error
 		return n, completion.BrokenOff{Err: err}
-	case r.Framing() != FramedByConnection:
+	case r.Framing() != FramedByConnection, r.httpResponse.Body == http.NoBody:
 		r.complete = true
 		return n, completion.Whole{}
 	}
 	r.awaitBodyResult()
-	if !r.bodySent() {
+	if !r.bodySent() || !r.conn.closedInOrder() {
 		// The kernel reports a reset only once: the write of the request's body got it.
 		return n, completion.BrokenOff{Err: io.ErrUnexpectedEOF}
 	}
