fix: a relayed connection that was closed in one direction and then reset counted as closed in order

The relay now asks the kernel before it reports an orderly close, and its word counts for the host. The check stands in tcpstate.

--- a/verbenad/internal/serverrelay/pipe.go
+++ b/verbenad/internal/serverrelay/pipe.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"verbenaledge.example/verbenad/internal/tcpstate"
 )
 
 const (
@@ -103,7 +105,7 @@
 		return // closed by this host; the other one takes the end of its connection for the relay's
 	}
 	kind := resetChunk
-	if errors.Is(err, io.EOF) && p.requestsWritten() {
+	if errors.Is(err, io.EOF) && p.requestsWritten() && tcpstate.ClosedInOrder(p.server, requestWriteWait) {
 		kind = closedChunk
 	}
 	var chunk [chunkHeaderSize]byte
--- a/verbenad/internal/serverrelay/relay_test.go
+++ b/verbenad/internal/serverrelay/relay_test.go
@@ -112,6 +112,11 @@
 			_ = c.SetLinger(0)
 			_ = c.Close()
 		}, syscall.ECONNRESET},
+		{"orderly end of one direction, then a reset", func(c *net.TCPConn, _ context.CancelFunc) {
+			_ = c.CloseWrite()
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		}, syscall.ECONNRESET},
 		{"end of the relay", func(_ *net.TCPConn, endRelay context.CancelFunc) { endRelay() }, ErrRelayLost},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/verbenad/internal/upstream/orderly_close.go
+++ b/verbenad/internal/tcpstate/closed_in_order.go
@@ -1,6 +1,8 @@
-package upstream
+// Package tcpstate tells what the kernel knows of the end of a connection and a read does not report.
+package tcpstate
 
 import (
+	"net"
 	"syscall"
 	"time"
 
@@ -15,18 +17,18 @@
 // reset since. A read can't tell: once the end of a direction has arrived, it reports that end and no reset.
 const tcpCloseWait = 8
 
-// closedInOrder reports whether the server has closed its direction of the connection in order after it had received the
-// whole request. It waits for the receipt, as it does for the result of writing the body. Other connections than those of the
-// kernel report no end but an orderly one.
-func (c *conn) closedInOrder() bool {
-	sc, ok := c.Conn.(syscall.Conn)
+// ClosedInOrder reports whether the peer has closed its direction of a connection in order after it had received all that was
+// written. It waits for the receipt as long as given. Other connections than those of the kernel report no end but an orderly
+// one.
+func ClosedInOrder(c net.Conn, wait time.Duration) bool {
+	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	for end := time.Now().Add(bodyResultTimeout); ; time.Sleep(acknowledgementPoll) {
+	for end := time.Now().Add(wait); ; time.Sleep(acknowledgementPoll) {
 		info, err := tcpInfo(sc)
 		if err != nil {
-			log.WithError(err).WithField("server", c.RemoteAddr().String()).Warn("cannot read the state of a connection")
+			log.WithError(err).WithField("peer", c.RemoteAddr().String()).Warn("cannot read the state of a connection")
 			return false
 		}
 		if info.State != tcpCloseWait {
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -14,6 +14,7 @@
 	"verbenaledge.example/verbena/exchange"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/limit"
+	"verbenaledge.example/verbenad/internal/tcpstate"
 )
 
 // Execution is what is known about whether a server executed a request.
@@ -205,7 +206,7 @@
 		return n, completion.Whole{}
 	}
 	r.awaitBodyResult()
-	if !r.bodySent() || !r.conn.closedInOrder() {
+	if !r.bodySent() || !r.conn.relayed && !tcpstate.ClosedInOrder(r.conn.Conn, bodyResultTimeout) { // a relay has asked itself
 		// The kernel reports a reset only once: the write of the request's body got it.
 		return n, completion.BrokenOff{Err: io.ErrUnexpectedEOF}
 	}
