fix: hosts learn from others that a server's machine is gone

Each connection to a server whose machine was gone made up to four other hosts connect to it as well, for each request, and took 100 ms longer than a direct one alone.

Cause: a host that asks relays for a server stops for a second once one of them says that it is unreachable. A relay said so only if the connection was refused; a silent one might be its own path's fault. And its reply came after the host that asked had given up.

Now a relay that has reached any server since its attempt began says so, too. It takes 200 ms at most, so that the reply arrives, and the host heeds a reply that it has when its time is over.

TestRelayTellsDeadServers and TestDeadServerIsNotAskedForEachTime (one more attempt of the relay) failed before, and pass 2 of 2 with the race detector. The silent path of TestRelayRejects is as before: a relay that hears no server doesn't judge.

--- a/verbena/reachability/tracker.go
+++ b/verbena/reachability/tracker.go
@@ -167,6 +167,11 @@
 	return true
 }
 
+// ReachedSince reports whether this host has reached any server directly since a moment.
+func (t *Tracker) ReachedSince(moment time.Time) bool {
+	return t.directAt.After(moment) || t.heardAt.After(moment)
+}
+
 // DirectHeadStart is how long a direct connection may take before the path counts as broken if another host reaches the
 // server.
 func DirectHeadStart() time.Duration { return directHeadStart }
--- a/verbenad/internal/serverrelay/dialer.go
+++ b/verbenad/internal/serverrelay/dialer.go
@@ -64,6 +64,9 @@
 		select {
 		case <-ctx.Done():
 			go closeLate(ended, running)
+			if errors.Is(err, ErrServerUnreachable) {
+				return nil, err
+			}
 			return nil, ctx.Err()
 		case <-next.C:
 			if started < len(relays) {
--- a/verbenad/internal/serverrelay/relay.go
+++ b/verbenad/internal/serverrelay/relay.go
@@ -21,6 +21,8 @@
 const (
 	// maxConnections bounds the connections that one host relays. Each takes two file descriptors and some 40 kB.
 	maxConnections = 256
+	// dialTimeout is how long a relay tries to connect: it replies before the host that asked gives up.
+	dialTimeout = 200 * time.Millisecond
 	// stopPollInterval is the time between checks for connections that are still relayed.
 	stopPollInterval = 20 * time.Millisecond
 )
@@ -36,6 +38,8 @@
 	Listed(id ids.BackendID) (s directory.Server, ok bool)
 	// Bypassed reports whether this host itself reaches the server only over another host.
 	Bypassed(id ids.BackendID) bool
+	// ReachedSince reports whether this host has reached any server directly since a moment.
+	ReachedSince(moment time.Time) bool
 	// DialDirect connects to a server directly.
 	DialDirect(ctx context.Context, s directory.Server) (net.Conn, error)
 }
@@ -103,12 +107,15 @@
 	case r.servers.Bypassed(request.Server):
 		return nil, hostlink.RelayCutOff
 	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	start := time.Now()
 	c, err := r.servers.DialDirect(ctx, s)
 	if err == nil {
 		return c, hostlink.ServerConnected
 	}
 	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	if errors.As(err, &timeout) && timeout.Timeout() && !r.servers.ReachedSince(start) {
 		return nil, hostlink.RelayCutOff // this host's own path may be broken
 	}
 	return nil, hostlink.ServerUnreachable
--- a/verbenad/internal/serverrelay/relay_test.go
+++ b/verbenad/internal/serverrelay/relay_test.go
@@ -21,9 +21,10 @@
 
 // testServers are the servers that a relay knows.
 type testServers struct {
-	listed   directory.Server
-	bypassed bool
-	dialErr  error
+	listed        directory.Server
+	bypassed      bool
+	dialErr       error
+	reachesOthers bool
 	// onDial is called before each connection, unless it is nil.
 	onDial func()
 }
@@ -31,6 +32,7 @@
 func (s *testServers) Listed(id ids.BackendID) (directory.Server, bool) {
 	return s.listed, id == s.listed.ID
 }
+func (s *testServers) ReachedSince(time.Time) bool { return s.reachesOthers }
 func (s *testServers) Bypassed(ids.BackendID) bool { return s.bypassed }
 func (s *testServers) DialDirect(ctx context.Context, server directory.Server) (net.Conn, error) {
 	if s.onDial != nil {
@@ -299,6 +301,20 @@
 	c.Check(open, qt.Equals, maxConnections)
 }
 
+// TestRelayTellsDeadServers guards against hosts that ask all relays at each connection to a server that lost its machine, as
+// relays that hear other servers don't say that this one is unreachable.
+func TestRelayTellsDeadServers(t *testing.T) {
+	c := qt.New(t)
+	servers := &testServers{listed: directory.Server{ID: "s", Address: "127.0.0.1:1"}, dialErr: context.DeadlineExceeded, reachesOthers: true}
+	address, _ := startRelay(t, NewRelay(servers))
+	_, err := dialer(address).DialServer(t.Context(), servers.listed)
+	c.Check(err, qt.ErrorIs, ErrServerUnreachable)
+	cutOff := &testServers{listed: servers.listed, dialErr: context.DeadlineExceeded}
+	address, _ = startRelay(t, NewRelay(cutOff))
+	_, err = dialer(address).DialServer(t.Context(), servers.listed)
+	c.Check(err, qt.ErrorIs, ErrNoRelay)
+}
+
 // TestInvalidChunks guards against bytes that no relay sends: they end the connection and never look like the server's.
 func TestInvalidChunks(t *testing.T) {
 	for _, raw := range []string{"\x00\x00\x00", "\x09\x00\x00", "\x01\x00\x00", "\x01\xff\xff", "\x02\x00\x01x", "\x01\x00"} {
--- a/verbenad/internal/upstream/paths.go
+++ b/verbenad/internal/upstream/paths.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
@@ -76,6 +77,13 @@
 	return c.paths.tracker.Bypassed(c.clock.Now(), id)
 }
 
+// ReachedSince reports whether this host has reached any server directly since a moment.
+func (c *Client) ReachedSince(moment time.Time) bool {
+	c.paths.mu.Lock()
+	defer c.paths.mu.Unlock()
+	return c.paths.tracker.ReachedSince(moment)
+}
+
 // recordConnected records that a direct connection was established.
 func (c *Client) recordConnected(s directory.Server) {
 	c.paths.mu.Lock()
--- a/verbenad/internal/upstream/relayed_test.go
+++ b/verbenad/internal/upstream/relayed_test.go
@@ -36,13 +36,26 @@
 type relayServers struct {
 	server directory.Server
 	client *Client
+	// dead is set if the server's machine is gone; dials counts the attempts to connect to it.
+	dead  atomic.Bool
+	dials atomic.Int64
 }
 
 func (s *relayServers) Listed(id ids.BackendID) (directory.Server, bool) {
 	return s.server, id == s.server.ID
 }
 func (s *relayServers) Bypassed(ids.BackendID) bool { return false }
+
+func (s *relayServers) ReachedSince(moment time.Time) bool {
+	return s.dead.Load() || s.client.ReachedSince(moment)
+}
+
 func (s *relayServers) DialDirect(ctx context.Context, server directory.Server) (net.Conn, error) {
+	s.dials.Add(1)
+	if s.dead.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	return s.client.DialDirect(ctx, server)
 }
 
@@ -54,13 +67,17 @@
 
 // startRelay starts a host that relays connections to a server, and returns a dialer that uses it.
 func startRelay(t *testing.T, s directory.Server) (*serverrelay.Dialer, *serverrelay.Relay) {
+	return startRelayOf(t, &relayServers{server: s, client: NewClient(clock.System{})})
+}
+
+func startRelayOf(t *testing.T, servers *relayServers) (*serverrelay.Dialer, *serverrelay.Relay) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	address := ln.Addr().String()
 	qt.Assert(t, ln.Close(), qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	relay := serverrelay.NewRelay(&relayServers{server: s, client: NewClient(clock.System{})})
+	relay := serverrelay.NewRelay(servers)
 	go func() {
 		ended <- hostlink.Listen(ctx, address, noOwners{}, func(l *hostlink.Link, _ hostlink.Frame) { l.Close() }, hostlink.WithServerRelay(relay))
 	}()
@@ -167,3 +184,30 @@
 	c.Check(client.PathFailed(s, false, err), qt.IsTrue)
 	c.Check(client.PathFailed(s, false, ErrRequestIDMismatch), qt.IsFalse)
 }
+
+// silentDialer is the network to a machine that is gone.
+type silentDialer struct{}
+
+func (silentDialer) DialContext(ctx context.Context, _, _ string) (net.Conn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestDeadServerIsNotAskedForEachTime guards against hosts that have others connect, too, for each request to a server whose
+// machine is gone.
+func TestDeadServerIsNotAskedForEachTime(t *testing.T) {
+	c := qt.New(t)
+	s := directory.Server{ID: "s", Address: "127.0.0.1:1"}
+	servers := &relayServers{server: s, client: NewClient(clock.System{})}
+	servers.dead.Store(true)
+	relays, _ := startRelayOf(t, servers)
+	client := NewClient(clock.System{}, WithDialer(silentDialer{}), WithRelays(relays))
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end) && servers.dials.Load() == 0; {
+		_, err := send(t, client, request(s, "a", nil)) // the first ones may come before the relay listens
+		c.Assert(err, qt.IsNotNil)
+	}
+	asked := servers.dials.Load()
+	_, err := send(t, client, request(s, "b", nil))
+	c.Assert(err, qt.IsNotNil)
+	c.Check(servers.dials.Load(), qt.Equals, asked)
+}
