fix: a host that was held up doesn't take its own delay for a broken path

A busy host could close sound idle connections to a server, and use another host for up to half a second, though it had connected directly.

Cause: once another host had connected, a direct connection and the end of its time that were both found at once were chosen between at random.

Now the connection goes first.

--- a/verbenad/internal/upstream/connect.go
+++ b/verbenad/internal/upstream/connect.go
@@ -158,6 +158,12 @@
 		return
 	case <-timer.C:
 	}
+	select {
+	case r := <-a.direct: // both were ready
+		a.keepLate(r)
+		return
+	default:
+	}
 	a.client.recordBroken(a.server, errSilent)
 	a.keepLate(<-a.direct)
 }
--- a/verbenad/internal/upstream/relayed_test.go
+++ b/verbenad/internal/upstream/relayed_test.go
@@ -211,3 +211,20 @@
 	c.Assert(err, qt.IsNotNil)
 	c.Check(servers.dials.Load(), qt.Equals, asked)
 }
+
+// TestDirectConnectionBeatsTimer guards against a path that counts as broken although it was connected, as this host was held up and
+// found the connection and the end of its time at once.
+func TestDirectConnectionBeatsTimer(t *testing.T) {
+	c := qt.New(t)
+	client := NewClient(clock.System{}, WithRelays(&serverrelay.Dialer{}))
+	s := directory.Server{ID: "s"}
+	for range 100 {
+		ours, theirs := net.Pipe()
+		defer func() { _, _ = ours.Close(), theirs.Close() }()
+		direct := make(chan attempt, 1)
+		direct <- attempt{conn: client.newConn(ours, s, false)}
+		a := &connecting{client: client, server: s, direct: direct, directAt: time.Now().Add(-time.Second), cancelRelay: func() {}}
+		a.settle()
+		c.Assert(client.Bypassed(s.ID), qt.IsFalse)
+	}
+}
