--- a/verbenad/internal/serverrelay/relay.go
+++ b/verbenad/internal/serverrelay/relay.go
@@ -20,6 +20,8 @@
 const (
 	// maxConnections bounds the connections that one host relays. Each takes two file descriptors and some 40 kB.
 	maxConnections = 256
+	// dialTimeout is how long a relay tries to connect: it replies before the host that asked gives up.
+	dialTimeout = 200 * time.Millisecond
 	// stopPollInterval is the time between checks for connections that are still relayed.
 	stopPollInterval = 20 * time.Millisecond
 )
@@ -104,6 +106,8 @@
 	case r.servers.Bypassed(request.Server):
 		return nil, hostlink.RelayCutOff
 	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	c, err := r.servers.DialDirect(ctx, s)
 	if err == nil {
 		return c, hostlink.ServerConnected
