fix: a frozen relay swallows one request, not one for each connection over it

Callers of a cut-off host waited in vain, one after another, when the host that relayed was frozen or lost.

Cause: each unused connection over that relay was taken for the next request, which got no answer either.

Where the server is the silent one, or the caller left, that costs some new connections.

--- a/verbenad/internal/upstream/client.go
+++ b/verbenad/internal/upstream/client.go
@@ -130,3 +130,20 @@
 		c.idle[id] = kept
 	}
 }
+
+// closeUnusedOver closes the idle connections over a relay, which may be frozen.
+func (c *Client) closeUnusedOver(relay net.Addr) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, l := range c.idle {
+		kept := l[:0]
+		for _, cn := range l {
+			if !cn.relayed || cn.RemoteAddr().String() != relay.String() {
+				kept = append(kept, cn)
+				continue
+			}
+			_ = cn.Close() // idle, so nothing is lost
+		}
+		c.idle[id] = kept
+	}
+}
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -13,6 +13,7 @@
 	"verbenaledge.example/verbena/exchange"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/limit"
+	"verbenaledge.example/verbena/reachability"
 )
 
 // Execution is what is known about whether a server executed a request.
@@ -116,6 +117,9 @@
 	failed := func(err error) error {
 		detachContext()
 		_ = conn.Close() // it can't carry another request
+		if conn.relayed && c.clock.Now().Sub(start) >= reachability.SilenceLimit() {
+			c.closeUnusedOver(conn.RemoteAddr())
+		}
 		return &Error{Execution: MaybeExecuted, Connected: true, Relayed: conn.relayed, Err: err}
 	}
 	defer c.watchPath(conn, r.Server)()
