--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -14,6 +14,7 @@
 	"verbenaledge.example/verbena/exchange"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/limit"
+	"verbenaledge.example/verbena/reachability"
 	"verbenaledge.example/verbenad/internal/tcpstate"
 )
 
@@ -118,6 +119,9 @@
 	failed := func(err error) error {
 		detachContext()
 		_ = conn.Close() // it can't carry another request
+		if conn.relayed && c.clock.Now().Sub(start) >= reachability.SilenceLimit() {
+			c.closeUnusedOver(conn.RemoteAddr())
+		}
 		return &Error{Execution: MaybeExecuted, Connected: true, Relayed: conn.relayed, Err: err}
 	}
 	defer c.watchPath(conn, r.Server)()
