--- a/verbena/reachability/tracker.go
+++ b/verbena/reachability/tracker.go
@@ -34,9 +34,9 @@
 // Tracker is what one host knows of its paths to backend servers. It is not safe for concurrent use.
 type Tracker struct {
 	paths map[ids.BackendID]*path
-	// cutOffSince is when this host was cut off, zero if it isn't; cutOffBy is the failure that was seen last by then.
-	cutOffSince time.Time
-	cutOffBy    Failure
+	// cutOff is set while this host is cut off; cutOffBy is the failure that was seen last before.
+	cutOff   bool
+	cutOffBy Failure
 	// directAt is when a direct connection was last established, heardAt when a server last sent something on one.
 	directAt, heardAt time.Time
 	// directTriedAt is when a direct connection was last attempted while this host was cut off.
@@ -127,13 +127,10 @@
 }
 
 // Connected records that a direct connection was established.
-func (t *Tracker) Connected(now time.Time, id ids.BackendID) (changed bool) {
+func (t *Tracker) Connected(now time.Time, id ids.BackendID) {
 	p := t.path(id)
 	p.brokenAt, p.unreachableAt, p.heardAt = time.Time{}, time.Time{}, now
-	t.directAt = now
-	changed = t.CutOff()
-	t.cutOffSince = time.Time{}
-	return changed
+	t.directAt, t.cutOff = now, false
 }
 
 // Received records that the server sent something on a direct connection.
@@ -141,16 +138,14 @@
 	t.path(id).heardAt, t.heardAt = now, now
 }
 
-// ReachedByRelay records that another host reached the server and this one didn't. It reports whether this host is cut off
-// now and wasn't before.
-func (t *Tracker) ReachedByRelay(now time.Time, id ids.BackendID, failure Failure) (changed bool) {
+// ReachedByRelay records that another host reached the server and this one didn't.
+func (t *Tracker) ReachedByRelay(now time.Time, id ids.BackendID, failure Failure) {
 	p := t.path(id)
 	p.brokenAt, p.failure, p.unreachableAt = now, failure, time.Time{}
 	if t.CutOff() || t.brokenSinceDirect(now, failure) < min(cutOffServers, max(1, t.known)) {
-		return false
+		return
 	}
-	t.cutOffSince, t.cutOffBy, t.directTriedAt = now, failure, now
-	return true
+	t.cutOff, t.cutOffBy, t.directTriedAt = true, failure, now
 }
 
 // brokenSinceDirect counts the paths that were found broken since this host last reached a server directly.
@@ -189,10 +184,7 @@
 func SilenceLimit() time.Duration { return silenceLimit }
 
 // CutOff reports whether this host reaches no server directly, although other hosts do.
-func (t *Tracker) CutOff() bool { return !t.cutOffSince.IsZero() }
-
-// CutOffSince is when this host was cut off; it is zero if the host isn't.
-func (t *Tracker) CutOffSince() time.Time { return t.cutOffSince }
+func (t *Tracker) CutOff() bool { return t.cutOff }
 
 // BrokenPaths counts the servers that only other hosts reach.
 func (t *Tracker) BrokenPaths(now time.Time) (n int) {
--- a/verbenad/internal/upstream/paths.go
+++ b/verbenad/internal/upstream/paths.go
@@ -158,7 +158,7 @@
 func (c *Client) checkPath(s directory.Server) {
 	conn, err := c.connect(context.Background(), s, reachability.CheckPlan())
 	if err != nil {
-		log.WithError(err).WithField("server", s.ID).Info("silent server is reached on no path")
+		log.WithError(err).WithField("server", s.ID).Info("server that sends nothing is reached on no path")
 		return
 	}
 	c.putIdle(s.ID, conn, 0)
