--- a/verbena/reachability/tracker.go
+++ b/verbena/reachability/tracker.go
@@ -37,8 +37,8 @@
 	// cutOff is set while this host is cut off; cutOffBy is the failure that was seen last before.
 	cutOff   bool
 	cutOffBy Failure
-	// directAt is when a direct connection was last established, heardAt when a server last sent something on one.
-	directAt, heardAt time.Time
+	// directAt is when a direct connection was last established, receivedAt when a server last sent something on one.
+	directAt, receivedAt time.Time
 	// directTriedAt is when a direct connection was last attempted while this host was cut off.
 	directTriedAt time.Time
 	// known is the number of servers that are listed.
@@ -54,8 +54,8 @@
 	directTriedAt time.Time
 	// unreachableAt is when the server was last reached on neither path.
 	unreachableAt time.Time
-	// heardAt is when the server last sent something on a direct connection, checkedAt when the path was last checked.
-	heardAt, checkedAt time.Time
+	// receivedAt is when the server last sent something on a direct connection, checkedAt when the path was last checked.
+	receivedAt, checkedAt time.Time
 }
 
 // NewTracker returns a tracker of sound paths.
@@ -103,11 +103,11 @@
 // Bypassed reports whether connections to the server go over another host at present.
 func (t *Tracker) Bypassed(now time.Time, id ids.BackendID) bool { return t.bypassed(now, t.path(id)) }
 
-// ReachesOthers reports whether this host lately heard from another server directly, so that a server that it doesn't reach
+// ReachesOthers reports whether this host recently received data from another server directly, so that a server that it doesn't reach
 // has failed rather than its own path.
 func (t *Tracker) ReachesOthers(now time.Time, id ids.BackendID) bool {
 	for other, p := range t.paths {
-		if other != id && now.Sub(p.heardAt) < recentContact {
+		if other != id && now.Sub(p.receivedAt) < recentContact {
 			return !t.CutOff()
 		}
 	}
@@ -129,13 +129,13 @@
 // Connected records that a direct connection was established.
 func (t *Tracker) Connected(now time.Time, id ids.BackendID) {
 	p := t.path(id)
-	p.brokenAt, p.unreachableAt, p.heardAt = time.Time{}, time.Time{}, now
+	p.brokenAt, p.unreachableAt, p.receivedAt = time.Time{}, time.Time{}, now
 	t.directAt, t.cutOff = now, false
 }
 
 // Received records that the server sent something on a direct connection.
 func (t *Tracker) Received(now time.Time, id ids.BackendID) {
-	t.path(id).heardAt, t.heardAt = now, now
+	t.path(id).receivedAt, t.receivedAt = now, now
 }
 
 // ReachedByRelay records that another host reached the server and this one didn't.
@@ -151,8 +151,8 @@
 // brokenSinceDirect counts the paths that were found broken since this host last reached a server directly.
 func (t *Tracker) brokenSinceDirect(now time.Time, failure Failure) (n int) {
 	reachedAt := t.directAt
-	if failure == Silent && t.heardAt.After(reachedAt) {
-		reachedAt = t.heardAt // a host that hears servers isn't cut off from all; if it is refused, open connections may live on
+	if failure == Silent && t.receivedAt.After(reachedAt) {
+		reachedAt = t.receivedAt // a host that receives data from servers is not cut off from all; if it is refused, open connections may live on
 	}
 	for _, p := range t.paths {
 		if p.broken(now) && p.brokenAt.After(reachedAt) {
@@ -169,7 +169,7 @@
 // It counts the check as begun.
 func (t *Tracker) CheckDue(now, sentAt time.Time, id ids.BackendID) bool {
 	p := t.path(id)
-	if t.bypassed(now, p) || now.Sub(sentAt) < silenceLimit || now.Sub(p.heardAt) < silenceLimit || now.Sub(p.checkedAt) < checkInterval {
+	if t.bypassed(now, p) || now.Sub(sentAt) < silenceLimit || now.Sub(p.receivedAt) < silenceLimit || now.Sub(p.checkedAt) < checkInterval {
 		return false
 	}
 	p.checkedAt = now
--- a/verbenad/internal/serverrelay/relay.go
+++ b/verbenad/internal/serverrelay/relay.go
@@ -37,7 +37,7 @@
 	Listed(id ids.BackendID) (s directory.Server, ok bool)
 	// Bypassed reports whether this host itself reaches the server only over another host.
 	Bypassed(id ids.BackendID) bool
-	// ReachesOthers reports whether this host lately heard from another server directly.
+	// ReachesOthers reports whether this host recently received data from another server directly.
 	ReachesOthers(id ids.BackendID) bool
 	// DialDirect connects to a server directly.
 	DialDirect(ctx context.Context, s directory.Server) (net.Conn, error)
--- a/verbenad/internal/serverrelay/relay_test.go
+++ b/verbenad/internal/serverrelay/relay_test.go
@@ -23,7 +23,7 @@
 type testServers struct {
 	listed   directory.Server
 	bypassed bool
-	// reachesOthers is set if the relay hears from other servers.
+	// reachesOthers is set if the relay receives data from other servers.
 	reachesOthers bool
 	dialErr       error
 	// onDial is called before each connection, unless it is nil.
--- a/verbenad/internal/upstream/paths.go
+++ b/verbenad/internal/upstream/paths.go
@@ -87,7 +87,7 @@
 	return c.paths.tracker.Bypassed(c.clock.Now(), id)
 }
 
-// ReachesOthers reports whether this host lately heard from another server directly.
+// ReachesOthers reports whether this host recently received data from another server directly.
 func (c *Client) ReachesOthers(id ids.BackendID) bool {
 	c.paths.mu.Lock()
 	defer c.paths.mu.Unlock()
--- a/verbenalab/internal/soak/cuts.go
+++ b/verbenalab/internal/soak/cuts.go
@@ -23,7 +23,7 @@
 	// firstTryInterval is the time between two requests to each entry host during the cut after recovery. Together they stay
 	// within the workspace's rate.
 	firstTryInterval = 125 * time.Millisecond
-	// cutTargets is the number of targets of a cutFault: an entry host alone, or with a storage host.
+	// cutTargets is the number of targets of a cutFault: one entry host, or one and a storage host.
 	cutTargets = 2 * entryHosts
 )
 
