--- a/verbenad/cmd/cut_off_hosts_test.go
+++ b/verbenad/cmd/cut_off_hosts_test.go
@@ -22,8 +22,10 @@
 // TestFleetServesCallersOfCutOffHosts guards against callers that are refused, or wait in vain, at a host that has lost all
 // backend servers while other hosts reach them.
 func TestFleetServesCallersOfCutOffHosts(t *testing.T) {
+	t.Parallel() // it mostly waits, as the others of this file do
 	for _, mode := range []cutMode{silent, reset, refused} {
 		t.Run(mode.String(), func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			f := newFleet(t, 100_000)
 			f.client = &http.Client{Timeout: cutOffCallerPatience}
@@ -85,6 +87,7 @@
 // TestFleetItemsOutliveCutOffOwners guards against items that wait until the cut ends if their owners have lost all backend
 // servers.
 func TestFleetItemsOutliveCutOffOwners(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 100_000)
 	f.submitUntilAccepted("job-before", 4)
 	f.awaitResults("job-before", 4)
@@ -98,6 +101,7 @@
 // TestFleetRefusesCallersIfAllHostsAreCutOff checks that callers are refused soon, with a status that says that nothing ran,
 // and served again once the cut has ended.
 func TestFleetRefusesCallersIfAllHostsAreCutOff(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(t, 100_000)
 	for _, n := range f.networks {
