log: which units a map of owners moves, and whether their former owners had leases

The logs didn't tell three hypotheses apart: a lease that was broken too early, a late hand-over, and a plan on a listing that lacked the new owner. `units moved` names former and next owner, how many units, and whether the planning host had the former owner's lease in its listing.

No decision changes.

--- a/verbenad/internal/owners/coordinator.go
+++ b/verbenad/internal/owners/coordinator.go
@@ -371,6 +371,7 @@
 	case err == nil:
 		mapsWritten.Inc()
 		log.WithField("revision", o.Revision).Info("map of owners written")
+		c.logMoves(next, o.Revision)
 		c.view.update(o)
 		return true, nil
 	case errors.Is(err, objects.ErrConflict):
@@ -384,3 +385,11 @@
 	}
 	return false, err
 }
+
+// logMoves logs which units a map that this host wrote moves, and whether it had seen leases of their former owners.
+func (c *Coordinator) logMoves(next ownership.Map, at objects.Revision) {
+	current, _ := c.view.Map()
+	for _, m := range c.watcher.Moves(current, next) {
+		log.WithFields(log.Fields{"revision": at, "from": m.From, "to": m.To, "units": m.Units, "from_listed": m.FromListed}).Info("units moved")
+	}
+}
