fix: a stale listing of leases doesn't give away the units of a host that it lacks

Cause: the planning host lists leases by a cheap read that may be seconds old. A host that the listing lacks, and whose lease it hadn't seen change for a second, was taken for gone, and its units were given away without a broken lease. The host's lease was valid all the while, so until it learned of the new map two hosts acted as owner of a shard: one accepted jobs, the other had read the shard before and answered 404 for them.

Fix: a stale listing only adds leases and newer revisions. A lease is removed by its conditional deletion or by a current listing that lacks it. A change of the map is decided on a current listing, made after the map was read: a host that the map names had a lease before, so its absence shows that the lease was broken. For the same reason a stale listing doesn't bring back hosts whose leases were broken. The cost is one listing for each written map, and one a round while a listing lacks a known host.

--- a/verbena/ownership/ownership.go
+++ b/verbena/ownership/ownership.go
@@ -4,6 +4,7 @@
 package ownership
 
 import (
+	"slices"
 	"time"
 
 	"verbenaledge.example/verbena/ids"
@@ -63,33 +64,66 @@
 	self     ids.HostID
 	observed map[ids.HostID]ObservedLease
 	units    []Unit
+	// currentAt is the store's revision at the last current listing. A lease that it lacked and that has no newer
+	// revision is gone.
+	currentAt objects.Revision
+	// broken holds the last revisions of leases that this host broke since the last current listing.
+	broken map[ids.HostID]objects.Revision
 }
 
 // NewWatcher returns a watcher for a host and the units that need owners.
 func NewWatcher(self ids.HostID, units []Unit) *Watcher {
-	return &Watcher{self: self, units: units, observed: make(map[ids.HostID]ObservedLease)}
+	return &Watcher{
+		self: self, units: units, observed: make(map[ids.HostID]ObservedLease), broken: make(map[ids.HostID]objects.Revision),
+	}
 }
 
-// Observe takes a listing of all leases. The listing may be stale: leases with older revisions are ignored, and missing
-// ones are removed only if they haven't changed for more than RenewInterval.
-func (w *Watcher) Observe(now time.Time, leases map[ids.HostID]ObservedLease) {
+// Observe takes a listing of all leases that may be stale: older revisions and leases that are known to be gone are
+// ignored. It returns the observed hosts that the listing lacks. Their leases may be newer than the listing, so only a
+// current listing removes them.
+func (w *Watcher) Observe(now time.Time, leases map[ids.HostID]ObservedLease) (missing []ids.HostID) {
 	for h, l := range leases {
-		previous, ok := w.observed[h]
-		if ok && l.Revision <= previous.Revision {
+		if _, ok := w.observed[h]; !ok && (l.Revision <= w.currentAt || l.Revision <= w.broken[h]) {
 			continue
 		}
-		l.Since = now
-		w.observed[h] = l
+		w.observe(now, h, l)
+	}
+	for h := range w.observed {
+		if _, ok := leases[h]; !ok {
+			missing = append(missing, h)
+		}
 	}
+	slices.Sort(missing)
+	return missing
+}
+
+// ObserveCurrent takes a linearizable listing of all leases, made at a revision of the store. It removes the leases that
+// the listing lacks.
+func (w *Watcher) ObserveCurrent(now time.Time, at objects.Revision, leases map[ids.HostID]ObservedLease) {
 	for h := range w.observed {
-		if _, ok := leases[h]; !ok && now.Sub(w.observed[h].Since) > RenewInterval {
+		if _, ok := leases[h]; !ok {
 			delete(w.observed, h)
 		}
 	}
+	for h, l := range leases {
+		w.observe(now, h, l)
+	}
+	w.currentAt = at
+	clear(w.broken)
+}
+
+// observe records a host's lease if its revision is new.
+func (w *Watcher) observe(now time.Time, host ids.HostID, l ObservedLease) {
+	if previous, ok := w.observed[host]; ok && l.Revision <= previous.Revision {
+		return
+	}
+	l.Since = now
+	w.observed[host] = l
 }
 
 // Remove removes the lease of a host whose lease was broken.
 func (w *Watcher) Remove(host ids.HostID) {
+	w.broken[host] = w.observed[host].Revision
 	delete(w.observed, host)
 }
 
@@ -108,4 +142,6 @@
 // Reset discards all observations, after a time in which hosts may have been unable to renew their leases.
 func (w *Watcher) Reset() {
 	clear(w.observed)
+	clear(w.broken)
+	w.currentAt = 0
 }
--- a/verbena/ownership/ownership_test.go
+++ b/verbena/ownership/ownership_test.go
@@ -160,6 +160,36 @@
 	c.Assert(w.Suspects(start.Add(3*time.Second)), qt.DeepEquals, map[ids.HostID]objects.Revision{"b": 5})
 }
 
+// TestStaleListingRemovesNothing: a listing that may be older than a lease doesn't show that the lease is gone, however
+// long the lease hasn't changed. A current listing does, and stale ones can't bring the lease back.
+func TestStaleListingRemovesNothing(t *testing.T) {
+	c := qt.New(t)
+	w := NewWatcher("a", units(4))
+	w.Observe(start, leases(5, "a", "b"))
+	m, _ := w.Plan(Map{})
+	missing := w.Observe(start.Add(2*time.Second), leases(4, "a"))
+	c.Assert(missing, qt.DeepEquals, []ids.HostID{"b"})
+	_, changed := w.Plan(m)
+	c.Assert(changed, qt.IsFalse)
+	w.ObserveCurrent(start.Add(2*time.Second), 9, leases(6, "a"))
+	next, changed := w.Plan(m)
+	c.Assert(changed, qt.IsTrue)
+	c.Assert(w.Observe(start.Add(3*time.Second), leases(5, "a", "b")), qt.HasLen, 0)
+	_, changed = w.Plan(next)
+	c.Assert(changed, qt.IsFalse)
+	c.Assert(w.Observe(start.Add(4*time.Second), leases(10, "a", "b")), qt.HasLen, 0)
+	c.Assert(w.Suspects(start.Add(4*time.Second+BreakAfter)), qt.DeepEquals, map[ids.HostID]objects.Revision{"b": 10})
+}
+
+// TestCurrentListingKeepsAges: a current listing that repeats a revision doesn't delay the breaking of its lease.
+func TestCurrentListingKeepsAges(t *testing.T) {
+	c := qt.New(t)
+	w := NewWatcher("a", units(1))
+	w.Observe(start, leases(5, "a", "b"))
+	w.ObserveCurrent(start.Add(2*time.Second), 9, leases(5, "a", "b"))
+	c.Assert(w.Suspects(start.Add(BreakAfter)), qt.DeepEquals, map[ids.HostID]objects.Revision{"b": 5})
+}
+
 // TestResetAfterOutage: after Reset, the time without listings doesn't count, so no host is suspected at once.
 func TestResetAfterOutage(t *testing.T) {
 	c := qt.New(t)
--- a/verbenad/internal/owners/coordinator.go
+++ b/verbenad/internal/owners/coordinator.go
@@ -153,13 +153,15 @@
 // handOver gives this host's units to other hosts. From before the write until its outcome is known the host acts
 // for none of them: a successor may have read the store in the meantime.
 func (c *Coordinator) handOver(ctx context.Context) error {
-	current, at := c.view.Map()
-	next, changed := c.watcher.HandOver(current)
+	next, at, changed, err := c.decide(ctx, c.watcher.HandOver)
+	if err != nil {
+		return err
+	}
 	if !changed || at == 0 {
 		return c.plan(ctx)
 	}
 	alreadyHandingOver := c.handingOver.Swap(true)
-	err := c.writeHandOverMap(ctx, next, at)
+	err = c.writeHandOverMap(ctx, next, at)
 	if !alreadyHandingOver && errors.Is(err, objects.ErrRefused) {
 		c.handingOver.Store(false) // nothing was executed, now or earlier
 	}
@@ -305,9 +307,10 @@
 	return true, nil
 }
 
-// checkLeases lists all leases and breaks those that are not renewed.
+// checkLeases lists all leases and breaks those that are not renewed. The listing may be stale; if it lacks a host, a
+// current one tells whether the host's lease is gone.
 func (c *Coordinator) checkLeases(ctx context.Context) error {
-	l, err := c.store.List(ctx, KindLeases, true)
+	leases, _, err := c.listLeases(ctx, true)
 	if err != nil {
 		return err
 	}
@@ -316,7 +319,35 @@
 		c.watcher.Reset()
 	}
 	c.lastListing = now
-	leases := make(map[ids.HostID]ownership.ObservedLease, len(l.Objects))
+	if missing := c.watcher.Observe(now, leases); len(missing) > 0 {
+		log.WithField("peers", missing).Info("listing lacks known leases")
+		if err := c.observeCurrent(ctx); err != nil {
+			return err
+		}
+	}
+	for h, at := range c.watcher.Suspects(now) {
+		c.breakLease(ctx, h, at)
+	}
+	return nil
+}
+
+// observeCurrent updates the watcher with a current listing.
+func (c *Coordinator) observeCurrent(ctx context.Context) error {
+	leases, at, err := c.listLeases(ctx, false)
+	if err != nil {
+		return err
+	}
+	c.watcher.ObserveCurrent(c.bootClock.Now(), at, leases)
+	return nil
+}
+
+// listLeases returns the leases of all hosts and the store's revision at the listing.
+func (c *Coordinator) listLeases(ctx context.Context, stale bool) (leases map[ids.HostID]ownership.ObservedLease, at objects.Revision, err error) {
+	l, err := c.store.List(ctx, KindLeases, stale)
+	if err != nil {
+		return nil, 0, err
+	}
+	leases = make(map[ids.HostID]ownership.ObservedLease, len(l.Objects))
 	for _, o := range l.Objects {
 		observed := ownership.ObservedLease{Revision: o.Revision}
 		if err := json.Unmarshal(o.Spec, &observed.Lease); err != nil {
@@ -329,11 +360,7 @@
 		own := ownership.Lease{Address: c.address, Zone: c.zone, Renewal: c.renewal, Leaving: c.leaving.Load()}
 		leases[c.host] = ownership.ObservedLease{Lease: own, Revision: c.leaseRevision}
 	}
-	c.watcher.Observe(now, leases)
-	for h, at := range c.watcher.Suspects(now) {
-		c.breakLease(ctx, h, at)
-	}
-	return nil
+	return leases, l.Revision, nil
 }
 
 func (c *Coordinator) breakLease(ctx context.Context, h ids.HostID, at objects.Revision) {
@@ -349,15 +376,34 @@
 
 // plan writes a new map if the current one should change.
 func (c *Coordinator) plan(ctx context.Context) error {
-	current, at := c.view.Map()
-	next, changed := c.watcher.Plan(current)
-	if !changed || at == 0 && c.bootClock.Now().Sub(c.started) < firstMapDelay {
+	if _, at := c.view.Map(); at == 0 && c.bootClock.Now().Sub(c.started) < firstMapDelay {
 		return nil
 	}
-	_, err := c.writeMap(ctx, next, at)
+	next, at, changed, err := c.decide(ctx, c.watcher.Plan)
+	if err != nil || !changed {
+		return err
+	}
+	_, err = c.writeMap(ctx, next, at)
 	return err
 }
 
+// decide returns the map that should replace the one at a revision. A change is decided again on a current listing: a
+// stale one may lack hosts that own units, or name hosts that are gone. A host that the map names had a lease before
+// the map was written, so that a current listing that is made afterwards lacks it only if the lease was broken.
+func (c *Coordinator) decide(
+	ctx context.Context, planned func(ownership.Map) (ownership.Map, bool),
+) (next ownership.Map, at objects.Revision, changed bool, err error) {
+	current, at := c.view.Map()
+	if next, changed = planned(current); !changed {
+		return next, at, false, nil
+	}
+	if err := c.observeCurrent(ctx); err != nil {
+		return current, at, false, err
+	}
+	next, changed = planned(current)
+	return next, at, changed, nil
+}
+
 // writeMap writes a map if no other host has written one since. resolved means that this host knows the current
 // map and that this write can't take effect any more.
 func (c *Coordinator) writeMap(ctx context.Context, next ownership.Map, at objects.Revision) (resolved bool, err error) {
