fix: empty data lines before the first other one belong to an event's data

Cause: ParseEvents told by a nil slice that an event has no data line yet, but appending an empty value to a nil slice leaves it nil. Empty data lines before the first other one were taken for absent, with their line feeds.

Ruled out by reading: the output between events (it counts events), partial answers that other hosts report (bytes with a count of events).

Fix: whether an event has data is kept apart from its value.

--- a/verbenad/internal/upstream/events.go
+++ b/verbenad/internal/upstream/events.go
@@ -102,14 +102,14 @@
 // ParseEvents splits complete events into their fields. It skips comments and other fields.
 func ParseEvents(events []byte) (list []Event) {
 	var e Event
-	seen := false
+	seen, hasData := false, false
 	for l := range bytes.SplitSeq(events, []byte("\n")) {
 		l = bytes.TrimSuffix(l, []byte("\r"))
 		if len(l) == 0 {
 			if seen {
 				list = append(list, e)
 			}
-			e, seen = Event{}, false
+			e, seen, hasData = Event{}, false, false
 			continue
 		}
 		name, value, _ := bytes.Cut(l, []byte(":"))
@@ -118,10 +118,10 @@
 		case "id":
 			e.ID, seen = string(value), true
 		case "data":
-			if e.Data != nil {
+			if hasData {
 				e.Data = append(e.Data, '\n')
 			}
-			e.Data, seen = append(e.Data, value...), true
+			e.Data, seen, hasData = append(e.Data, value...), true, true
 		}
 	}
 	return list
--- a/verbenad/internal/upstream/events_test.go
+++ b/verbenad/internal/upstream/events_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -82,6 +85,28 @@
 	qt.Assert(t, FirstID([]byte("id: 4\ndata: a\n\nid: 5\n\n")), qt.Equals, "4")
 }
 
+// TestEventDataIsWhole guards against texts of batch items that lack line feeds: empty data lines count, also before the
+// first other one. Each testdata/events/NAME.stream has its events in NAME.want: an id and the quoted data.
+func TestEventDataIsWhole(t *testing.T) {
+	files, err := filepath.Glob("testdata/events/*.stream")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) > 0, qt.IsTrue)
+	for _, f := range files {
+		name := strings.TrimSuffix(f, ".stream")
+		t.Run(filepath.Base(name), func(t *testing.T) {
+			stream, err := os.ReadFile(f)
+			qt.Assert(t, err, qt.IsNil)
+			want, err := os.ReadFile(name + ".want")
+			qt.Assert(t, err, qt.IsNil)
+			var got strings.Builder
+			for _, e := range ParseEvents(stream) {
+				fmt.Fprintf(&got, "%s %q\n", e.ID, e.Data)
+			}
+			qt.Assert(t, got.String(), qt.Equals, string(want))
+		})
+	}
+}
+
 // FuzzEvents checks that exactly the complete events are returned, also if the bytes arrive one by one.
 func FuzzEvents(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid"))
