fix: results fill a segment by their encoded size

Cause: a segment was filled up to a third of the store's value limit, counted in bytes of text. JSON writes each of <, > and &, as most control characters, as six bytes. Results of markup that piled up while the store was down made a segment beyond the limit. The store refused it with 413, which the client took for a write without an answer, and the same segment was written again for good.

A store's 413 is an error of its own, ErrTooLarge, which says that nothing was written; the next segment then takes half as much. A former owner's result that can't be stored is dropped, so that the item runs again: releases before this one hand over such results.

--- a/verbena/objects/client.go
+++ b/verbena/objects/client.go
@@ -45,6 +45,8 @@
 	ErrNotFound  = errors.New("object not found")
 	ErrConflict  = errors.New("object exists already or has changed; read it before writing again")
 	ErrCompacted = errors.New("history is gone; list again")
+	// ErrTooLarge means that the call was not executed because the object would exceed the store's size limit.
+	ErrTooLarge = errors.New("object exceeds the store's size limit; write less in one object")
 	// ErrRefused means that the call was not executed.
 	ErrRefused = errors.New("store refused the call; try again later")
 	// ErrUnknown means that the call may have been executed or may be executed later.
--- a/verbena/objects/memory/store.go
+++ b/verbena/objects/memory/store.go
@@ -44,6 +44,7 @@
 	compactedAt objects.Revision
 	changed     chan struct{}
 	fault       func(Op) Fault
+	valueLimit  int
 	calls       map[string]int
 }
 
@@ -65,6 +66,21 @@
 	s.fault = f
 }
 
+// SetValueLimit sets the size limit of a spec or status in bytes; 0 means no limit.
+func (s *Store) SetValueLimit(bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.valueLimit = bytes
+}
+
+// checkSize returns ErrTooLarge if an encoded spec or status exceeds the limit.
+func (s *Store) checkSize(raw json.RawMessage) error {
+	if s.valueLimit > 0 && len(raw) > s.valueLimit {
+		return objects.ErrTooLarge
+	}
+	return nil
+}
+
 // Calls returns how many calls with a verb were made.
 func (s *Store) Calls(verb string) int {
 	s.mu.Lock()
@@ -153,15 +169,21 @@
 			o = old
 			return objects.ErrConflict
 		}
+		if err := s.checkSize(raw); err != nil {
+			return err
+		}
 		o = s.put(kind, objects.Object{Name: name, Spec: raw})
 		return nil
 	})
 	return o, err
 }
 
-// update edits an object if its revision is the expected one; revision 0 accepts any.
-func (s *Store) update(op Op, at objects.Revision, edit func(*objects.Object)) (o objects.Object, err error) {
+// update edits an object if its revision is the expected one; revision 0 accepts any. raw is the new spec or status.
+func (s *Store) update(op Op, at objects.Revision, raw json.RawMessage, edit func(*objects.Object)) (o objects.Object, err error) {
 	err = s.call(op, func() error {
+		if err := s.checkSize(raw); err != nil {
+			return err
+		}
 		old, ok := s.kinds[op.Kind][op.Name]
 		if !ok {
 			return objects.ErrNotFound
@@ -183,7 +205,7 @@
 	if err != nil {
 		return objects.Object{}, err
 	}
-	return s.update(Op{Verb: "replace", Kind: kind, Name: name}, at, func(o *objects.Object) { o.Spec = raw })
+	return s.update(Op{Verb: "replace", Kind: kind, Name: name}, at, raw, func(o *objects.Object) { o.Spec = raw })
 }
 
 // SetStatus writes an object's status.
@@ -192,7 +214,7 @@
 	if err != nil {
 		return objects.Object{}, err
 	}
-	return s.update(Op{Verb: "status", Kind: kind, Name: name}, at, func(o *objects.Object) { o.Status = raw })
+	return s.update(Op{Verb: "status", Kind: kind, Name: name}, at, raw, func(o *objects.Object) { o.Status = raw })
 }
 
 // Delete removes an object.
--- a/verbenad/internal/bulk/commit.go
+++ b/verbenad/internal/bulk/commit.go
@@ -20,8 +20,11 @@
 	// retryPause and maxRetryPause bound the pause before a failed store call is retried.
 	retryPause    = 150 * time.Millisecond
 	maxRetryPause = 600 * time.Millisecond
-	// segmentShare divides the store's value limit: results may fill a third of it, since JSON encoding lengthens text.
-	segmentShare = 3
+	// segmentShare divides the store's value limit: the encoded results of a segment, or a single output, may fill half of
+	// it. The rest is left to ids, names and metadata.
+	segmentShare = 2
+	// resultOverheadBytes is the encoded size of a result apart from its id and output.
+	resultOverheadBytes = 64
 )
 
 var (
@@ -35,6 +38,10 @@
 	since   time.Time
 	writing bool
 	pause   time.Duration
+	// bytes is the encoded size of the results that are being written.
+	bytes int
+	// maxBytes bounds the encoded results of the next segment if the store refused a segment as too large, 0 otherwise.
+	maxBytes int
 }
 
 func (o *Owner) commitFor(r *bulk.Record) *commit {
@@ -64,7 +71,13 @@
 		return
 	}
 	c.writing = true
-	segment := bulk.Segment{Results: fitResults(r.Pending, o.valueBytes/segmentShare), Writer: fmt.Sprintf("%s/%d", o.host, now.UnixNano())}
+	limit := o.maxSegmentBytes()
+	if c.maxBytes > 0 {
+		limit = c.maxBytes
+	}
+	results, bytes := fitResults(r.Pending, limit)
+	c.bytes = bytes
+	segment := bulk.Segment{Results: results, Writer: fmt.Sprintf("%s/%d", o.host, now.UnixNano())}
 	number, wait := r.Segments, c.pause
 	ctx := o.shards[r.Shard].ctx
 	go func() {
@@ -74,16 +87,24 @@
 	}()
 }
 
-func fitResults(pending []bulk.Result, maxBytes int) (list []bulk.Result) {
-	size := 0
+// maxSegmentBytes bounds the encoded results of a segment, and a single encoded output.
+func (o *Owner) maxSegmentBytes() int { return o.valueBytes / segmentShare }
+
+// fitResults returns as many results, at least one, as take at most maxBytes once they are encoded, and their size.
+func fitResults(pending []bulk.Result, maxBytes int) (list []bulk.Result, bytes int) {
 	for _, rs := range pending {
-		size += len(rs.Output)
-		if len(list) > 0 && size > maxBytes {
+		size := encodedSize(rs)
+		if len(list) > 0 && bytes+size > maxBytes {
 			break
 		}
-		list = append(list, rs)
+		list, bytes = append(list, rs), bytes+size
 	}
-	return list
+	return list, bytes
+}
+
+// encodedSize returns the size of a result in a stored segment.
+func encodedSize(r bulk.Result) int {
+	return resultOverheadBytes + objects.EncodedSize(r.Item) + objects.EncodedSize(r.Output)
 }
 
 // writeSegment creates a job's next segment and returns the one that is stored: another host's if that was first.
@@ -122,7 +143,11 @@
 	}
 	if err != nil {
 		c.pause = min(maxRetryPause, max(retryPause, 2*c.pause))
-		log.WithError(err).WithFields(log.Fields{"job": r.Job.ID, "segment": number, "results": len(r.Pending)}).Warn("results not written yet")
+		if errors.Is(err, objects.ErrTooLarge) {
+			c.maxBytes = c.bytes / 2
+		}
+		log.WithError(err).WithFields(log.Fields{"job": r.Job.ID, "segment": number, "bytes": c.bytes, "results": len(r.Pending)}).
+			Warn("results not written yet")
 		return
 	}
 	if !o.ownsShard(r.Shard) {
@@ -131,7 +156,7 @@
 		log.WithFields(log.Fields{"job": r.Job.ID, "segment": number, "owns_shard": false, "outcome": "hidden"}).Warn("results written without the lease")
 		return
 	}
-	c.pause = 0
+	c.pause, c.maxBytes = 0, 0
 	c.since = o.clock.Now()
 	if r.Segments == number {
 		o.ledger.Commit(r, s)
--- a/verbenad/internal/bulk/handover.go
+++ b/verbenad/internal/bulk/handover.go
@@ -9,6 +9,7 @@
 
 	"verbenaledge.example/verbena/bulk"
 	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/objects"
 	"verbenaledge.example/verbenad/internal/hostlink"
 )
 
@@ -134,6 +135,11 @@
 	}
 	r.AwaitingProgress = false
 	for _, rs := range c.Progress.Results {
+		if size := objects.EncodedSize(rs.Output); size > o.maxSegmentBytes() {
+			// Releases that counted outputs before encoding let them grow beyond what can be stored.
+			log.WithFields(log.Fields{"job": c.Job, "item": rs.Item, "bytes": size, "outcome": "too_large"}).Warn("result of a former owner dropped")
+			continue
+		}
 		run := o.runs[runKey{c.Job, rs.Item}]
 		if !o.addResult(r, rs) {
 			continue
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -20,6 +20,7 @@
 	"verbenaledge.example/verbena/exchange"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/limit"
+	"verbenaledge.example/verbena/objects"
 	"verbenaledge.example/verbena/origin"
 	"verbenaledge.example/verbenad/internal/slots"
 	"verbenaledge.example/verbenad/internal/upstream"
@@ -33,6 +34,8 @@
 	// maxEmptyAnswers is after how many answers in a row that end with their connections before a further event no other
 	// server is asked to confirm the end of the output.
 	maxEmptyAnswers = 3
+	// eventSeparatorBytes is the encoded size of the line feed between the data of two events.
+	eventSeparatorBytes = 2
 	// maxRefusalBytes bounds how much is read of an answer that isn't an event stream.
 	maxRefusalBytes = 1 << 20
 	// refusalPartBytes is how much of such an answer is read at once.
@@ -58,6 +61,8 @@
 	route  string
 
 	output []byte
+	// outputBytes is the size of the output once it is encoded, as it counts towards a segment.
+	outputBytes int
 	// stream tells whether the output is complete.
 	stream completion.Stream
 	// emptyAnswers is the number of answers in a row that ended with their connections before a further event.
@@ -346,7 +351,7 @@
 // output exceeds what a segment can hold.
 func (i *itemRun) appendEvents(events []upstream.Event) bool {
 	for _, e := range events {
-		if !i.appendEvent(e) || len(i.output) > i.owner.valueBytes/segmentShare {
+		if !i.appendEvent(e) || i.outputBytes > i.owner.maxSegmentBytes() {
 			return false
 		}
 	}
@@ -364,6 +369,7 @@
 		i.output = append(i.output, '\n')
 	}
 	i.output = append(i.output, e.Data...)
+	i.outputBytes += eventSeparatorBytes + objects.EncodedSize(e.Data)
 	i.events++
 	if e.ID != "" {
 		i.lastEventID = e.ID
--- a/verbenad/internal/bulk/item_origin.go
+++ b/verbenad/internal/bulk/item_origin.go
@@ -10,6 +10,7 @@
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/dispatch"
 	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/objects"
 	"verbenaledge.example/verbena/origin"
 	"verbenaledge.example/verbenad/internal/slots"
 )
@@ -78,7 +79,8 @@
 func (i *itemRun) resumeFromPartial(granted origin.Origin) {
 	partial := i.partial.Swap(nil)
 	if partial != nil && partial.Events > i.events && (*partial.Origin == granted || i.origin != granted) {
-		i.output, i.events, i.lastEventID = partial.Text, partial.Events, partial.LastEventID
+		i.output, i.outputBytes = partial.Text, objects.EncodedSize(partial.Text)
+		i.events, i.lastEventID = partial.Events, partial.LastEventID
 		i.origin, i.beganAt, i.originUncertain = *partial.Origin, serverStart{}, false
 		i.stream, i.emptyAnswers = completion.Stream{}, 0
 		i.stream.Resume()
@@ -124,6 +126,7 @@
 }
 
 func (i *itemRun) dropOutput() {
-	i.output, i.events, i.lastEventID, i.origin, i.beganAt = nil, 0, "", origin.Origin{}, serverStart{}
+	i.output, i.outputBytes, i.events, i.lastEventID = nil, 0, 0, ""
+	i.origin, i.beganAt = origin.Origin{}, serverStart{}
 	i.stream, i.emptyAnswers = completion.Stream{}, 0
 }
