fix: jobs are split, and reads are limited, by encoded sizes; a job that can't be stored is refused at once

- Paths and headers of a job's items counted by their length: a job of markup made an object beyond the store's limit and was answered 503 at each try.
- An item that alone exceeds the limit was written until the submission's timeout, then answered 504, at each repetition.
- A read's answer was limited by the length of its texts: up to six times a megabyte of JSON.
TestPageFitsItsEncoding failed before (5,097 of 2,000 bytes).

Looked at and sound: frames between hosts (CBOR, no escapes, 16 MB), reports of progress (frames), the map of owners and leases (names of hosts only).

--- a/verbena/bulk/call.go
+++ b/verbena/bulk/call.go
@@ -71,6 +71,8 @@
 	Unavailable
 	// OutcomeUnknown means that the call may or may not have taken effect.
 	OutcomeUnknown
+	// TooLarge means that the job has an item that can't be stored; no part of it runs, now or later.
+	TooLarge
 )
 
 // String names the code for logs.
@@ -86,6 +88,8 @@
 		return "unavailable"
 	case OutcomeUnknown:
 		return "unsettled"
+	case TooLarge:
+		return "too_large"
 	}
 	return "unknown"
 }
--- a/verbena/bulk/job.go
+++ b/verbena/bulk/job.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/objects"
 )
 
 // Shard is the number of a partition of the workspaces; all batch jobs of a workspace are in one shard.
@@ -90,6 +91,14 @@
 	Output string `json:"output,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
+// resultOverheadBytes bounds the encoded size of a result apart from its id and output.
+const resultOverheadBytes = 64
+
+// EncodedSize bounds the size of the result in JSON, stored or in an answer to a read.
+func (r Result) EncodedSize() int {
+	return resultOverheadBytes + objects.EncodedSize(r.Item) + objects.EncodedSize(r.Output)
+}
+
 // Segment is a stored group of results that become visible together.
 type Segment struct {
 	Results []Result `json:"results"`
--- a/verbena/bulk/ledger.go
+++ b/verbena/bulk/ledger.go
@@ -314,7 +314,7 @@
 	size := 0
 	next = min(max(after, 0), len(r.Results))
 	for _, rs := range r.Results[next:] {
-		size += len(rs.Output) + len(rs.Item)
+		size += rs.EncodedSize()
 		if len(list) > 0 && size > maxBytes {
 			break
 		}
--- a/verbena/bulk/ledger_test.go
+++ b/verbena/bulk/ledger_test.go
@@ -1,7 +1,9 @@
 package bulk
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -108,6 +110,23 @@
 	c.Assert(next, qt.Equals, 2)
 }
 
+// TestPageFitsItsEncoding guards against answers beyond a read's limit: results count by their encoded size.
+func TestPageFitsItsEncoding(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger()
+	r := l.Add(newJob("a", 8), 1, false)
+	segment := Segment{}
+	for n := range 8 {
+		segment.Results = append(segment.Results, Result{Item: ItemID(fmt.Sprintf("a-%d", n)), Output: strings.Repeat("\x01", 100)})
+	}
+	l.Commit(r, segment)
+	list, next := r.Page(0, 2000)
+	raw, err := json.Marshal(list)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(raw) <= 2000, qt.IsTrue, qt.Commentf("%d bytes", len(raw)))
+	c.Assert(next, qt.Equals, 2)
+}
+
 // TestResultsAppearOnce runs two owners of one job, each with its own ledger, that only create segments and never
 // replace them. In any interleaving both owners and a third one that loads the segments must see the same
 // results at the same positions, and each item at most once.
--- a/verbenad/internal/bulk/commit.go
+++ b/verbenad/internal/bulk/commit.go
@@ -23,8 +23,6 @@
 	// segmentShare divides the store's value limit: the encoded results of a segment, or a single output, may fill half of
 	// it. The rest is left to ids, names and metadata.
 	segmentShare = 2
-	// resultOverheadBytes is the encoded size of a result apart from its id and output.
-	resultOverheadBytes = 64
 )
 
 var (
@@ -93,7 +91,7 @@
 // fitResults returns as many results, at least one, as take at most maxBytes once they are encoded, and their size.
 func fitResults(pending []bulk.Result, maxBytes int) (list []bulk.Result, bytes int) {
 	for _, rs := range pending {
-		size := encodedSize(rs)
+		size := rs.EncodedSize()
 		if len(list) > 0 && bytes+size > maxBytes {
 			break
 		}
@@ -102,11 +100,6 @@
 	return list, bytes
 }
 
-// encodedSize returns the size of a result in a stored segment.
-func encodedSize(r bulk.Result) int {
-	return resultOverheadBytes + objects.EncodedSize(r.Item) + objects.EncodedSize(r.Output)
-}
-
 // writeSegment creates a job's next segment and returns the one that is stored: another host's if that was first.
 func (o *Owner) writeSegment(ctx context.Context, r *bulk.Record, number int, s bulk.Segment) (written bulk.Segment, err error) {
 	name := segmentName(r.Job.ID, number)
--- a/verbenad/internal/bulk/submit.go
+++ b/verbenad/internal/bulk/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"time"
 
@@ -122,9 +123,18 @@
 // writeJob writes a job's parts and then its own object. After a write without an answer the outcome is unknown
 // until the store confirms that the object exists.
 func (o *Owner) writeJob(ctx context.Context, job bulk.Job, s bulk.Shard) (found storedJob, code bulk.Code) {
+	if id, size := largestItem(job); size > o.valueBytes*maxItemShare/100 {
+		log.WithFields(log.Fields{"job": job.ID, "item": id, "bytes": size, "outcome": "too_large"}).Warn("item can't be stored")
+		return found, bulk.TooLarge
+	}
 	head, parts := split(job, o.valueBytes/2)
 	for n, p := range parts {
-		if _, err := o.store.Create(ctx, kindParts(s), partName(job.ID, n+1), p); err != nil && !errors.Is(err, objects.ErrConflict) {
+		_, err := o.store.Create(ctx, kindParts(s), partName(job.ID, n+1), p)
+		if errors.Is(err, objects.ErrTooLarge) {
+			log.WithError(err).WithField("job", job.ID).Warn("part of a job can't be stored")
+			return found, bulk.TooLarge
+		}
+		if err != nil && !errors.Is(err, objects.ErrConflict) {
 			log.WithError(err).WithField("job", job.ID).Warn("part of a job not written")
 			return found, bulk.Unavailable // the job doesn't exist without its own object
 		}
@@ -143,6 +153,9 @@
 				}
 			}
 			log.WithError(err).WithField("job", job.ID).Warn("job can't be read back yet")
+		case errors.Is(err, objects.ErrTooLarge):
+			log.WithError(err).WithField("job", job.ID).Warn("job can't be stored")
+			return found, bulk.TooLarge
 		case errors.Is(err, objects.ErrUnknown):
 			outcomeUnknown = true
 		}
@@ -180,14 +193,31 @@
 	return head, parts
 }
 
-// itemOverheadBytes estimates the stored size of an item apart from its path, headers and body.
-const itemOverheadBytes = 200
+const (
+	// itemOverheadBytes bounds the stored size of an item apart from its strings and body, headerOverheadBytes that of a
+	// header apart from its name and value.
+	itemOverheadBytes   = 200
+	headerOverheadBytes = 2
+	// maxItemShare is how much of the store's value limit one item may take, in percent. The rest is left to the job's
+	// other fields and to the object's metadata.
+	maxItemShare = 75
+)
 
-// itemBytes returns the approximate stored size of an item, whose body is encoded in base64.
+// itemBytes bounds the stored size of an item, whose body is encoded in base64.
 func itemBytes(i bulk.Item) int {
-	n := itemOverheadBytes + len(i.Path) + len(i.Body)*4/3
+	n := itemOverheadBytes + objects.EncodedSize(i.ID) + objects.EncodedSize(i.Path) + base64.StdEncoding.EncodedLen(len(i.Body))
 	for k, v := range i.Header {
-		n += len(k) + len(v)
+		n += headerOverheadBytes + objects.EncodedSize(k) + objects.EncodedSize(v)
 	}
 	return n
 }
+
+// largestItem returns the item of a job with the largest stored size.
+func largestItem(job bulk.Job) (id bulk.ItemID, bytes int) {
+	for _, i := range job.Items {
+		if n := itemBytes(i); n > bytes {
+			id, bytes = i.ID, n
+		}
+	}
+	return id, bytes
+}
