fix: a cut-off deletion of an expired job doesn't keep its shard from being loaded

Cause: an expired job's results and parts were deleted before the job's own object, which stayed if a deletion got no answer. The next load of the shard found a job without parts, failed with it, and repeated that for good, so that no job of the shard was served.

Ruled out by them: a lost lease, an unreachable owner.

A job that was cut off by a former release is past its retention and lacks parts: its deletion is finished. Until a deletion has ended, the job's id isn't accepted again. Any other job whose objects can't be read is answered 503 by itself and logged (`unreadable`); the others of its shard are served. A job keeps the number of its parts from its acceptance on, so that parts of jobs that were never loaded are deleted, too.

Looked at for the class, objects that span several keys: submission (parts, then the job's own object: nothing is accepted before it; parts of a refused submission stay in the store, left), results (a segment is one object), ends (one object), the map of owners (one), leases (one each).

--- a/verbenad/internal/bulk/answer.go
+++ b/verbenad/internal/bulk/answer.go
@@ -72,7 +72,7 @@
 	}
 	r, _ := o.ledger.Job(q.Call.Job, q.Call.Workspace)
 	_, pending := o.submissions[q.Call.Job]
-	return lookup{record: r, authoritative: o.lease.Owns(q.Shard) && !pending}
+	return lookup{record: r, authoritative: o.lease.Owns(q.Shard) && !pending && !sh.unreadable[q.Call.Job]}
 }
 
 // ownsShard reports whether the shard is loaded and this host is still its only owner, so that no successor can have
--- a/verbenad/internal/bulk/load.go
+++ b/verbenad/internal/bulk/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sort"
 	"strings"
@@ -27,9 +28,9 @@
 // load reads a shard's jobs and results until it succeeds or the shard is given up.
 func (o *Owner) load(ctx context.Context, s bulk.Shard, sh *shard) {
 	for ctx.Err() == nil {
-		jobs, results, err := o.readShard(ctx, s)
+		l, err := o.readShard(ctx, s)
 		if err == nil {
-			o.post(func() { o.finishLoad(s, sh, jobs, results) })
+			o.post(func() { o.finishLoad(s, sh, l) })
 			return
 		}
 		log.WithError(err).WithField("shard", s).Warn("shard not loaded yet")
@@ -37,58 +38,80 @@
 	}
 }
 
-// storedJob is a job as stored; ended means that its caller ended it.
+// storedJob is a job as stored. ended means that its caller ended it, expired that its objects are being deleted.
 type storedJob struct {
-	job   bulk.Job
-	ended bool
+	job     bulk.Job
+	ended   bool
+	expired bool
 }
 
-func (o *Owner) readShard(ctx context.Context, s bulk.Shard) (jobs []storedJob, results map[ids.JobID][]bulk.Segment, err error) {
-	l, err := o.store.List(ctx, kindJobs(s), false)
+// storedShard holds the jobs and results of a shard as stored. Jobs that are unreadable are in neither.
+type storedShard struct {
+	jobs       []storedJob
+	results    map[ids.JobID][]bulk.Segment
+	unreadable map[ids.JobID]bool
+}
+
+// errUnreadable means that an object of a job can't be decoded or is missing. Other jobs aren't concerned.
+var errUnreadable = errors.New("stored job can't be read")
+
+func (o *Owner) readShard(ctx context.Context, s bulk.Shard) (l storedShard, err error) {
+	heads, err := o.store.List(ctx, kindJobs(s), false)
 	if err != nil {
-		return nil, nil, err
+		return l, err
 	}
-	if len(l.Objects) == 0 {
-		return nil, nil, nil
+	if len(heads.Objects) == 0 {
+		return l, nil
 	}
-	for _, ob := range l.Objects {
+	l.unreadable = make(map[ids.JobID]bool)
+	for _, ob := range heads.Objects {
 		j, err := o.decodeJob(ctx, s, ob)
-		if err != nil {
-			return nil, nil, err
+		switch {
+		case err == nil:
+			l.jobs = append(l.jobs, j)
+		case errors.Is(err, errUnreadable):
+			log.WithError(err).WithFields(log.Fields{"shard": s, "job": ob.Name, "outcome": "unreadable"}).Error("job can't be loaded")
+			l.unreadable[ids.JobID(ob.Name)] = true
+		default:
+			return l, err
 		}
-		jobs = append(jobs, j)
 	}
 	r, err := o.store.List(ctx, kindResults(s), false)
 	if err != nil {
-		return nil, nil, err
+		return l, err
 	}
-	results, err = decodeSegments(r.Objects)
-	return jobs, results, err
+	l.decodeSegments(s, r.Objects)
+	return l, nil
 }
 
+// decodeJob decodes a job and reads its parts. A job that is past its retention and lacks parts counts as expired: a former
+// release deleted them first.
 func (o *Owner) decodeJob(ctx context.Context, s bulk.Shard, object objects.Object) (j storedJob, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("read job %s: %w", object.Name, err)
 		}
 	}()
-	if err := json.Unmarshal(object.Spec, &j.job); err != nil {
-		return j, err
+	var head expiredJob
+	if err := json.Unmarshal(object.Spec, &head); err != nil {
+		return j, fmt.Errorf("%w: %w", errUnreadable, err)
 	}
+	j.job, j.expired = head.Job, head.Expired
 	if len(object.Status) > 0 {
 		var status bulk.JobStatus
 		if err := json.Unmarshal(object.Status, &status); err != nil {
-			return j, err
+			return j, fmt.Errorf("%w: status: %w", errUnreadable, err)
 		}
 		j.ended = status.Ended
 	}
 	for n := 1; n <= j.job.Parts; n++ {
-		part, err := o.store.Get(ctx, kindParts(s), partName(j.job.ID, n))
-		if err != nil {
-			return j, err
+		items, err := o.readPart(ctx, s, j.job.ID, n)
+		if errors.Is(err, errUnreadable) && o.isPastRetention(o.clock.Now(), j.job) {
+			log.WithError(err).WithFields(log.Fields{"shard": s, "job": j.job.ID, "outcome": "expired"}).Info("deletion of an expired job was cut off")
+			j.expired = true
+			return j, nil
 		}
-		var items []bulk.Item
-		if err := json.Unmarshal(part.Spec, &items); err != nil {
+		if err != nil {
 			return j, err
 		}
 		j.job.Items = append(j.job.Items, items...)
@@ -96,41 +119,68 @@
 	return j, nil
 }
 
-func decodeSegments(list []objects.Object) (segments map[ids.JobID][]bulk.Segment, err error) {
+func (o *Owner) readPart(ctx context.Context, s bulk.Shard, id ids.JobID, n int) (items []bulk.Item, err error) {
+	part, err := o.store.Get(ctx, kindParts(s), partName(id, n))
+	switch {
+	case errors.Is(err, objects.ErrNotFound):
+		return nil, fmt.Errorf("%w: part %d: %w", errUnreadable, n, err)
+	case err != nil:
+		return nil, err
+	}
+	if err := json.Unmarshal(part.Spec, &items); err != nil {
+		return nil, fmt.Errorf("%w: part %d: %w", errUnreadable, n, err)
+	}
+	return items, nil
+}
+
+// decodeSegments decodes stored segments. A job with a segment that can't be decoded becomes unreadable.
+func (l *storedShard) decodeSegments(shard bulk.Shard, list []objects.Object) {
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	segments = make(map[ids.JobID][]bulk.Segment)
+	l.results = make(map[ids.JobID][]bulk.Segment)
 	for _, ob := range list {
-		id, _, _ := strings.Cut(ob.Name, ".")
+		name, _, _ := strings.Cut(ob.Name, ".")
+		id := ids.JobID(name)
 		var s bulk.Segment
 		if err := json.Unmarshal(ob.Spec, &s); err != nil {
-			return nil, fmt.Errorf("read results %s: %w", ob.Name, err)
+			log.WithError(err).WithFields(log.Fields{"shard": shard, "segment": ob.Name, "outcome": "unreadable"}).Error("results can't be loaded")
+			l.unreadable[id] = true
+			continue
 		}
-		segments[ids.JobID(id)] = append(segments[ids.JobID(id)], s)
+		l.results[id] = append(l.results[id], s)
 	}
-	return segments, nil
 }
 
 // finishLoad adds a shard's jobs to the ledger, unless the shard was given up meanwhile.
-func (o *Owner) finishLoad(s bulk.Shard, sh *shard, jobs []storedJob, results map[ids.JobID][]bulk.Segment) {
+func (o *Owner) finishLoad(s bulk.Shard, sh *shard, l storedShard) {
 	if o.shards[s] != sh {
 		return
 	}
-	for _, j := range jobs {
-		r := o.ledger.Add(j.job, s, false)
-		for _, sg := range results[j.job.ID] {
-			o.ledger.Commit(r, sg)
-		}
-		if j.ended {
-			o.ledger.EndJob(r)
+	for _, j := range l.jobs {
+		switch {
+		case j.expired:
+			o.startDeletion(sh.ctx, s, j.job.ID, len(l.results[j.job.ID]))
+		case !l.unreadable[j.job.ID]:
+			o.addLoaded(s, j, l.results[j.job.ID])
 		}
-		r.AwaitingProgress = r.Open()
 	}
+	sh.unreadable = l.unreadable
 	sh.ready = true
 	for _, c := range sh.earlyReports {
 		o.applyReport(c)
 	}
 	sh.earlyReports = nil
 	time.AfterFunc(progressWait, func() { o.post(func() { o.endProgressWait(s, sh) }) })
-	log.WithFields(log.Fields{"shard": s, "jobs": len(jobs)}).Info("shard taken over")
+	log.WithFields(log.Fields{"shard": s, "jobs": len(l.jobs), "unreadable": len(l.unreadable)}).Info("shard taken over")
 	o.start()
 }
+
+func (o *Owner) addLoaded(s bulk.Shard, j storedJob, results []bulk.Segment) {
+	r := o.ledger.Add(j.job, s, false)
+	for _, sg := range results {
+		o.ledger.Commit(r, sg)
+	}
+	if j.ended {
+		o.ledger.EndJob(r)
+	}
+	r.AwaitingProgress = r.Open()
+}
--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -62,9 +62,11 @@
 	reports         map[ids.JobID]*progressReport
 	reportsInFlight int
 	submissions     map[ids.JobID]*submission
-	retention       time.Duration
-	gaugesUpdated   time.Time
-	owners          OwnerClient
+	// deletions counts the deletions of each expired job that haven't ended.
+	deletions     map[ids.JobID]int
+	retention     time.Duration
+	gaugesUpdated time.Time
+	owners        OwnerClient
 }
 
 // runKey identifies an item among the items of all jobs.
@@ -86,6 +88,8 @@
 	ready bool
 	stop  context.CancelFunc
 	ctx   context.Context
+	// unreadable holds the jobs whose stored objects can't be read.
+	unreadable map[ids.JobID]bool
 	// earlyReports are a former owner's reports that came before the shard was loaded.
 	earlyReports []bulk.Call
 }
@@ -100,6 +104,7 @@
 		tasks: make(chan func(), 256), ledger: bulk.NewLedger(), shards: make(map[bulk.Shard]*shard),
 		owners: others, runs: make(map[runKey]*itemRun), reports: make(map[ids.JobID]*progressReport),
 		commits: make(map[ids.JobID]*commit), submissions: make(map[ids.JobID]*submission),
+		deletions: make(map[ids.JobID]int),
 	}
 }
 
--- a/verbenad/internal/bulk/submit.go
+++ b/verbenad/internal/bulk/submit.go
@@ -39,7 +39,7 @@
 		if s, ok := o.submissions[job.ID]; ok {
 			return admission{sub: s}
 		}
-		if !l.authoritative {
+		if !l.authoritative || o.deletions[job.ID] > 0 {
 			return admission{reply: &unavailable}
 		}
 		if !o.ledger.ReserveTokens(job, q.Call.TokenCap) {
@@ -94,6 +94,7 @@
 				o.ledger.EndJob(r)
 			}
 		default:
+			job.Parts = stored.job.Parts
 			o.ledger.Add(job, s, true)
 		}
 		log.WithFields(log.Fields{
@@ -144,11 +145,15 @@
 		_, err := o.store.Create(ctx, kindJobs(s), string(job.ID), head)
 		switch {
 		case err == nil:
+			found.job.Parts = head.Parts
 			return found, bulk.Done
 		case errors.Is(err, objects.ErrConflict):
 			object, err := o.store.Get(ctx, kindJobs(s), string(job.ID))
 			if err == nil {
-				if found, err = o.decodeJob(ctx, s, object); err == nil {
+				if found, err = o.decodeJob(ctx, s, object); err == nil && found.expired {
+					return storedJob{}, bulk.Unavailable // its deletion has not ended
+				}
+				if err == nil {
 					return found, bulk.Done
 				}
 			}
