test: sound servers that fall silent while entry hosts are stopped in order

Seen in 4 of 4 runs: 39 to 42 requests ran and ended without a whole answer after 0.6 to 2.2 of their 5 s (streams: `cut`, after 19 of 40 events; others: 502), by the logs for the reasons `overload` and `crashing`; 195 to 393 were refused as `crashing`. The earlier two of the runs had no limit on the pause between events and showed no cut streams.

The stand-in of a server gains silences; callers of the soak may send bodies of unstated length.

--- a/verbenalab/internal/soak/callers.go
+++ b/verbenalab/internal/soak/callers.go
@@ -91,6 +91,9 @@
 	neverAbandons bool
 	// abandonPeriod replaces the constant abandonPeriod, unless it is 0.
 	abandonPeriod int
+	// body is that of each request; if it is empty, the body is the request's id. chunked makes it one of unstated length.
+	body    string
+	chunked bool
 }
 
 func (ca *caller) sendMixed() {
@@ -137,7 +140,7 @@
 	maps.Copy(header, further)
 	c.FirstAttempt, c.promptParts = header[standin.HeaderResumes], header[standin.HeaderPromptParts]
 	c.ResumedAfter, _ = strconv.Atoi(header[standin.HeaderLastEvent]) // absent means from the start
-	response, err := ca.send(ctx, h, http.MethodPost, "/"+string(route)+"/x", key, c.ID, header, c.ID)
+	response, err := ca.send(ctx, h, http.MethodPost, "/"+string(route)+"/x", key, c.ID, header, cmp.Or(ca.body, c.ID))
 	if err == nil {
 		body, err := io.ReadAll(response.Body)
 		c.Draining = standin.IsDraining(response.Header)
@@ -161,6 +164,9 @@
 	}
 	request.Host = "host.example"
 	request.GetBody = nil // net/http must not retry the request
+	if ca.chunked {
+		request.ContentLength = -1
+	}
 	request.Header.Set("Authorization", "Bearer "+key)
 	request.Header.Set(standin.HeaderRequestID, id)
 	for k, v := range header {
--- a/verbenalab/internal/soak/environment.go
+++ b/verbenalab/internal/soak/environment.go
@@ -65,6 +65,9 @@
 	// Subnet is the second and third number of the loopback addresses of this run, for instance "64.1". Concurrent
 	// runs need different subnets.
 	Subnet string
+	// objective is the latency objective of all routes, eventGap the longest pause between events of streams. With 0
+	// those of standin.Configuration apply.
+	objective, eventGap time.Duration
 	// mixedVersions gives the stream servers the softwareVersions in turn, instead of none.
 	mixedVersions bool
 }
@@ -239,7 +242,11 @@
 	if limit == 0 {
 		limit = workspaceRate
 	}
-	return standin.Configuration(e.version, keys, limit)
+	c := standin.Configuration(e.version, keys, limit)
+	if e.options.objective > 0 {
+		standin.SetObjectives(c, e.options.objective, e.options.eventGap)
+	}
+	return c
 }
 
 // writeConfiguration writes the next version of the configuration. From the first call with withdraw set on, it
