fix: a silent server's answer isn't given up before another server takes the request, and counts as no crash

Callers saw, with sound servers that were silent for 1.2 s while entry hosts were stopped in order: answers that ended without need (streams cut after 19 of 40 events, 502 for others), and hundreds of refusals of requests that are alike, for a minute (`crashing`).

Cause, two faults of one class, a host's own act taken for the server's: 1. A host that had waited 0.6 to 1.6 s cancelled the send and only then asked for a slot at another server. While all servers are silent there is none, or the dispatcher refuses for another reason, and the request had lost the answer that its sound server went on with. 2. The cancelled send was reported as `broken`. Three such within a minute, of all callers of a workspace with the same path and body, mark a request as one that crashes servers.

Evidence: the logs of the case (before): `send failed` with `server_silent`, then `request ended` with `reason` `overload` or `crashing` after one send. Ruled out by them: resets of the path, since the send's error is the host's own cancellation.

Fix: when a server is silent, the host first asks for a slot elsewhere; the send goes on meanwhile and is cancelled only once the slot is granted, or if the host has lost its path to the server. Sends that the host ends itself have a result of their own, `silent`, which counts neither against the request nor against the server; servers that don't answer are found by reports of stalls, as before. A request that may have run asks again when a slot is refused for lack of capacity, as long as its caller waits.

--- a/verbena/dispatch/scheduler_test.go
+++ b/verbena/dispatch/scheduler_test.go
@@ -168,7 +168,7 @@
 }
 
 var results = map[string]Result{
-	"served": Served, "cancelled": Cancelled, "full": Full, "gone": Gone, "unreachable": Unreachable, "broken": Broken, "failed": Failed,
+	"served": Served, "cancelled": Cancelled, "full": Full, "gone": Gone, "unreachable": Unreachable, "broken": Broken, "failed": Failed, "silent": Silent,
 }
 
 func describe(c Command) string {
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -145,6 +145,8 @@
 		if !s.disabled[FailureRate] {
 			s.failures.recordFailure(now, host, o.Result)
 		}
+	case Silent:
+		s.lastFailure = now // it may have ended
 	case Cancelled, NoPath:
 	}
 }
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -90,6 +90,9 @@
 	Failed
 	// NoPath: the host doesn't reach the server, although others may; it tells nothing about the server.
 	NoPath
+	// Silent: the host ended the send because the server had sent nothing for a while. Sound servers are silent for a second or
+	// so, and servers that don't answer at all are found by StallReports.
+	Silent
 )
 
 // String returns the result's name in metrics.
@@ -111,6 +114,8 @@
 		return "failed"
 	case NoPath:
 		return "no_path"
+	case Silent:
+		return "silent"
 	}
 	return "unknown"
 }
@@ -339,6 +344,16 @@
 	LimitedServers
 )
 
+// IsTemporary reports whether the same request may be granted a slot a little later.
+func (r Reason) IsTemporary() bool {
+	switch r {
+	case Overload, NoServer, LimitedServers, VersionsUncertain:
+		return true
+	case OverRate, TooLate, Crashing, CrashingPart, UnknownOrigin, NoServerOfVersion, OtherService:
+	}
+	return false
+}
+
 // String returns the reason's name in logs.
 func (r Reason) String() string {
 	switch r {
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -89,9 +89,11 @@
 	exclude []ids.BackendID
 	// framing is that of the last answer.
 	framing upstream.Framing
-	// brokenBy is what broke off the last send, nil if nothing did; relayed is set if it went over another host.
+	// brokenBy is what broke off the last send, nil if nothing did; relayed is set if it went over another host, silent if this
+	// host ended it because the server sent nothing.
 	brokenBy error
 	relayed  bool
+	silent   atomic.Bool
 }
 
 // run sends the item to servers until it has a result. done is false if ctx ended first.
@@ -188,7 +190,11 @@
 		case <-ctx.Done():
 		}
 	}()
-	silence := time.AfterFunc(silenceTimeout, cancel)
+	i.silent.Store(false)
+	silence := time.AfterFunc(silenceTimeout, func() {
+		i.silent.Store(true)
+		cancel()
+	})
 	defer silence.Stop()
 	stall := i.owner.slots.WatchForStall(slot)
 	defer stall.Stop()
--- a/verbenad/internal/bulk/item_failures.go
+++ b/verbenad/internal/bulk/item_failures.go
@@ -12,11 +12,11 @@
 	"verbenaledge.example/verbenad/internal/upstream"
 )
 
-// release gives a slot back. If an answer was broken off, it first finds out whether this host has lost the path to the server,
-// which says nothing about the server.
+// release gives a slot back. If an answer was broken off, or its server was silent, it first finds out whether this host has lost
+// the path to the server, which says nothing about the server.
 func (i *itemRun) release(slot *slots.Slot, o dispatch.Outcome) {
 	err, relayed := i.brokenBy, i.relayed
-	if o.Result != dispatch.Broken || err == nil {
+	if o.Result != dispatch.Broken && o.Result != dispatch.Silent || err == nil {
 		i.owner.slots.Release(slot, o)
 		return
 	}
@@ -43,13 +43,17 @@
 	i.exclude = []ids.BackendID{slot.Server.ID}
 	i.lost = lostServer{start: startOf(slot.Server), at: i.owner.clock.Now()}
 	i.brokenBy = err
+	broken := dispatch.Broken
+	if i.silent.Load() {
+		broken = dispatch.Silent
+	}
 	var e *upstream.Error
 	switch {
 	case !errors.As(err, &e):
-		return dispatch.Broken
+		return broken
 	case e.Connected:
 		i.relayed = e.Relayed
-		return dispatch.Broken
+		return broken
 	case e.PathBroken:
 		return dispatch.NoPath
 	}
--- a/verbenad/internal/bulk/submit.go
+++ b/verbenad/internal/bulk/submit.go
@@ -10,6 +10,7 @@
 
 	"verbenaledge.example/verbena/bulk"
 	"verbenaledge.example/verbena/clock"
+	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/objects"
 	"verbenaledge.example/verbenad/internal/hostlink"
 )
@@ -121,50 +122,54 @@
 // leasePollInterval is the time between checks of a lapsed lease.
 const leasePollInterval = 50 * time.Millisecond
 
-// writeJob writes a job's parts and then its own object. After a write without an answer the outcome is unknown
-// until the store confirms that the object exists.
+// writeJob writes a job's parts and then its own object.
 func (o *Owner) writeJob(ctx context.Context, job bulk.Job, s bulk.Shard) (found storedJob, code bulk.Code) {
 	if id, size := largestItem(job); size > o.valueBytes*maxItemShare/100 {
 		log.WithFields(log.Fields{"job": job.ID, "item": id, "bytes": size, "outcome": "too_large"}).Warn("item can't be stored")
 		return found, bulk.TooLarge
 	}
 	head, parts := split(job, o.valueBytes/2)
+	if code := o.writeParts(ctx, s, job.ID, parts); code != bulk.Done {
+		return found, code // the job doesn't exist without its own object
+	}
+	return o.writeHead(ctx, s, head)
+}
+
+func (o *Owner) writeParts(ctx context.Context, s bulk.Shard, id ids.JobID, parts [][]bulk.Item) bulk.Code {
 	for n, p := range parts {
-		_, err := o.store.Create(ctx, kindParts(s), partName(job.ID, n+1), p)
-		if errors.Is(err, objects.ErrTooLarge) {
-			log.WithError(err).WithField("job", job.ID).Warn("part of a job can't be stored")
-			return found, bulk.TooLarge
+		_, err := o.store.Create(ctx, kindParts(s), partName(id, n+1), p)
+		if err == nil || errors.Is(err, objects.ErrConflict) {
+			continue
 		}
-		if err != nil && !errors.Is(err, objects.ErrConflict) {
-			log.WithError(err).WithField("job", job.ID).Warn("part of a job not written")
-			return found, bulk.Unavailable // the job doesn't exist without its own object
+		log.WithError(err).WithField("job", id).Warn("part of a job not written")
+		if errors.Is(err, objects.ErrTooLarge) {
+			return bulk.TooLarge
 		}
+		return bulk.Unavailable
 	}
+	return bulk.Done
+}
+
+// writeHead writes a job's own object. After a write without an answer the outcome is unknown until the store confirms
+// that the object exists.
+func (o *Owner) writeHead(ctx context.Context, s bulk.Shard, head bulk.Job) (found storedJob, code bulk.Code) {
 	outcomeUnknown := false
 	for {
-		_, err := o.store.Create(ctx, kindJobs(s), string(job.ID), head)
+		_, err := o.store.Create(ctx, kindJobs(s), string(head.ID), head)
 		switch {
 		case err == nil:
 			found.job.Parts = head.Parts
 			return found, bulk.Done
-		case errors.Is(err, objects.ErrConflict):
-			object, err := o.store.Get(ctx, kindJobs(s), string(job.ID))
-			if err == nil {
-				if found, err = o.decodeJob(ctx, s, object); err == nil && found.expired {
-					return storedJob{}, bulk.Unavailable // its deletion has not ended
-				}
-				if err == nil {
-					return found, bulk.Done
-				}
-			}
-			log.WithError(err).WithField("job", job.ID).Warn("job can't be read back yet")
 		case errors.Is(err, objects.ErrTooLarge):
-			log.WithError(err).WithField("job", job.ID).Warn("job can't be stored")
+			log.WithError(err).WithField("job", head.ID).Warn("job can't be stored")
 			return found, bulk.TooLarge
+		case errors.Is(err, objects.ErrConflict):
+			if found, code, ok := o.readBack(ctx, s, head.ID); ok {
+				return found, code
+			}
 		case errors.Is(err, objects.ErrUnknown):
 			outcomeUnknown = true
-		}
-		if err != nil && errors.Is(err, objects.ErrRefused) && !outcomeUnknown {
+		case errors.Is(err, objects.ErrRefused) && !outcomeUnknown:
 			return found, bulk.Unavailable
 		}
 		if ctx.Err() != nil {
@@ -174,6 +179,22 @@
 	}
 }
 
+// readBack reads a job that is stored already. ok is false if it can't be read yet.
+func (o *Owner) readBack(ctx context.Context, s bulk.Shard, id ids.JobID) (found storedJob, code bulk.Code, ok bool) {
+	object, err := o.store.Get(ctx, kindJobs(s), string(id))
+	if err == nil {
+		found, err = o.decodeJob(ctx, s, object)
+	}
+	switch {
+	case err != nil:
+		log.WithError(err).WithField("job", id).Warn("job can't be read back yet")
+		return storedJob{}, 0, false
+	case found.expired:
+		return storedJob{}, bulk.Unavailable, true // its deletion has not ended
+	}
+	return found, bulk.Done, true
+}
+
 // jobWriteRetryPause is the pause before a new job is written again. It is short because the caller is waiting
 // and the failed call has taken time already.
 const jobWriteRetryPause = 50 * time.Millisecond
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"verbenaledge.example/verbena/catalog"
+	"verbenaledge.example/verbena/clock"
 	"verbenaledge.example/verbena/completion"
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/dispatch"
@@ -78,8 +79,9 @@
 	// brokenBy is what broke off the last send, nil if nothing did; relayed is set if it went over another host.
 	brokenBy error
 	relayed  bool
-	// slot is that of the current send.
-	slot *slots.Slot
+	// slot is that of the current send. reserved is one at another server that was granted because that of the current send
+	// is silent, or nil.
+	slot, reserved *slots.Slot
 	// streamID identifies the stream among all hosts; streamReportedAt is when it was last reported to run.
 	streamID         origin.StreamID
 	streamReportedAt time.Time
@@ -97,10 +99,13 @@
 	}
 	fingerprint := req.fingerprint()
 	for {
-		slot, err := h.slots.Acquire(ctx, h.slotRequest(req, state, fingerprint))
+		slot, err := h.nextSlot(ctx, req, state, fingerprint)
 		if state.lastEventID != "" {
 			h.logResumption(req, state, slot, err)
 		}
+		if err != nil && h.askAgain(ctx, req, state, err) {
+			continue
+		}
 		if err != nil {
 			h.answerNoSlot(ctx, req, state, err)
 			return
@@ -112,9 +117,12 @@
 		slotWaitSeconds.With(string(req.service)).Update(slot.Waited.Seconds())
 		h.logPlaced(req, state)
 		state.brokenBy, state.relayed = nil, false
-		next, outcome := h.attempt(ctx, req, state, slot)
+		next, outcome := h.attempt(ctx, req, state, slot, fingerprint)
 		state.result = outcome.Result
 		h.release(slot, state, outcome)
+		if next != stepRetry {
+			h.dropReserved(state)
+		}
 		// The dispatcher refunds the rate of a request that a server refused as full, so the next send counts again.
 		state.rateCounted = state.rateCounted || outcome.Result != dispatch.Full
 		switch next {
@@ -132,11 +140,53 @@
 	}
 }
 
-// release gives a slot back. If an answer was broken off, it first finds out whether this host has lost the path to the server:
-// that says nothing about the server or the request.
+// nextSlot returns the slot that was reserved while the last server was silent, or waits for one.
+func (h *Handler) nextSlot(ctx context.Context, req *request, state *forwardState, fingerprint uint64) (slot *slots.Slot, err error) {
+	if slot = state.reserved; slot != nil {
+		state.reserved = nil
+		return slot, nil
+	}
+	return h.slots.Acquire(ctx, h.slotRequest(req, state.progress(), fingerprint))
+}
+
+// dropReserved gives back a reserved slot that isn't needed.
+func (h *Handler) dropReserved(state *forwardState) {
+	if state.reserved != nil {
+		h.slots.Release(state.reserved, dispatch.Outcome{Result: dispatch.Cancelled})
+		state.reserved = nil
+	}
+}
+
+// minAskAgainPause is the shortest pause before a refused request that may have run asks for a slot again.
+const minAskAgainPause = 100 * time.Millisecond
+
+// askAgain waits, and reports whether to ask for a slot again: a request that a server may have run, or a stream that has
+// begun, isn't ended by a lack of slots while its caller waits. Its end would be no refusal, which the caller could repeat.
+func (h *Handler) askAgain(ctx context.Context, req *request, state *forwardState, err error) bool {
+	refused, ok := slots.AsRefusedError(err)
+	switch {
+	case !ok || !refused.Reason.IsTemporary() || !state.mayHaveRun:
+		return false
+	case state.failure != nil || state.stream.MayEnd() || !h.mayRepeat(req, state):
+		return false
+	}
+	pause := max(refused.RetryAfter, minAskAgainPause)
+	if req.deadline.Sub(h.clock.Now()) <= pause {
+		return false
+	}
+	log.WithFields(log.Fields{
+		"request_id": req.info.ID, "reason": refused.Reason.String(), "placed_by": refused.Placer.String(), "sends": state.sends,
+		"events": state.events, "pause_ms": pause.Milliseconds(), "outcome": "asks_again",
+	}).Info("no slot for a further send")
+	clock.Sleep(ctx, pause)
+	return ctx.Err() == nil
+}
+
+// release gives a slot back. If an answer was broken off, or its server was silent, it first finds out whether this host has lost
+// the path to the server: that says nothing about the server or the request.
 func (h *Handler) release(slot *slots.Slot, state *forwardState, outcome dispatch.Outcome) {
 	err, relayed := state.brokenBy, state.relayed
-	if outcome.Result != dispatch.Broken || err == nil {
+	if outcome.Result != dispatch.Broken && outcome.Result != dispatch.Silent || err == nil {
 		h.slots.Release(slot, outcome)
 		return
 	}
@@ -148,23 +198,37 @@
 	}()
 }
 
+// sendProgress is what a slot request depends on besides the request itself.
+type sendProgress struct {
+	// begun is set once the caller has the beginning of the response, resumes if the caller has events.
+	begun, resumes bool
+	rateCounted    bool
+	exclude        []ids.BackendID
+}
+
+func (s *forwardState) progress() sendProgress {
+	return sendProgress{begun: s.responseStarted, resumes: s.lastEventID != "", rateCounted: s.rateCounted, exclude: s.exclude}
+}
+
 // slotRequest returns the request for a slot. Until a stream begins, the caller waits only for the route's first-event
 // timeout.
-func (h *Handler) slotRequest(req *request, state *forwardState, fingerprint uint64) dispatch.SlotRequest {
+func (h *Handler) slotRequest(req *request, p sendProgress, fingerprint uint64) dispatch.SlotRequest {
 	now := h.clock.Now()
 	remaining, routeTimeout := req.deadline.Sub(now), min(req.longestTimeout, req.route.Timeout)
-	if firstEvent := req.route.FirstEventTimeout(); firstEvent > 0 && !state.responseStarted {
+	if firstEvent := req.route.FirstEventTimeout(); firstEvent > 0 && !p.begun {
 		remaining, routeTimeout = min(remaining, firstEvent-now.Sub(req.start)), min(routeTimeout, firstEvent)
 	}
 	r := dispatch.SlotRequest{
 		Service: req.service, Workspace: req.workspaceID(), Class: dispatch.Online, Priority: req.route.PriorityOf(req.workspace),
 		Objective: req.route.Objective - callerNetworkTime - now.Sub(req.start), Remaining: remaining, FirstAttemptTime: routeTimeout,
-		StreamEvents: nonStreamEvents, Metered: !state.rateCounted, Retry: state.rateCounted, Exclude: state.exclude, Fingerprint: fingerprint,
+		StreamEvents: nonStreamEvents, Metered: !p.rateCounted, Retry: p.rateCounted, Exclude: p.exclude, Fingerprint: fingerprint,
 		Parts: req.info.SharedParts,
 	}
 	if req.route.Kind == catalog.KindStream {
 		r.StreamEvents = max(1, req.info.OutputTokens)
-		r.Resumption = state.resumption(req)
+		if p.resumes {
+			r.Resumption = req.resumption()
+		}
 	}
 	return r
 }
@@ -206,11 +270,16 @@
 }
 
 // attempt sends the request to one server.
-func (h *Handler) attempt(ctx context.Context, req *request, state *forwardState, slot *slots.Slot) (next nextStep, outcome dispatch.Outcome) {
+func (h *Handler) attempt(
+	ctx context.Context, req *request, state *forwardState, slot *slots.Slot, fingerprint uint64,
+) (next nextStep, outcome dispatch.Outcome) {
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := h.watchForSilence(req, state, slot, cancel)
-	defer watch.stop()
+	watch := h.watchForSilence(ctx, req, state, slot, fingerprint, cancel)
+	defer func() {
+		watch.stop()
+		state.reserved = watch.reserved
+	}()
 	start := h.clock.Now()
 	response, err := h.client.Send(sendCtx, h.protocol, upstream.Request{
 		ID: req.info.ID, Method: req.httpRequest.Method, Target: req.httpRequest.RequestURI, Host: req.httpRequest.Host, Body: req.body, Server: slot.Server,
@@ -285,6 +354,9 @@
 	}
 	if watch.expired.Load() {
 		state.reason = "server_silent"
+		if outcome.Result == dispatch.Broken {
+			outcome.Result = dispatch.Silent
+		}
 	}
 	if e.Execution != upstream.NotSent {
 		state.sends++
--- a/verbenad/internal/entry/response.go
+++ b/verbenad/internal/entry/response.go
@@ -201,6 +201,7 @@
 		if id != "" {
 			state.lastEventID = id
 		}
+		watch.setProgress(state.progress())
 		state.events += n
 		outcome.StreamEvents += n
 	}
@@ -269,7 +270,7 @@
 	outcome.Unanswered = !state.responseStarted && state.lastEventID == "" && !watch.expired.Load() && upstream.ConnectionEnded(err)
 	state.reason = "stream_cut"
 	if watch.expired.Load() {
-		state.reason = "server_silent"
+		state.reason, outcome.Result = "server_silent", dispatch.Silent
 	}
 	if errors.Is(err, upstream.ErrEventTooLong) {
 		state.reason = "event_too_long"
--- a/verbenad/internal/entry/resumption.go
+++ b/verbenad/internal/entry/resumption.go
@@ -22,18 +22,15 @@
 	return origin.NewStreamID(r.workspaceID(), first)
 }
 
-// resumption returns what a slot request says of a stream of which the caller has events already, nil for any other.
-func (s *forwardState) resumption(req *request) *dispatch.Resumption {
-	if s.lastEventID == "" {
-		return nil
-	}
-	r := &dispatch.Resumption{Stream: s.streamID}
-	for _, t := range req.route.Targets {
+// resumption returns what a slot request says of a stream of which the caller has events already.
+func (r *request) resumption() *dispatch.Resumption {
+	resumed := &dispatch.Resumption{Stream: r.streamID()}
+	for _, t := range r.route.Targets {
 		if t.Weight > 0 {
-			r.Services = append(r.Services, t.Service)
+			resumed.Services = append(resumed.Services, t.Service)
 		}
 	}
-	return r
+	return resumed
 }
 
 // reportEvents reports that events of the stream come from the server of the present slot. It is called before the caller
--- a/verbenad/internal/entry/slot_request_test.go
+++ b/verbenad/internal/entry/slot_request_test.go
@@ -35,7 +35,7 @@
 			tc.route.Timeout = 5 * time.Second
 			start := clock.now.Add(-100 * time.Millisecond)
 			req := &request{route: &tc.route, start: start, deadline: start.Add(5 * time.Second), longestTimeout: 5 * time.Second}
-			r := h.slotRequest(req, &forwardState{responseStarted: tc.started}, 0)
+			r := h.slotRequest(req, sendProgress{begun: tc.started}, 0)
 			qt.Assert(t, r.Remaining, qt.Equals, tc.want)
 			qt.Assert(t, r.Objective, qt.Equals, tc.route.Objective-100*time.Millisecond-callerNetworkTime)
 			qt.Assert(t, r.Remaining <= r.FirstAttemptTime, qt.IsTrue)
--- a/verbenad/internal/owners/stale_listing_test.go
+++ b/verbenad/internal/owners/stale_listing_test.go
@@ -34,7 +34,7 @@
 
 func newStaleHosts(names ...string) (*staleStore, *manualClock, []*testHost) {
 	s, m := &staleStore{Store: memory.New()}, &manualClock{now: time.Unix(1000, 0)}
-	var hosts []*testHost
+	hosts := make([]*testHost, 0, len(names))
 	for _, n := range names {
 		h := newTestHost(ids.HostID(n), s.Store, m)
 		h.store = s
