fix: a late end of a write doesn't drop the commit state of a job that was loaded again

Callers would see just that: items that have run, are neither completed nor errored in any listing, and aren't run again.

Cause: the state of a job's segment writes was kept by the job's id. A write in flight when its owner loses the shard and gets it back ended in finishWrite, which removed the state although it was the new record's by then. If all items had results, nothing created it again, and the results were never written.

That this is the users' case is only suspected: the cancelled write has to end later than the shard's next load, which needs a host that is short of processor time or was frozen.

Fix: the state goes with the record: it is removed when the shard is given up, and a late end changes nothing.

--- a/verbenad/internal/bulk/commit.go
+++ b/verbenad/internal/bulk/commit.go
@@ -131,8 +131,7 @@
 	c.writing = false
 	current, ok := o.ledger.Job(r.Job.ID, r.Job.Workspace)
 	if !ok || current != r {
-		delete(o.commits, r.Job.ID)
-		return
+		return // dropShard has removed c; the job's new record has a commit of its own
 	}
 	if err != nil {
 		c.pause = min(maxRetryPause, max(retryPause, 2*c.pause))
--- a/verbenad/internal/bulk/handover.go
+++ b/verbenad/internal/bulk/handover.go
@@ -93,6 +93,7 @@
 // reported as their runs end.
 func (o *Owner) dropShard(s bulk.Shard) {
 	for _, r := range o.ledger.Records(s) {
+		delete(o.commits, r.Job.ID)
 		if len(r.Pending) > 0 && !r.Ended {
 			o.queueReport(r, bulk.Progress{Results: append([]bulk.Result(nil), r.Pending...)})
 		}
