fix: requests that wait at the standby outlive a short silence of it

Named by the review as read and not run: a host that hears from a silent standby again registers there anew, by which the standby withdraws the host's waiting requests, and submits only those again that it had moved to its own scheduler. The others waited until their deadline, batch items without end.

TestRequestsOutliveSilenceOfStandby failed before (a slot request was lost). By reading, hosts that own batch jobs don't get into this state, since only callers' requests mark a placer as silent: it isn't shown to be the users' case of open items.

--- a/verbenad/internal/slots/links.go
+++ b/verbenad/internal/slots/links.go
@@ -201,6 +201,7 @@
 	case !c.dispatcher.usable():
 		conn.registered = false // it doesn't know what this host has decided locally
 		c.register(conn)
+		c.resubmitAll(PlacerStandby) // a host that registers again has no requests there
 		c.resubmitAll(PlacerLocal)
 	}
 }
--- a/verbenad/internal/slots/standby_test.go
+++ b/verbenad/internal/slots/standby_test.go
@@ -116,6 +116,59 @@
 	}
 }
 
+// TestRequestsOutliveSilenceOfStandby guards against requests that wait at the standby for good: a host that registers there
+// again after a silence of the standby is taken for one without requests.
+func TestRequestsOutliveSilenceOfStandby(t *testing.T) {
+	c := qt.New(t)
+	d, standby := startDispatcher(t), startStandby(t)
+	var lost atomic.Bool
+	one := NewClient(
+		"one", "z", "127.0.0.1:1", clock.System{}, objectfeed.NewFeed(clock.System{}),
+		func() string {
+			if lost.Load() {
+				return ""
+			}
+			return d.address
+		}, func() string { return standby.address }, withFreshServers,
+	)
+	go one.Run(t.Context())
+	one.SetServers(twoServers)
+	waitConnected(t, one)
+	held := make([]*Slot, 0, len(twoServers))
+	for range twoServers {
+		slot, err := one.Acquire(t.Context(), slotRequest(dispatch.Online))
+		c.Assert(err, qt.IsNil)
+		held = append(held, slot)
+	}
+	lost.Store(true)
+	d.dispatcher.DisconnectAll()
+	granted := make(chan *Slot, 1)
+	go func() {
+		slot, err := one.Acquire(t.Context(), slotRequest(dispatch.Batch))
+		c.Check(err, qt.IsNil)
+		granted <- slot
+	}()
+	c.Assert(waitUntil(func() bool { return countPending(one, PlacerStandby) == 1 }), qt.IsTrue)
+	standby.frozen.Store(true)
+	waitForPlacer(t, one, PlacerLocal)
+	standby.frozen.Store(false)
+	standby.dispatcher.sendStatus("one") // its next frame, before this host closes the silent connection
+	c.Assert(waitUntil(func() bool {
+		one.mu.Lock()
+		defer one.mu.Unlock()
+		return one.standby.usable()
+	}), qt.IsTrue)
+	for _, slot := range held {
+		one.Release(slot, dispatch.Outcome{Result: dispatch.Served})
+	}
+	select {
+	case slot := <-granted:
+		one.Release(slot, dispatch.Outcome{Result: dispatch.Served})
+	case <-time.After(10 * time.Second):
+		c.Fatal("a slot request was lost")
+	}
+}
+
 func countPending(client *Client, placer Placer) (n int) {
 	client.mu.Lock()
 	defer client.mu.Unlock()
