fix: results of a job whose id holds a dot are found after a load

Cause: the name of a stored segment is the job's id, a dot and a number, and was cut at the first dot. Fix: it is cut at the last one. TestResultsOfJobWithDots failed before.

--- a/verbenad/internal/bulk/load.go
+++ b/verbenad/internal/bulk/load.go
@@ -138,8 +138,7 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	l.results = make(map[ids.JobID][]bulk.Segment)
 	for _, ob := range list {
-		name, _, _ := strings.Cut(ob.Name, ".")
-		id := ids.JobID(name)
+		id := ids.JobID(ob.Name[:max(0, strings.LastIndexByte(ob.Name, '.'))]) // the id may hold dots
 		var s bulk.Segment
 		if err := json.Unmarshal(ob.Spec, &s); err != nil {
 			log.WithError(err).WithFields(log.Fields{"shard": shard, "segment": ob.Name, "outcome": "unreadable"}).Error("results can't be loaded")
