fix: items of batch jobs are checked as strictly as requests on a connection

Cause: the path of an item comes out of JSON and was checked for its first slash only; the writer of requests wrote it into the request line as it was.

An item that a former release stored is listed as errored and not sent.

Host, method and target of callers' own requests are checked by net/http.

--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -99,6 +99,11 @@
 // run sends the item to servers until it has a result. done is false if ctx ended first.
 func (i *itemRun) run(ctx context.Context) (result bulk.Result, done bool) {
 	start := i.owner.clock.Now()
+	if err := upstream.CheckTarget(i.item.Path); err != nil {
+		// Stored by a release that accepted it; it must not reach a server.
+		log.WithError(err).WithFields(log.Fields{"job": i.record.Job.ID, "item": i.item.ID, "reason": "unsafe_path", "outcome": "errored"}).Warn("item ended")
+		return bulk.Result{Item: i.item.ID, State: bulk.Errored}, true
+	}
 	for ctx.Err() == nil {
 		route, service, ok := i.service(ctx)
 		if !ok {
--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -316,6 +316,23 @@
 
 // refuse answers a request that no server has executed.
 func (h *Handler) refuse(req *request, status int, retryAfter time.Duration, reason string, extra ...logField) {
+	h.recordRefusal(req, status, retryAfter, reason, extra...)
+	h.protocol.WriteRefusal(req.writer, status, req.info.ID, retryAfter, reason)
+}
+
+// maxDetailBytes bounds what a refusal says of an invalid request.
+const maxDetailBytes = 300
+
+// refuseInvalid refuses a request that its caller has to change, and says what is wrong with it.
+func (h *Handler) refuseInvalid(req *request, reason string, err error) {
+	detail := err.Error()
+	detail = strings.ToValidUTF8(detail[:min(len(detail), maxDetailBytes)], "")
+	h.recordRefusal(req, http.StatusBadRequest, 0, reason, logField{"detail", detail})
+	h.protocol.WriteRefusal(req.writer, http.StatusBadRequest, req.info.ID, 0, reason+": "+detail)
+}
+
+// recordRefusal counts and logs a refusal.
+func (h *Handler) recordRefusal(req *request, status int, retryAfter time.Duration, reason string, extra ...logField) {
 	refusals(reason).Inc()
 	requests.With(req.routeName(), string(req.service), "refused", reason).Inc()
 	fields := log.Fields{
@@ -327,7 +344,6 @@
 		fields[f.name] = f.value
 	}
 	log.WithFields(fields).Info("request refused")
-	h.protocol.WriteRefusal(req.writer, status, req.info.ID, retryAfter, reason)
 }
 
 // routeName returns the name of the request's route, or nothing if no route matches.
--- a/verbenad/internal/entry/jobs.go
+++ b/verbenad/internal/entry/jobs.go
@@ -57,7 +57,7 @@
 	job, err := h.jobProtocol.ParseJob(req.info.ID, req.body)
 	if err != nil {
 		log.WithError(err).WithField("request_id", req.info.ID).Warn("cannot parse the batch job")
-		h.refuse(req, http.StatusBadRequest, 0, "bad_job")
+		h.refuseInvalid(req, "bad_job", err)
 		return
 	}
 	now := h.clock.Now()
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"verbenaledge.example/verbena/completion"
@@ -90,8 +91,28 @@
 	complete      bool
 }
 
+// ErrUnsafeRequest is returned for a request whose method, target or host would end its line or its head early, and so
+// smuggle another request to the server.
+var ErrUnsafeRequest = errors.New("request line or host holds a space or a control character")
+
+// CheckTarget returns ErrUnsafeRequest for a request target that can't be sent.
+func CheckTarget(target string) error {
+	if target == "" || isUnsafe(target) {
+		return ErrUnsafeRequest
+	}
+	return nil
+}
+
+// isUnsafe reports whether a string holds a space or a control character.
+func isUnsafe(s string) bool {
+	return strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r == 0x7f })
+}
+
 // Send sends a request and reads the headers of its response. The connection closes when the context ends.
 func (c *Client) Send(ctx context.Context, p exchange.Protocol, r Request) (response *Response, err error) {
+	if CheckTarget(r.Target) != nil || isUnsafe(r.Method) || isUnsafe(r.Host) {
+		return nil, &Error{Execution: NotSent, Err: ErrUnsafeRequest}
+	}
 	for {
 		conn := c.takeIdle(r.Server.ID)
 		if conn != nil && conn.relayed && c.paths.recheckDue(r.Server.ID) {
