fix: a cancelled handover can't take effect late

A host that cancels its handover writes the map as it is, so that a handover whose write is still under way fails on its revision. The users' store gives no new revision to a write that changes nothing, so the late write took effect while the host acted again.

Fix: the map holds a generation, which that write increases. The stand-in of the store now treats writes without a change as the users' store does. TestLateHandOver failed before (the late write was accepted).

--- a/verbena/objects/memory/store.go
+++ b/verbena/objects/memory/store.go
@@ -192,7 +192,11 @@
 			o = old
 			return objects.ErrConflict
 		}
+		spec, status := string(old.Spec), string(old.Status)
 		edit(&old)
+		if o = old; string(o.Spec) == spec && string(o.Status) == status {
+			return nil // a write that changes nothing is no change
+		}
 		o = s.put(op.Kind, old)
 		return nil
 	})
--- a/verbena/ownership/ownership.go
+++ b/verbena/ownership/ownership.go
@@ -39,6 +39,15 @@
 	Units map[Unit]Owner `json:"units"`
 	// Standby places requests for hosts that can't reach the owner of Dispatch. It is empty if there is only one host.
 	Standby Owner `json:"standby,omitzero"`
+	// Generation counts the writes that change nothing else: the store gives no new revision to a write without a change.
+	Generation uint64 `json:"generation,omitempty"`
+}
+
+// Renewed returns the same map in the next generation. Once it is written, no earlier write that is still under way can
+// take effect.
+func (m Map) Renewed() Map {
+	m.Generation++
+	return m
 }
 
 // Lease is the stored form of a host's lease.
--- a/verbena/ownership/plan.go
+++ b/verbena/ownership/plan.go
@@ -14,7 +14,7 @@
 	if len(hosts) == 0 || w.firstHost() != w.self {
 		return current, false
 	}
-	next = Map{Units: make(map[Unit]Owner, len(w.units))}
+	next = Map{Units: make(map[Unit]Owner, len(w.units)), Generation: current.Generation}
 	count := make(map[ids.HostID]int, len(hosts))
 	for _, u := range w.units {
 		o, ok := current.Units[u]
@@ -48,7 +48,7 @@
 	for _, o := range current.Units {
 		count[o.Host]++
 	}
-	next = Map{Units: make(map[Unit]Owner, len(current.Units)), Standby: current.Standby}
+	next = Map{Units: make(map[Unit]Owner, len(current.Units)), Standby: current.Standby, Generation: current.Generation}
 	for _, u := range w.units {
 		o, ok := current.Units[u]
 		if ok && o.Host == w.self {
--- a/verbenad/internal/owners/coordinator.go
+++ b/verbenad/internal/owners/coordinator.go
@@ -168,11 +168,11 @@
 	return err
 }
 
-// cancelHandOver writes the map unchanged: its new revision keeps an earlier write that hands the units over from
-// taking effect late.
+// cancelHandOver writes the map with the same owners: its new revision keeps an earlier write that hands the units over
+// from taking effect late.
 func (c *Coordinator) cancelHandOver(ctx context.Context) error {
 	current, at := c.view.Map()
-	return c.writeHandOverMap(ctx, current, at)
+	return c.writeHandOverMap(ctx, current.Renewed(), at)
 }
 
 // writeHandOverMap writes a map for handOver or cancelHandOver. The handover ends once the current map is known.
--- a/verbenad/internal/owners/coordinator_test.go
+++ b/verbenad/internal/owners/coordinator_test.go
@@ -1,6 +1,7 @@
 package owners
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"verbenaledge.example/verbena/bulk"
 	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/objects"
 	"verbenaledge.example/verbena/objects/memory"
 	"verbenaledge.example/verbena/ownership"
 )
@@ -234,6 +236,40 @@
 	}
 }
 
+// TestLateHandOver guards against two owners: the write that hands units over takes effect only after the host has cancelled its
+// handover and acts again. The store gives no new revision to a write that changes nothing.
+func TestLateHandOver(t *testing.T) {
+	c := qt.New(t)
+	s, m := memory.New(), &manualClock{now: time.Unix(1000, 0)}
+	a, b, other := newTestHost("a", s, m), newTestHost("b", s, m), newTestHost("c", s, m)
+	for range 4 {
+		round(t, m, s, a, b, other)
+	}
+	if b.IsStandby() {
+		b, other = other, b // the planning host replaces a standby that leaves, which would be a change
+	}
+	current, at := b.view.Map()
+	b.SetLeaving(true)
+	s.SetFault(func(op memory.Op) memory.Fault {
+		if op.Kind == KindOwners && op.Verb == "replace" {
+			return memory.LoseCall
+		}
+		return memory.None
+	})
+	round(t, m, s, a, b, other) // the write is under way
+	late, changed := b.watcher.HandOver(current)
+	c.Assert(changed, qt.IsTrue)
+	s.SetFault(nil)
+	b.SetLeaving(false)
+	for range 2 {
+		round(t, m, s, a, b, other)
+	}
+	_, err := s.Replace(t.Context(), KindOwners, mapName, at, late)
+	c.Assert(errors.Is(err, objects.ErrConflict), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(actsWithoutOwnership(t, s, b), qt.Equals, "")
+	c.Assert(unitsOwned(b) > 0, qt.IsTrue)
+}
+
 // actsWithoutOwnership returns the name of a shard for which a host acts although the stored map names another
 // owner, or "".
 func actsWithoutOwnership(t *testing.T, s *memory.Store, h *testHost) string {
--- a/verbenad/internal/upstream/unsafe_request_test.go
+++ b/verbenad/internal/upstream/unsafe_request_test.go
@@ -20,7 +20,7 @@
 		{Method: "POST\n", Target: "/a", Host: "h"},
 		{Method: "POST", Target: "/a", Host: "h\r\nX-A: 1"},
 	} {
-		_, err := NewClient(clock.System{}).Send(t.Context(), nil, r) //nolint:bodyclose // there is no response
+		_, err := NewClient(clock.System{}).Send(t.Context(), nil, r)
 		var failed *Error
 		qt.Assert(t, errors.As(err, &failed), qt.IsTrue)
 		qt.Assert(t, failed.Execution, qt.Equals, NotSent)
