fix: a lease that is taken anew counts only once the map can't be changed by one who found it gone

A host whose lease was broken takes a new one and reads the map, which still names it, while the planning host, whose listing has no lease of it, is about to write the map that gives its units away: both act as owner until the first one learns of the new map.

Fix: before the new lease counts, a host that the map names writes a new generation of it, on which the other write fails. TestLeaseRegainedWhileUnitsMove failed before (the host acts for jobs-00, which the stored map gives to another).

--- a/verbena/ownership/ownership.go
+++ b/verbena/ownership/ownership.go
@@ -50,6 +50,16 @@
 	return m
 }
 
+// Names reports whether the map gives a host a unit or the standby role.
+func (m Map) Names(host ids.HostID) bool {
+	for _, o := range m.Units {
+		if o.Host == host {
+			return true
+		}
+	}
+	return m.Standby.Host == host
+}
+
 // Lease is the stored form of a host's lease.
 type Lease struct {
 	Address string     `json:"address"`
--- a/verbenad/internal/owners/coordinator.go
+++ b/verbenad/internal/owners/coordinator.go
@@ -107,12 +107,7 @@
 // OwnsNothing reports whether the map gives this host no unit and not the standby role.
 func (c *Coordinator) OwnsNothing() bool {
 	m, at := c.view.Map()
-	for _, o := range m.Units {
-		if o.Host == c.host {
-			return false
-		}
-	}
-	return at > 0 && m.Standby.Host != c.host
+	return at > 0 && !m.Names(c.host)
 }
 
 // Run renews the lease, checks the other hosts' leases and updates the map until the context ends.
@@ -252,13 +247,23 @@
 	return true
 }
 
-// readMap reads the map after a new lease was taken: units may have moved to other hosts before.
-func (c *Coordinator) readMap(ctx context.Context) bool {
+// readMap reads the map after a new lease was taken: units may have moved to other hosts before. If it still names this host, a new
+// generation of it is written before the lease counts: a host that found the former lease gone may be about to move the units.
+func (c *Coordinator) readMap(ctx context.Context) (known bool) {
 	o, err := c.store.Get(ctx, KindOwners, mapName)
-	if err == nil {
-		c.view.update(o)
+	if err != nil {
+		return errors.Is(err, objects.ErrNotFound)
+	}
+	c.view.update(o)
+	current, at := c.view.Map()
+	if !current.Names(c.host) {
+		return true
+	}
+	known, err = c.writeMap(ctx, current.Renewed(), at)
+	if err != nil {
+		log.WithError(err).WithField("revision", at).Warn("map of owners not confirmed after a new lease")
 	}
-	return err == nil || errors.Is(err, objects.ErrNotFound)
+	return known
 }
 
 func (c *Coordinator) writeLease(ctx context.Context, l ownership.Lease) (objects.Object, error) {
