--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -34,8 +34,6 @@
 // Lease reports whether this host may act as the only owner of a shard at this moment.
 type Lease interface {
 	Owns(s bulk.Shard) bool
-	// ConfirmOwns reads from the store whether this host was the shard's owner at some moment during the call.
-	ConfirmOwns(ctx context.Context, s bulk.Shard) bool
 }
 
 // Owner runs the jobs of this host's shards. Its state is confined to one goroutine.
--- a/verbenad/internal/bulk/submit.go
+++ b/verbenad/internal/bulk/submit.go
@@ -78,11 +78,6 @@
 	stored, code := o.writeJob(ctx, job, s)
 	if code == bulk.Done {
 		o.awaitLease(ctx, s)
-		if !o.lease.ConfirmOwns(ctx, s) {
-			// Former releases give a shard away while its owner's lease is valid, and the watch on the map may be late.
-			code = bulk.OutcomeUnknown
-			log.WithFields(log.Fields{"job": job.ID, "shard": s, "outcome": code.String()}).Warn("ownership not confirmed")
-		}
 	}
 	o.post(func() {
 		delete(o.submissions, job.ID)
--- a/verbenad/internal/owners/coordinator.go
+++ b/verbenad/internal/owners/coordinator.go
@@ -74,20 +74,6 @@
 	return !c.handingOver.Load() && c.IsMapped(ownership.Unit(s.Name())) && c.LeaseValid()
 }
 
-// ConfirmOwns reads the map from the store and reports whether this host is still a shard's owner by it: a change that this host
-// hasn't learned of yet, and whatever a new owner reads, comes after what was written before the call.
-func (c *Coordinator) ConfirmOwns(ctx context.Context, s bulk.Shard) bool {
-	known, ok := c.view.Owner(ownership.Unit(s.Name()))
-	o, err := c.store.Get(ctx, KindOwners, mapName)
-	if err != nil || !ok {
-		log.WithError(err).WithField("shard", s).Warn("map of owners can't be read")
-		return false
-	}
-	c.view.update(o)
-	current, _ := c.view.Owner(ownership.Unit(s.Name()))
-	return current.Host == c.host && current.Epoch == known.Epoch && c.Owns(s)
-}
-
 // IsMapped reports whether the map names this host as the unit's owner.
 func (c *Coordinator) IsMapped(u ownership.Unit) bool {
 	o, ok := c.view.Owner(u)
