test: the owner of a batch job may complete it before it is found

Traced by the time lines that it keeps: host-02 took the job of the case "half" over at 463.69 s and completed it at 465.19 s; the test read that fewer than 400 items were done, then asked the daemons for the owner of a job that was complete by then, for 10 s.

The test now looks for the owner, and takes the first daemon if the job has completed, in one condition with the same bound of 10 s. What it checks is unchanged: each item is in the results once.

--- a/verbenalab/internal/fleet/batch_test.go
+++ b/verbenalab/internal/fleet/batch_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"verbenaledge.example/verbenalab/internal/fleet"
 	"verbenaledge.example/verbenalab/internal/load"
 	"verbenaledge.example/verbenalab/internal/platform"
 )
@@ -30,10 +31,13 @@
 		if tc.at > 0 {
 			f.eventually(jobTimeout, "progress", func() bool { return f.completedItems(b) >= tc.at })
 		}
-		owner := f.Hosts[0]
-		if p := f.completedItems(b); p < n {
-			owner = f.ownerOf(b)
-		}
+		var owner *fleet.Host
+		f.eventually(10*time.Second, "a daemon owns the job, or it has completed", func() bool {
+			if owner = f.findOwner(b); owner == nil && f.completedItems(b) == n {
+				owner = f.Hosts[0]
+			}
+			return owner != nil
+		})
 		owner.Kill()
 		f.awaitResults(b, tc.name, n)
 		f.Assert(f.StartHost(owner), qt.IsNil)
--- a/verbenalab/internal/fleet/fleet_test.go
+++ b/verbenalab/internal/fleet/fleet_test.go
@@ -231,28 +231,32 @@
 }
 
 // ownerOf returns the daemon that owns an open job.
-func (f *testFleet) ownerOf(b load.Batch) *fleet.Host {
-	var owner *fleet.Host
+func (f *testFleet) ownerOf(b load.Batch) (owner *fleet.Host) {
 	f.eventually(10*time.Second, "a daemon owns the job", func() bool {
-		for _, h := range f.Hosts {
-			var jobs []struct {
-				ID string `json:"id"`
-			}
-			if h.Exited() || f.ReadAdmin(h, "/admin/jobs", &jobs) != nil {
-				continue
-			}
-			for _, j := range jobs {
-				if j.ID == b.ID {
-					owner = h
-					return true
-				}
-			}
-		}
-		return false
+		owner = f.findOwner(b)
+		return owner != nil
 	})
 	return owner
 }
 
+// findOwner returns the daemon that owns an open job at present, nil if none does.
+func (f *testFleet) findOwner(b load.Batch) *fleet.Host {
+	for _, h := range f.Hosts {
+		var jobs []struct {
+			ID string `json:"id"`
+		}
+		if h.Exited() || f.ReadAdmin(h, "/admin/jobs", &jobs) != nil {
+			continue
+		}
+		for _, j := range jobs {
+			if j.ID == b.ID {
+				return h
+			}
+		}
+	}
+	return nil
+}
+
 // ledger is what a backend server's stand-in has recorded: engines fill Ran, plain services fill Runs.
 type ledger struct {
 	Ran     []string    `json:"ran"`
