--- a/verbenad/internal/host/caller_connections.go
+++ b/verbenad/internal/callerconn/connections.go
@@ -1,4 +1,5 @@
-package host
+// Package callerconn accepts the connections of callers, and tells which of them carry a request.
+package callerconn
 
 import (
 	"net"
@@ -10,19 +11,20 @@
 // firstRequestTime is how long a new connection without a request counts as busy. Callers send at once.
 const firstRequestTime = time.Second
 
-// callerConnections tracks the connections that carry a request, and the new ones on which a request is expected.
-type callerConnections struct {
+// Connections tracks the connections that carry a request, and the new ones on which a request is expected.
+type Connections struct {
 	mu     sync.Mutex
 	active map[net.Conn]bool
 	unused map[net.Conn]time.Time
 }
 
-func newCallerConnections() *callerConnections {
-	return &callerConnections{active: make(map[net.Conn]bool), unused: make(map[net.Conn]time.Time)}
+// NewConnections returns a set without connections.
+func NewConnections() *Connections {
+	return &Connections{active: make(map[net.Conn]bool), unused: make(map[net.Conn]time.Time)}
 }
 
-// stateChanged is the ConnState callback of the http.Server.
-func (c *callerConnections) stateChanged(conn net.Conn, state http.ConnState) {
+// StateChanged is the ConnState callback of the http.Server.
+func (c *Connections) StateChanged(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.active, conn)
@@ -36,8 +38,8 @@
 	}
 }
 
-// busy reports whether a request is in progress or expected on a new connection.
-func (c *callerConnections) busy(now time.Time) bool {
+// Busy reports whether a request is in progress or expected on a new connection.
+func (c *Connections) Busy(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, t := range c.unused {
--- a/verbenad/internal/host/draining_listener.go
+++ b/verbenad/internal/callerconn/listener.go
@@ -1,4 +1,4 @@
-package host
+package callerconn
 
 import (
 	"errors"
@@ -16,42 +16,45 @@
 	maxAcceptTime = 500 * time.Millisecond
 )
 
-// drainingListener accepts the waiting connections before it closes.
-type drainingListener struct {
+// Listener accepts the waiting connections before it closes.
+type Listener struct {
 	net.Listener
 	// closeBy is the latest time at which it closes, in Unix nanoseconds; 0 while it isn't draining.
 	closeBy atomic.Int64
 }
 
-// drain makes the listener close once no connection has arrived for acceptQuietTime.
-func (d *drainingListener) drain() {
-	d.closeBy.Store(time.Now().Add(maxAcceptTime).UnixNano())
-	d.extendAccept()
+// NewListener returns a listener that accepts the connections of another one.
+func NewListener(ln net.Listener) *Listener { return &Listener{Listener: ln} }
+
+// Drain makes the listener close once no connection has arrived for acceptQuietTime.
+func (l *Listener) Drain() {
+	l.closeBy.Store(time.Now().Add(maxAcceptTime).UnixNano())
+	l.extendAccept()
 }
 
 // extendAccept gives the next connection acceptQuietTime to arrive, within closeBy.
-func (d *drainingListener) extendAccept() {
-	end := time.Unix(0, d.closeBy.Load())
+func (l *Listener) extendAccept() {
+	end := time.Unix(0, l.closeBy.Load())
 	if quiet := time.Now().Add(acceptQuietTime); quiet.Before(end) {
 		end = quiet
 	}
-	l, ok := d.Listener.(*net.TCPListener)
-	if !ok || l.SetDeadline(end) != nil {
-		_ = d.Close() // a listener without deadlines can't be drained
+	d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
+	if !ok || d.SetDeadline(end) != nil {
+		_ = l.Close() // a listener without deadlines can't be drained
 	}
 }
 
 // Accept returns the next connection, or net.ErrClosed once the listener has been drained.
-func (d *drainingListener) Accept() (net.Conn, error) {
-	c, err := d.Listener.Accept()
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
 	switch {
-	case d.closeBy.Load() == 0:
+	case l.closeBy.Load() == 0:
 		return c, err
 	case err == nil:
-		d.extendAccept()
+		l.extendAccept()
 		return c, nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, errors.Join(net.ErrClosed, d.Close())
+		return nil, errors.Join(net.ErrClosed, l.Close())
 	}
 	return nil, err
 }
