--- a/verbenad/internal/callerconn/listener.go
+++ b/verbenad/internal/callerconn/listener.go
@@ -47,13 +47,14 @@
 // Accept returns the next connection, or net.ErrClosed once the listener has been drained.
 func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	draining := l.closeBy.Load() != 0
 	switch {
-	case l.closeBy.Load() == 0:
-		return c, err
-	case err == nil:
+	case err == nil && draining:
 		l.extendAccept()
-		return c, nil
-	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &Conn{Conn: c}, nil
+	case err == nil:
+		return &Conn{Conn: c}, nil
+	case draining && errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, errors.Join(net.ErrClosed, l.Close())
 	}
 	return nil, err
--- a/verbenad/internal/entry/caller_connection.go
+++ b/verbenad/internal/entry/caller_connection.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/apex/log"
+
+	"verbenaledge.example/verbenad/internal/callerconn"
 )
 
 type connectionKey struct{}
@@ -15,6 +17,15 @@
 	return context.WithValue(ctx, connectionKey{}, c)
 }
 
+// connectionEnd returns how the caller's connection ended, as far as this host has noticed.
+func (r *request) connectionEnd() callerconn.End {
+	c, ok := r.httpRequest.Context().Value(connectionKey{}).(interface{ End() callerconn.End })
+	if !ok {
+		return callerconn.Open
+	}
+	return c.End()
+}
+
 // defaultLinger makes a connection end in order when it is closed.
 const defaultLinger = -1
 
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -15,6 +15,7 @@
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/limit"
 	"verbenaledge.example/verbena/origin"
+	"verbenaledge.example/verbenad/internal/callerconn"
 	"verbenaledge.example/verbenad/internal/slots"
 	"verbenaledge.example/verbenad/internal/upstream"
 )
@@ -278,8 +279,7 @@
 // answerFailed ends a request that no server answered completely.
 func (h *Handler) answerFailed(ctx context.Context, req *request, state *forwardState) {
 	if req.httpRequest.Context().Err() != nil {
-		departedCallers.Inc()
-		h.recordEnd(req, state, "caller_left")
+		h.recordDeparture(req, state)
 		panic(http.ErrAbortHandler) // a caller that has only closed its own direction would get a proper end
 	}
 	if state.stream.MayEnd() {
@@ -325,6 +325,16 @@
 	log.WithFields(fields).Info("request placed")
 }
 
+// recordDeparture counts and logs a request without a connection for its response.
+func (h *Handler) recordDeparture(req *request, state *forwardState) {
+	if req.connectionEnd() == callerconn.ClosedByHost {
+		h.recordEnd(req, state, "closed_by_host")
+		return
+	}
+	departedCallers.Inc()
+	h.recordEnd(req, state, "caller_left")
+}
+
 // recordEnd counts a finished request and logs how it ended.
 func (h *Handler) recordEnd(req *request, state *forwardState, outcome string) {
 	if outcome == "answered" {
@@ -340,5 +350,6 @@
 		"objective_ms": req.route.Objective.Milliseconds(), "took_ms": h.clock.Now().Sub(req.start).Milliseconds(),
 		"patience_ms": req.deadline.Sub(req.start).Milliseconds(), "prompt_parts": req.promptPartsText(), "send_result": state.result.String(),
 		"server_status": state.serverStatus, "relayed": state.relayed, "framing": state.framing.String(), "unconfirmed_reason": state.unconfirmedReason,
+		"connection": req.connectionEnd().String(), "stopping_ms": h.stoppingFor().Milliseconds(),
 	}).Info("request ended")
 }
--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -64,7 +64,8 @@
 	catalog     atomic.Pointer[catalog.Catalog]
 	memory      *memoryBudget
 	retryBudget *retryBudget
-	stopping    atomic.Bool
+	// stoppingSince is when Stop was called, nil before.
+	stoppingSince atomic.Pointer[time.Time]
 	// firstCatalog is closed once the first configuration is set; requests wait for that until startupEnd.
 	firstCatalog chan struct{}
 	startupEnd   time.Time
@@ -118,11 +119,24 @@
 
 // Ready reports whether requests can be served.
 func (h *Handler) Ready() bool {
-	return h.catalog.Load() != nil && !h.stopping.Load()
+	return h.catalog.Load() != nil && !h.stopping()
 }
 
 // Stop withdraws readiness and makes further responses close their connections.
-func (h *Handler) Stop() { h.stopping.Store(true) }
+func (h *Handler) Stop() {
+	now := h.clock.Now()
+	h.stoppingSince.CompareAndSwap(nil, &now)
+}
+
+func (h *Handler) stopping() bool { return h.stoppingSince.Load() != nil }
+
+// stoppingFor returns the time since Stop was called, 0 before.
+func (h *Handler) stoppingFor() time.Duration {
+	if since := h.stoppingSince.Load(); since != nil {
+		return h.clock.Now().Sub(*since)
+	}
+	return 0
+}
 
 // request is a caller's request and what was found out about it.
 type request struct {
@@ -155,7 +169,7 @@
 
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if h.stopping.Load() {
+	if h.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{info: h.protocol.ParseRequest(r.Header), start: h.clock.Now(), httpRequest: r, writer: w}
--- a/verbenad/internal/host/caller_server.go
+++ b/verbenad/internal/host/caller_server.go
@@ -42,6 +42,8 @@
 	if err := <-s.failed; !errors.Is(err, net.ErrClosed) {
 		log.WithError(err).Warn("the callers' listener failed")
 	}
+	before := s.connections.Counts()
+	log.WithFields(log.Fields{"active": before.Active, "idle": before.Idle, "unused": before.Unused}).Info("stopping: idle connections end")
 	// Idle connections would deliver further requests for as long as any other is busy. Closing them drops no request
 	// that was read.
 	s.http.SetKeepAlivesEnabled(false)
@@ -49,7 +51,7 @@
 		time.Sleep(busyPollInterval)
 	}
 	if s.connections.Busy(time.Now()) {
-		log.Warn("stopped with requests in progress")
+		log.WithField("active", s.connections.Counts().Active).Warn("stopped with requests in progress")
 	}
 	<-relaysEnded
 	return s.http.Close()
