--- a/verbenad/internal/callerconn/connections.go
+++ b/verbenad/internal/callerconn/connections.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// firstRequestTime is how long a new connection without a request counts as busy. Callers send at once.
-const firstRequestTime = time.Second
+// FirstRequestTime is how long a new connection without a request counts as busy. Callers send at once.
+const FirstRequestTime = time.Second
 
 // Connections tracks the connections that carry a request, and the new ones on which a request is expected.
 type Connections struct {
@@ -57,7 +57,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, t := range c.unused {
-		if now.Sub(t) < firstRequestTime {
+		if now.Sub(t) < FirstRequestTime {
 			return true
 		}
 	}
