fix: a stopping host ends a caller's connection only where its reader has found nothing

Cause: the stop closed connections by the state that http.Server reports. That changes after a request was read and parsed, and a read that was due returns data also after another goroutine has closed the connection. The request was then handled, and its context ended by the host's own close. The last close had the same fault: it followed a look at the connections from before the wait for relayed ones. Ruled out: the caller's departure (closed_by_host, not caller_left, in the log), the end of the grace period (2.5 s after SIGTERM). Now the goroutine that reads a connection ends it: an idle one gets a read deadline, is read once more, and is closed if nothing has arrived. The stop waits until no connection is open, so nothing is left for the last close before the end of the grace period. Before: TestIdleCloseDropsRequestThatWasRead and TestLastCloseDropsRequest failed 4 of 4.

--- a/verbenad/internal/callerconn/listener.go
+++ b/verbenad/internal/callerconn/listener.go
@@ -1,8 +1,10 @@
+// Package callerconn accepts the connections of callers, and ends those that carry no request without losing one.
 package callerconn
 
 import (
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -16,15 +18,18 @@
 	maxAcceptTime = 500 * time.Millisecond
 )
 
-// Listener accepts the waiting connections before it closes.
+// Listener accepts the waiting connections before it closes, and keeps track of those that are open.
 type Listener struct {
 	net.Listener
+	connections connections
 	// closeBy is the latest time at which it closes, in Unix nanoseconds; 0 while it isn't draining.
 	closeBy atomic.Int64
 }
 
 // NewListener returns a listener that accepts the connections of another one.
-func NewListener(ln net.Listener) *Listener { return &Listener{Listener: ln} }
+func NewListener(ln net.Listener) *Listener {
+	return &Listener{Listener: ln, connections: connections{open: make(map[*Conn]bool)}}
+}
 
 // Drain makes the listener close once no connection has arrived for acceptQuietTime.
 func (l *Listener) Drain() {
@@ -46,16 +51,38 @@
 
 // Accept returns the next connection, or net.ErrClosed once the listener has been drained.
 func (l *Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	accepted, err := l.Listener.Accept()
 	draining := l.closeBy.Load() != 0
-	switch {
-	case err == nil && draining:
-		l.extendAccept()
-		return &Conn{Conn: c}, nil
-	case err == nil:
-		return &Conn{Conn: c}, nil
-	case draining && errors.Is(err, os.ErrDeadlineExceeded):
+	if draining && errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, errors.Join(net.ErrClosed, l.Close())
 	}
-	return nil, err
+	if err != nil {
+		return nil, err
+	}
+	if draining {
+		l.extendAccept()
+	}
+	c := newConn(accepted, &l.connections)
+	l.connections.add(c)
+	return c, nil
 }
+
+// StateChanged is the ConnState callback of the http.Server.
+func (l *Listener) StateChanged(c net.Conn, state http.ConnState) {
+	if conn, ok := c.(*Conn); ok && state == http.StateIdle {
+		conn.becomeIdle()
+	}
+}
+
+// EndIdle ends each connection as soon as it carries no request. It is called once the listener is closed.
+func (l *Listener) EndIdle() {
+	for _, c := range l.connections.list() {
+		c.endWhenIdle()
+	}
+}
+
+// Counts returns the numbers of open connections.
+func (l *Listener) Counts() Counts { return l.connections.counts() }
+
+// Open returns the number of open connections.
+func (c Counts) Open() int { return c.Active + c.Idle + c.Unused }
--- a/verbenad/internal/host/stop_test.go
+++ b/verbenad/internal/host/stop_test.go
@@ -9,8 +9,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-
-	"verbenaledge.example/verbenad/internal/callerconn"
 )
 
 const (
@@ -18,6 +16,8 @@
 	testGrace = 3 * time.Second
 	// requestTime is how long the handler works on a request.
 	requestTime = 50 * time.Millisecond
+	// firstRequestWait is longer than a stopping server waits for the first request of a connection.
+	firstRequestWait = time.Second
 )
 
 // stoppingServer is a server of callers with one connection.
@@ -118,7 +118,7 @@
 func TestLastCloseDropsRequest(t *testing.T) {
 	c := qt.New(t)
 	s := newStoppingServer(c, 9)
-	time.Sleep(callerconn.FirstRequestTime + requestTime)
+	time.Sleep(firstRequestWait + requestTime)
 	s.stopUntil(time.Now().Add(testGrace))
 	time.Sleep(requestTime + busyPollInterval)
 	if _, err := io.WriteString(s.conn, "GET /x HTTP/1.1\r\nHost: host.example\r\n\r\n"); err != nil {
