fix: requests that outlast the grace period of their host are answered

Callers saw their connection close without a status 7.3 s after SIGTERM of the host, although the request had run or was running. Cause: the last close ended the request's context like a caller's departure, which gets no answer. Ruled out: requests with a begun response, which can only be cut. Now the host ends the requests itself, before the last close: 504 (grace_period_over), or 503 if no server can have run them, and has 150 ms for that.

--- a/verbenactl/internal/loglines/explain.go
+++ b/verbenactl/internal/loglines/explain.go
@@ -17,7 +17,8 @@
 	"this host reaches no server directly": true, "this host reaches servers directly again": true,
 	"server is reached only over another host": true, "host reports whether it reaches servers": true,
 	"units owned": true, "shard taken over": true, "shard given up": true, "lease held": true, "lease lost": true, "lease broken": true,
-	"started": true, "stopped": true, "stopping: readiness is withdrawn": true, "stopping: idle connections end": true, "stopping: units are handed over": true,
+	"started": true, "stopped": true, "stopping: readiness is withdrawn": true, "stopping: idle connections end": true,
+	"requests in progress end with the grace period": true, "stopping: units are handed over": true,
 	"log lines left out": true, "settings read again": true,
 }
 
@@ -133,6 +134,7 @@
 	"server_failure":      "the server itself failed; its answer was forwarded",
 	"no_slot_in_time":     "no slot became free before the caller's timeout expired or it disconnected",
 	"caller_left":         "the caller closed its connection",
+	"grace_period_over":   "the host's grace period ended before the request did; it may have run unless it was refused",
 	"closed_by_host":      "a stopping host closed the connection of the request; see `stopping_ms` and `stopping: idle connections end`",
 	"unknown_key":         "no workspace of the configuration in force has the key; compare configuration with the version in force",
 	"no_route":            "no route of the configuration in force matches; compare configuration with the version in force",
--- a/verbenad/cmd/stop_test.go
+++ b/verbenad/cmd/stop_test.go
@@ -171,3 +171,26 @@
 	stop()
 	streams.Wait()
 }
+
+// TestFleetGraceEndsWithoutAnswer guards against a stop that closes the connections of requests that still run at the end of
+// the grace period, in place of an answer that says so.
+func TestFleetGraceEndsWithoutAnswer(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, 1000)
+	stop := f.startGraceful()
+	f.injectFault("app", 1, standin.NoAnswer)
+	answered := make(chan result, 1)
+	go func() { answered <- f.call("POST", "/once/x", workspaceKey, nil, []byte("q")) }()
+	f.eventually("the request runs", func() bool {
+		n := 0
+		for _, s := range f.servers {
+			n += s.Running()
+		}
+		return n == 1
+	})
+	stop()
+	r := <-answered
+	c.Assert(r.err, qt.IsNil)
+	c.Assert(r.status, qt.Equals, http.StatusGatewayTimeout)
+	c.Assert(f.runCount(r.id), qt.Equals, 1)
+}
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -92,6 +92,7 @@
 func (h *Handler) forward(req *request) {
 	ctx, cancel := context.WithDeadline(req.httpRequest.Context(), req.deadline)
 	defer cancel()
+	defer context.AfterFunc(h.runCtx, cancel)()
 	state := &forwardState{lastEventID: req.info.LastEventID, streamID: req.streamID()}
 	if state.lastEventID != "" {
 		state.stream.Resume()
@@ -288,6 +289,9 @@
 		h.recordEnd(req, state, "answered")
 		return
 	}
+	if h.runCtx.Err() != nil {
+		state.reason = "grace_period_over"
+	}
 	failures(state.reason).Inc()
 	switch {
 	case state.responseStarted:
--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -66,6 +66,9 @@
 	retryBudget *retryBudget
 	// stoppingSince is when Stop was called, nil before.
 	stoppingSince atomic.Pointer[time.Time]
+	// runCtx ends when EndRequests is called.
+	runCtx      context.Context
+	endRequests context.CancelFunc
 	// firstCatalog is closed once the first configuration is set; requests wait for that until startupEnd.
 	firstCatalog chan struct{}
 	startupEnd   time.Time
@@ -77,7 +80,9 @@
 func New(
 	p exchange.Protocol, jobProtocol JobProtocol, jobOwners JobOwners, s SlotSource, u *upstream.Client, c clock.Clock, memoryMB int,
 ) *Handler {
+	runCtx, endRequests := context.WithCancel(context.Background())
 	return &Handler{
+		runCtx: runCtx, endRequests: endRequests,
 		protocol: p, jobProtocol: jobProtocol, jobOwners: jobOwners, slots: s, client: u, clock: c, retryBudget: newRetryBudget(),
 		memory:       newMemoryBudget(int64(max(16, memoryMB)) << 20 / memoryBudgetDivisor),
 		firstCatalog: make(chan struct{}), startupEnd: c.Now().Add(startupTime),
@@ -128,6 +133,9 @@
 	h.stoppingSince.CompareAndSwap(nil, &now)
 }
 
+// EndRequests ends the requests in progress, as if their time was over: they are answered if their response has not begun.
+func (h *Handler) EndRequests() { h.endRequests() }
+
 func (h *Handler) stopping() bool { return h.stoppingSince.Load() != nil }
 
 // stoppingFor returns the time since Stop was called, 0 before.
--- a/verbenad/internal/host/caller_server.go
+++ b/verbenad/internal/host/caller_server.go
@@ -13,8 +13,12 @@
 	"verbenaledge.example/verbenad/internal/logs"
 )
 
-// busyPollInterval is the time between checks for open connections.
-const busyPollInterval = 20 * time.Millisecond
+const (
+	// openPollInterval is the time between checks for open connections.
+	openPollInterval = 20 * time.Millisecond
+	// finalAnswerTime is how long the answers to requests may take that end with the grace period.
+	finalAnswerTime = 150 * time.Millisecond
+)
 
 // callerServer serves the connections of callers. It doesn't stop by http.Server.Shutdown, which drops requests that have just
 // been read.
@@ -23,10 +27,12 @@
 	listener *callerconn.Listener
 	// failed gets the error that ended the listener.
 	failed chan error
+	// endRequests makes the requests in progress end with an answer.
+	endRequests func()
 }
 
-func startCallerServer(ln net.Listener, h http.Handler) *callerServer {
-	s := &callerServer{listener: callerconn.NewListener(ln), failed: make(chan error, 1)}
+func startCallerServer(ln net.Listener, h http.Handler, endRequests func()) *callerServer {
+	s := &callerServer{listener: callerconn.NewListener(ln), failed: make(chan error, 1), endRequests: endRequests}
 	s.http = &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: logs.NewServerErrorLog(callerConnectionErrors.Inc), ConnState: s.listener.StateChanged, ConnContext: entry.ConnContext,
@@ -45,12 +51,19 @@
 	log.WithFields(log.Fields{"active": before.Active, "idle": before.Idle, "unused": before.Unused}).Info("stopping: idle connections end")
 	// Idle connections would deliver further requests for as long as any other is busy.
 	s.listener.EndIdle()
-	for s.listener.Counts().Open() > 0 && time.Now().Before(end) {
-		time.Sleep(busyPollInterval)
-	}
+	s.awaitClosed(end)
 	if n := s.listener.Counts(); n.Open() > 0 {
-		log.WithFields(log.Fields{"active": n.Active, "idle": n.Idle, "unused": n.Unused}).Warn("stopped with requests in progress")
+		log.WithFields(log.Fields{"active": n.Active, "idle": n.Idle, "unused": n.Unused}).Warn("requests in progress end with the grace period")
+		s.endRequests()
+		s.awaitClosed(time.Now().Add(finalAnswerTime))
 	}
 	<-relaysEnded
 	return s.http.Close()
 }
+
+// awaitClosed waits until no connection is open, at the latest until end.
+func (s *callerServer) awaitClosed(end time.Time) {
+	for s.listener.Counts().Open() > 0 && time.Now().Before(end) {
+		time.Sleep(openPollInterval)
+	}
+}
--- a/verbenad/internal/host/callers.go
+++ b/verbenad/internal/host/callers.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	s := startCallerServer(ln, h)
+	s := startCallerServer(ln, h, h.EndRequests)
 	log.WithField("address", env.Settings.CallerAddress).Info("taking callers")
 	select {
 	case err := <-s.failed:
--- a/verbenad/internal/host/stop_test.go
+++ b/verbenad/internal/host/stop_test.go
@@ -44,7 +44,7 @@
 		s.handled <- struct{}{}
 		time.Sleep(requestTime)
 		_, _ = io.WriteString(w, "answer")
-	}))
+	}), func() {})
 	s.conn, err = net.Dial("tcp", ln.Addr().String())
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = s.conn.Close() })
@@ -120,7 +120,7 @@
 	s := newStoppingServer(c, 9)
 	time.Sleep(firstRequestWait + requestTime)
 	s.stopUntil(time.Now().Add(testGrace))
-	time.Sleep(requestTime + busyPollInterval)
+	time.Sleep(requestTime + openPollInterval)
 	if _, err := io.WriteString(s.conn, "GET /x HTTP/1.1\r\nHost: host.example\r\n\r\n"); err != nil {
 		return // the connection was closed before a request came
 	}
