fix: a stopping host waits for requests until 0.4 s of the grace period are left

The margin is for the answers to requests that end with the period (150 ms) and for the exit; exits of a host here take some 10 ms. Before: TestFleetGraceMarginCutsStream got an unexpected EOF. Conclusion: 0.3 s more. A stream of 5 s that is sent later than 2.6 s after SIGTERM may still be cut.

--- a/verbenad/cmd/stop_test.go
+++ b/verbenad/cmd/stop_test.go
@@ -194,3 +194,26 @@
 	c.Assert(r.status, qt.Equals, http.StatusGatewayTimeout)
 	c.Assert(f.runCount(r.id), qt.Equals, 1)
 }
+
+// TestFleetGraceMarginCutsStream guards against a stop that cuts streams although what is left of the grace period would hold
+// their last events.
+func TestFleetGraceMarginCutsStream(t *testing.T) {
+	const streamPauses = 12
+	c := qt.New(t)
+	f := newFleet(t, 1000)
+	stop := f.startGraceful()
+	f.setEventPause((f.grace - 600*time.Millisecond) / streamPauses)
+	streamed := make(chan result, 1)
+	go func() { streamed <- f.call("POST", "/stream/x", workspaceKey, streamHeaders, nil) }()
+	f.eventually("the stream runs", func() bool {
+		n := 0
+		for _, s := range f.servers {
+			n += s.Running()
+		}
+		return n == 1
+	})
+	stop()
+	r := <-streamed
+	c.Assert(r.err, qt.IsNil)
+	c.Assert(r.body, qt.Equals, streamBody(r.id))
+}
--- a/verbenad/internal/host/callers.go
+++ b/verbenad/internal/host/callers.go
@@ -15,8 +15,9 @@
 	// readinessNotice is how long a stopping host still accepts connections: after two failed readiness checks, at one a
 	// second, the load balancer takes it out of rotation.
 	readinessNotice = 2500 * time.Millisecond
-	// graceMargin is the part of the grace period that is left when the host stops waiting for requests.
-	graceMargin = 700 * time.Millisecond
+	// graceMargin is the part of the grace period that is left when the host stops waiting for requests: finalAnswerTime, and the
+	// rest for the last lines of the log and the exit.
+	graceMargin = 400 * time.Millisecond
 )
 
 // serveCallers serves callers until the context ends. Then it waits for the load balancer to notice, and for requests
