fix: the end of an idle connection takes no request in progress for idle, and waits for no part of a head

Cause: two phases for three. A connection is idle, has a part of a head, or has a request, and the server reports the last. Now a part of a head has a second while its listener stops, and the last read is one that doesn't wait.

--- a/verbenad/internal/callerconn/conn.go
+++ b/verbenad/internal/callerconn/conn.go
@@ -10,13 +10,9 @@
 	"time"
 )
 
-const (
-	// firstRequestTime is how long a new connection may wait for its first request while its listener stops. Callers send at
-	// once.
-	firstRequestTime = time.Second
-	// lastReadTime is how long an idle connection that is ended is read once more. What has arrived by then is served.
-	lastReadTime = 5 * time.Millisecond
-)
+// firstRequestTime is how long a connection may take for its first request, or for the rest of a head, while its listener stops.
+// Callers send at once.
+const firstRequestTime = time.Second
 
 // Conn is the connection of a caller. While it is idle, only the goroutine that reads it may close it: a read that was due
 // returns data also after a close by another one, and the request would have no connection for its answer.
@@ -25,20 +21,17 @@
 	set *connections
 	end atomic.Int32
 
-	mu sync.Mutex
-	// idle is set until the first byte of the next request.
-	idle bool
-	// idleUntil is when the connection ends if it is idle by then; zero means never.
-	idleUntil time.Time
+	mu    sync.Mutex
+	phase phase
+	// endsAt is when the connection ends unless a request has arrived by then; zero means never.
+	endsAt time.Time
 	// readDeadline is the one that the server has set.
 	readDeadline time.Time
 	openedAt     time.Time
 	used         bool
 }
 
-func newConn(c net.Conn, s *connections) *Conn {
-	return &Conn{Conn: c, set: s, idle: true, openedAt: time.Now()}
-}
+func newConn(c net.Conn, s *connections) *Conn { return &Conn{Conn: c, set: s, openedAt: time.Now()} }
 
 // End returns how the connection ended, or Open.
 func (c *Conn) End() End { return End(c.end.Load()) }
@@ -48,11 +41,11 @@
 // Read reads from the connection, and notices its end.
 func (c *Conn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendLastRead() {
-		n, err = c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.endsIdle() {
+		n, err = c.readArrived(p)
 	}
 	if n > 0 {
-		c.requestBegins()
+		c.headBegins()
 	}
 	switch {
 	case err == nil, errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
@@ -64,72 +57,85 @@
 	return n, err
 }
 
-// extendLastRead allows one more read of a connection that ends because it is idle. A deadline that has passed keeps a read from
-// returning what has arrived.
-func (c *Conn) extendLastRead() (extended bool) {
+// endsIdle reports whether the connection ends because it is idle. It lifts the read deadline: one that has passed keeps a read
+// from returning what has arrived.
+func (c *Conn) endsIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle || c.idleUntil.IsZero() || time.Now().Before(c.idleUntil) {
+	if c.phase != idle || c.endsAt.IsZero() || time.Now().Before(c.endsAt) {
 		return false
 	}
-	return c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)) == nil
+	return c.Conn.SetReadDeadline(time.Time{}) == nil
 }
 
-// requestBegins is called when a byte was read.
-func (c *Conn) requestBegins() {
+// headBegins is called when a byte was read. The rest of the head follows at once, or the connection ends.
+func (c *Conn) headBegins() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle {
+	if c.phase != idle {
 		return
 	}
-	c.idle, c.used = false, true
-	if !c.idleUntil.IsZero() {
-		_ = c.Conn.SetReadDeadline(c.readDeadline) // if it fails, so does the next read
+	c.phase, c.used = head, true
+	if !c.endsAt.IsZero() {
+		c.endsAt = time.Now().Add(firstRequestTime)
+		c.applyReadDeadline()
 	}
 }
 
+// requestBegins is called when the head of a request was read. One that was read together with the request before it has had no
+// read of its own.
+func (c *Conn) requestBegins() { c.enter(active) }
+
 // becomeIdle is called when a response is complete.
-func (c *Conn) becomeIdle() {
+func (c *Conn) becomeIdle() { c.enter(idle) }
+
+func (c *Conn) enter(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = true
-	if !c.idleUntil.IsZero() {
-		_ = c.applyReadDeadline() // if it fails, so does the next read
+	c.phase = p
+	if !c.endsAt.IsZero() {
+		c.applyReadDeadline()
 	}
 }
 
-// endWhenIdle makes the connection end as soon as it is idle. A new one may still get its first request.
+// endWhenIdle makes the connection end as soon as it is idle. One that is new or has a part of a head may still get its request.
 func (c *Conn) endWhenIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idleUntil = time.Now()
-	if !c.used {
-		c.idleUntil = c.openedAt.Add(firstRequestTime)
+	c.endsAt = time.Now()
+	switch {
+	case !c.used:
+		c.endsAt = c.openedAt.Add(firstRequestTime)
+	case c.phase == head:
+		c.endsAt = c.endsAt.Add(firstRequestTime)
 	}
-	_ = c.applyReadDeadline() // if it fails, so does the next read
+	c.applyReadDeadline()
 }
 
-// SetReadDeadline sets the deadline of reads. That of an idle connection is not later than the end of its idle time.
+// SetReadDeadline sets the deadline of reads. That of a connection without a request is not later than its end.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
-	return c.applyReadDeadline()
+	return c.Conn.SetReadDeadline(c.currentDeadline())
 }
 
-func (c *Conn) applyReadDeadline() error {
+// applyReadDeadline sets the deadline for the current phase. If that fails, so does the next read.
+func (c *Conn) applyReadDeadline() { _ = c.Conn.SetReadDeadline(c.currentDeadline()) }
+
+func (c *Conn) currentDeadline() time.Time {
 	t := c.readDeadline
-	if c.idle && !c.idleUntil.IsZero() && (t.IsZero() || t.After(c.idleUntil)) {
-		t = c.idleUntil
+	if c.phase != active && !c.endsAt.IsZero() && (t.IsZero() || t.After(c.endsAt)) {
+		return c.endsAt
 	}
-	return c.Conn.SetReadDeadline(t)
+	return t
 }
 
-// state returns whether the connection is idle, and whether it has carried a request.
-func (c *Conn) state() (idle, used bool) {
+// state returns the phase, and whether the connection has carried a request.
+func (c *Conn) state() (p phase, used bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idle, c.used
+	return c.phase, c.used
 }
 
 // Close closes the connection.
--- a/verbenad/internal/callerconn/connections.go
+++ b/verbenad/internal/callerconn/connections.go
@@ -34,8 +34,8 @@
 
 func (s *connections) counts() (n Counts) {
 	for _, c := range s.list() {
-		switch idle, used := c.state(); {
-		case !idle:
+		switch p, used := c.state(); {
+		case p != idle:
 			n.Active++
 		case used:
 			n.Idle++
--- a/verbenad/internal/callerconn/listener.go
+++ b/verbenad/internal/callerconn/listener.go
@@ -69,8 +69,16 @@
 
 // StateChanged is the ConnState callback of the http.Server.
 func (l *Listener) StateChanged(c net.Conn, state http.ConnState) {
-	if conn, ok := c.(*Conn); ok && state == http.StateIdle {
+	conn, ok := c.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		conn.requestBegins()
+	case http.StateIdle:
 		conn.becomeIdle()
+	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
 }
 
--- a/verbenad/internal/host/stop_test.go
+++ b/verbenad/internal/host/stop_test.go
@@ -60,12 +60,20 @@
 
 // checkAnswered checks that the request was handled and that its whole answer arrives.
 func (s *stoppingServer) checkAnswered(c *qt.C) {
+	s.checkAnswer(c)
+	s.checkHandled(c)
+}
+
+func (s *stoppingServer) checkAnswer(c *qt.C) {
 	response, err := http.ReadResponse(s.reader, nil)
 	c.Assert(err, qt.IsNil)
 	body, err := io.ReadAll(response.Body)
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.Body.Close(), qt.IsNil)
 	c.Assert(string(body), qt.Equals, "answer")
+}
+
+func (s *stoppingServer) checkHandled(c *qt.C) {
 	select {
 	case <-s.handled:
 	case <-time.After(testGrace):
@@ -102,14 +110,15 @@
 func TestIdleCloseDropsRequestThatWasRead(t *testing.T) {
 	c := qt.New(t)
 	s := newStoppingServer(c, 1)
-	close(s.relaysEnded)
 	s.send(c)
 	s.checkAnswered(c)
 	time.Sleep(requestTime) // until the connection is idle
 	s.send(c)
 	s.waitHeld(c)
-	s.stopUntil(time.Now().Add(testGrace))
-	s.checkAnswered(c)
+	s.stopUntil(time.Now().Add(testGrace)) // the relayed connections keep the server from its last close
+	s.checkHandled(c)
+	s.checkAnswer(c)
+	close(s.relaysEnded)
 	s.checkStopped(c)
 }
 
@@ -118,19 +127,22 @@
 func TestLastCloseDropsRequest(t *testing.T) {
 	c := qt.New(t)
 	s := newStoppingServer(c, 9)
-	time.Sleep(firstRequestWait + requestTime)
+	time.Sleep(firstRequestWait)
 	s.stopUntil(time.Now().Add(testGrace))
 	time.Sleep(requestTime + openPollInterval)
-	if _, err := io.WriteString(s.conn, "GET /x HTTP/1.1\r\nHost: host.example\r\n\r\n"); err != nil {
-		return // the connection was closed before a request came
-	}
+	_, _ = io.WriteString(s.conn, "GET /x HTTP/1.1\r\nHost: host.example\r\n\r\n") // the connection may be closed
+	handled := false
 	select {
 	case <-s.handled:
-		s.handled <- struct{}{}
+		handled = true
 	case <-time.After(requestTime):
-		return // nothing has read the request
 	}
 	close(s.relaysEnded)
-	s.checkAnswered(c)
+	if handled {
+		s.checkAnswer(c)
+	} else {
+		_, err := s.reader.ReadByte()
+		c.Assert(err, qt.IsNotNil)
+	}
 	s.checkStopped(c)
 }
