fix: responses of a stopping host announce the end of their connection when their head is written

Callers of a request that began before SIGTERM and was answered 2.5 s after it or later got a response without Connection: close, and their next request on the connection was dropped. Cause: the header was set when a request began; for the others net/http had added it once keep-alives were disabled, which no longer does. Now it is set as the head is written, from SIGTERM on, for all responses.

--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -127,7 +127,7 @@
 	return h.catalog.Load() != nil && !h.stopping()
 }
 
-// Stop withdraws readiness and makes further responses close their connections.
+// Stop withdraws readiness.
 func (h *Handler) Stop() {
 	now := h.clock.Now()
 	h.stoppingSince.CompareAndSwap(nil, &now)
@@ -177,9 +177,6 @@
 
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if h.stopping() {
-		w.Header().Set("Connection", "close")
-	}
 	req := &request{info: h.protocol.ParseRequest(r.Header), start: h.clock.Now(), httpRequest: r, writer: w}
 	c := h.awaitCatalog(r.Context())
 	if c == nil {
--- a/verbenad/internal/host/caller_server.go
+++ b/verbenad/internal/host/caller_server.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -25,6 +26,8 @@
 type callerServer struct {
 	http     *http.Server
 	listener *callerconn.Listener
+	// closing is set once responses announce that their connections close.
+	closing atomic.Bool
 	// failed gets the error that ended the listener.
 	failed chan error
 	// endRequests makes the requests in progress end with an answer.
@@ -34,15 +37,22 @@
 func startCallerServer(ln net.Listener, h http.Handler, endRequests func()) *callerServer {
 	s := &callerServer{listener: callerconn.NewListener(ln), failed: make(chan error, 1), endRequests: endRequests}
 	s.http = &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(&closingWriter{ResponseWriter: w, closing: &s.closing}, r)
+		}),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: logs.NewServerErrorLog(callerConnectionErrors.Inc), ConnState: s.listener.StateChanged, ConnContext: entry.ConnContext,
 	}
 	go func() { s.failed <- s.http.Serve(s.listener) }()
 	return s
 }
 
+// announceClose makes all responses that have not begun announce that their connections close.
+func (s *callerServer) announceClose() { s.closing.Store(true) }
+
 // stop accepts no more connections, and waits until all have ended and relaysEnded is closed, at the latest until end.
 func (s *callerServer) stop(end time.Time, relaysEnded <-chan struct{}) error {
+	s.announceClose()
 	s.listener.Drain()
 	if err := <-s.failed; !errors.Is(err, net.ErrClosed) {
 		log.WithError(err).Warn("the callers' listener failed")
--- a/verbenad/internal/host/stop_states_test.go
+++ b/verbenad/internal/host/stop_states_test.go
@@ -94,6 +94,23 @@
 	s.checkStopped(c)
 }
 
+// TestResponseDuringStopAnnouncesClose guards against a stop that ends a connection whose last response did not say so: the
+// caller sends its next request on it.
+func TestResponseDuringStopAnnouncesClose(t *testing.T) {
+	c := qt.New(t)
+	s := newContextServer(c)
+	s.write(c, longRequest)
+	s.waitHandled(c)
+	s.stopUntil(time.Now().Add(testGrace))
+	response, err := http.ReadResponse(s.reader, nil)
+	c.Assert(err, qt.IsNil)
+	_, err = io.Copy(io.Discard, response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Body.Close(), qt.IsNil)
+	c.Assert(response.Close, qt.IsTrue)
+	s.checkStopped(c)
+}
+
 // checkStopsAtOnce checks that a stop doesn't wait for a connection that carries no request.
 func (s *stoppingServer) checkStopsAtOnce(c *qt.C) {
 	start := time.Now()
