fix: a listener that stops accepts its queue also if the accepting goroutine was held up

Connections that waited in the kernel were reset when the goroutine that accepts didn't run for 20 ms. Cause: a deadline that has passed keeps Accept from looking at the queue, and was taken for a pause without connections.

--- a/verbenad/internal/callerconn/busy_machine_test.go
+++ b/verbenad/internal/callerconn/busy_machine_test.go
@@ -66,6 +66,26 @@
 	c.Assert(n, qt.Equals, 7)
 }
 
+// TestDrainDropsQueueOnBusyMachine guards against a listener that closes with connections in its queue because the goroutine
+// that accepts was held up.
+func TestDrainDropsQueueOnBusyMachine(t *testing.T) {
+	c := qt.New(t)
+	l := NewListener(listenLocal(c))
+	const callers = 3
+	for range callers {
+		caller, err := net.Dial("tcp", l.Addr().String())
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = caller.Close() }()
+	}
+	l.Drain()
+	for n := range callers {
+		accepted, err := l.Accept()
+		c.Assert(err, qt.IsNil, qt.Commentf("%d of %d accepted", n, callers))
+		defer func() { _ = accepted.Close() }()
+		time.Sleep(busyTime)
+	}
+}
+
 // acceptUsed returns a connection that has carried a request, and its caller.
 func acceptUsed(c *qt.C) (conn *Conn, caller net.Conn) {
 	l := NewListener(listenLocal(c))
--- a/verbenad/internal/callerconn/listener.go
+++ b/verbenad/internal/callerconn/listener.go
@@ -51,20 +51,30 @@
 
 // Accept returns the next connection, or net.ErrClosed once the listener has been drained.
 func (l *Listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	draining := l.closeBy.Load() != 0
-	if draining && errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, errors.Join(net.ErrClosed, l.Close())
+	for {
+		begin := time.Now()
+		accepted, err := l.Listener.Accept()
+		draining := l.closeBy.Load() != 0
+		switch {
+		case draining && errors.Is(err, os.ErrDeadlineExceeded) && l.heldUp(begin):
+			l.extendAccept() // nothing was looked for in the queue
+			continue
+		case draining && errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, errors.Join(net.ErrClosed, l.Close())
+		case err != nil:
+			return nil, err
+		case draining:
+			l.extendAccept()
+		}
+		c := newConn(accepted, &l.connections)
+		l.connections.add(c)
+		return c, nil
 	}
-	if err != nil {
-		return nil, err
-	}
-	if draining {
-		l.extendAccept()
-	}
-	c := newConn(accepted, &l.connections)
-	l.connections.add(c)
-	return c, nil
+}
+
+// heldUp reports whether the deadline had passed when accepting began, at the given time, and another one is left.
+func (l *Listener) heldUp(begin time.Time) bool {
+	return time.Since(begin) < acceptQuietTime/2 && time.Now().UnixNano() < l.closeBy.Load()
 }
 
 // StateChanged is the ConnState callback of the http.Server.
