test: stops of an entry host drop requests on kept connections

Nothing in the soak used a kept connection at the moment at which a stopping host closes those that it takes for idle: its callers send through relays and http.Client. Checks: no request that ran ends without a whole answer, and the logs have no `request ended` with `closed_by_host`. Requests that no server ran and that got no answer are counted, not checked: a host can't know of those that it hasn't read. The logs are bounded (200 lines of a kind in a second), so closed_by_host is a lower bound.

--- /dev/null
+++ b/verbenalab/internal/soak/kept_connections_test.go
@@ -0,0 +1,38 @@
+package soak_test
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbenalab/internal/soak"
+)
+
+// keptConnectionPlans use connections about when a stopping host closes those that it takes for idle, 2.52 s after SIGTERM.
+var keptConnectionPlans = []struct {
+	name string
+	plan soak.KeptConnectionsPlan
+}{
+	{"used before, and again when idle ones are closed", soak.KeptConnectionsPlan{
+		Connections: 300, Stops: 3, Used: soak.TimeWindow{From: 2505 * time.Millisecond, To: 2545 * time.Millisecond},
+	}},
+}
+
+// TestStopDropsRequestsOnKeptConnections guards against stops that drop requests which were read (docs/incidents/0031).
+func TestStopDropsRequestsOnKeptConnections(t *testing.T) {
+	for n, p := range keptConnectionPlans {
+		t.Run(p.name, func(t *testing.T) {
+			c := qt.New(t)
+			r, err := soak.MeasureKeptConnections(t.Context(), soak.Options{
+				ProgramsDir: programsDir, Dir: t.TempDir(), Seed: 1, Subnet: fmt.Sprintf("%d.%d", 75+n, 1+os.Getpid()%250),
+			}, p.plan)
+			c.Assert(err, qt.IsNil, qt.Commentf("are the programs built? `make build`"))
+			t.Logf("%d answered, refused %v, %d closed unread, %d closed by the host", r.Answered, r.Refused, r.ClosedUnread, r.ClosedByHost)
+			c.Check(r.Lost, qt.HasLen, 0)
+			c.Check(r.ClosedByHost, qt.Equals, 0)
+		})
+	}
+}
