test: connections that a stopping host accepted last are used a second later

The stop of a host counts connections without a request as busy for a second (docs/incidents/0031, hypothesis 2). Nothing tested first requests about the end of that second. Now: a second plan of TestStopDropsRequestsOnKeptConnections: 300 connections are opened 2.3 to 2.4 s after SIGTERM and first used 3.38 to 3.50 s after it, while a request of 3 s, sent 1 s after SIGTERM, keeps the host busy; three stops, the same checks. A slow request without its answer fails the measurement.

--- a/verbenalab/internal/soak/kept_connection.go
+++ b/verbenalab/internal/soak/kept_connection.go
@@ -59,4 +59,9 @@
 	return c, err
 }
 
-func (k *keptConnection) close() { _ = k.conn.Close() } // all that was of interest has been read
+// close closes the connection, unless it was never opened.
+func (k *keptConnection) close() {
+	if k != nil {
+		_ = k.conn.Close() // all that was of interest has been read
+	}
+}
--- a/verbenalab/internal/soak/kept_connections.go
+++ b/verbenalab/internal/soak/kept_connections.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"verbenaledge.example/platform/standin"
@@ -18,12 +19,15 @@
 	// minServiceTime and maxServiceTime limit how long a request runs.
 	minServiceTime = 2 * time.Millisecond
 	maxServiceTime = 10 * time.Millisecond
+	// slowServiceTime is how long slow requests run, and keptConnectionsObjective an objective by which that is no silence.
+	slowServiceTime          = 3 * time.Second
+	keptConnectionsObjective = 4 * time.Second
 )
 
 // MeasureKeptConnections runs the programs while an entry host is stopped in order several times, and callers use connections
 // that the host may be closing.
 func MeasureKeptConnections(ctx context.Context, o Options, p KeptConnectionsPlan) (r KeptConnectionsReport, err error) {
-	o.Rate, r.Refused = keptConnectionsRate, make(map[int]int)
+	o.Rate, o.objective, r.Refused = keptConnectionsRate, keptConnectionsObjective, make(map[int]int)
 	e, err := NewEnvironment(o)
 	if err != nil {
 		return r, err
@@ -52,7 +56,11 @@
 }
 
 // delayAnswer makes a server take its time. It injects no fault.
-func delayAnswer(*http.Request) standin.ServerFault {
+func delayAnswer(r *http.Request) standin.ServerFault {
+	if strings.HasPrefix(r.Header.Get(standin.HeaderRequestID), slowPrefix) {
+		time.Sleep(slowServiceTime)
+		return standin.NoFault
+	}
 	time.Sleep(minServiceTime + rand.N(maxServiceTime-minServiceTime))
 	return standin.NoFault
 }
--- a/verbenalab/internal/soak/kept_connections_test.go
+++ b/verbenalab/internal/soak/kept_connections_test.go
@@ -11,7 +11,8 @@
 	"verbenaledge.example/verbenalab/internal/soak"
 )
 
-// keptConnectionPlans use connections about when a stopping host closes those that it takes for idle, 2.52 s after SIGTERM.
+// keptConnectionPlans use connections about when a stopping host closes those that it takes for idle, 2.52 s after SIGTERM, and
+// about when it no longer expects a first request on those that it accepted last, 1 s after their start.
 var keptConnectionPlans = []struct {
 	name string
 	plan soak.KeptConnectionsPlan
@@ -19,6 +20,11 @@
 	{"used before, and again when idle ones are closed", soak.KeptConnectionsPlan{
 		Connections: 300, Stops: 3, Used: soak.TimeWindow{From: 2505 * time.Millisecond, To: 2545 * time.Millisecond},
 	}},
+	{"opened before the listener closes, and first used a second later", soak.KeptConnectionsPlan{
+		Connections: 300, Stops: 3, SlowFrom: time.Second,
+		Opened: soak.TimeWindow{From: 2300 * time.Millisecond, To: 2400 * time.Millisecond},
+		Used:   soak.TimeWindow{From: 3380 * time.Millisecond, To: 3500 * time.Millisecond},
+	}},
 }
 
 // TestStopDropsRequestsOnKeptConnections guards against stops that drop requests which were read (docs/incidents/0031).
