fix: a call's reply that has been read counts although its link ends

What callers saw: nothing is shown for real processes. A submission whose reply was dropped so is sent again and gets the same outcome later, or 504 unsettled if its owner can't be asked in time; never a 503, as the client knows that the call may have run.

Cause: a call waits for its reply, the end of the link, the context and the time for the reply at once. If it runs only after several of them are ready, as on a host that was held up, Go picks one at random, so an owner that replies and then stops had its reply dropped in about half of these cases.

Ruled out by reading: a reply is put into its channel by the goroutine that then closes the link, so it is there if that goroutine ends the link. Not covered: a write that fails closes the link with replies unread; these calls count as sent without a reply, too.

Evidence: TestReplyBeforeEndCounts on the same code with the wait moved into a function of its own: 56, 56 and 41 of 100 replies are lost when the link, the context or the time has ended. With the fix 0, in 20 of 20 runs and with the race detector.

Conclusion: a narrow fault that cost time and not truth; the promise of a 503 didn't depend on it.

--- a/verbenad/internal/hostlink/rpc_client.go
+++ b/verbenad/internal/hostlink/rpc_client.go
@@ -56,15 +56,25 @@
 	}
 	t := time.NewTimer(max(call.Call.Wait, 0) + replyTimeout)
 	defer t.Stop()
+	return c.awaitReply(ctx, p, reply, t.C)
+}
+
+// awaitReply waits for the reply to a call that was sent, until the link, the context or the given time ends.
+func (c *RPCClient) awaitReply(ctx context.Context, p *peerConn, reply <-chan bulk.Reply, timeout <-chan time.Time) (r bulk.Reply, err error) {
 	select {
-	case r := <-reply:
+	case r = <-reply:
 		return r, nil
 	case <-p.link.Closed():
 	case <-ctx.Done():
-	case <-t.C:
+	case <-timeout:
 		go c.probe(p)
 	}
-	return r, ErrNoReply
+	select {
+	case r = <-reply: // both were ready
+		return r, nil
+	default:
+		return r, ErrNoReply
+	}
 }
 
 // probe closes a connection on which not even a ping is answered: the network may be cut.
