--- /dev/null
+++ b/verbenad/internal/owners/jobs_client_test.go
@@ -0,0 +1,84 @@
+package owners
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/bulk"
+	"verbenaledge.example/verbena/objects"
+	"verbenaledge.example/verbena/ownership"
+	"verbenaledge.example/verbenad/internal/hostlink"
+)
+
+// stoppingOwner executes calls, and replies too late: only once its host has stopped.
+type stoppingOwner struct {
+	executed chan bulk.Op
+	stopped  chan struct{}
+}
+
+func (s stoppingOwner) Answer(_ context.Context, q hostlink.JobsCall) bulk.Reply {
+	s.executed <- q.Call.Op
+	<-s.stopped
+	return bulk.Reply{Code: bulk.Done}
+}
+
+// refusingOwner has nothing.
+type refusingOwner struct{}
+
+func (refusingOwner) Answer(context.Context, hostlink.JobsCall) bulk.Reply {
+	return bulk.Reply{Code: bulk.Unavailable}
+}
+
+// listenAsOwner serves calls at an address until the context ends.
+func listenAsOwner(ctx context.Context, address string, v *View, owner hostlink.JobsOwner) (ended chan error) {
+	ended = make(chan error, 1)
+	go func() {
+		ended <- hostlink.Listen(ctx, address, v, func(l *hostlink.Link, first hostlink.Frame) {
+			hostlink.Serve(ctx, l, first, nil, owner)
+		})
+	}()
+	return ended
+}
+
+// viewOf returns a view in which one address owns a shard.
+func viewOf(t *testing.T, s bulk.Shard, address string) *View {
+	spec, err := json.Marshal(ownership.Map{Units: map[ownership.Unit]ownership.Owner{ownership.Unit(s.Name()): {Address: address}}})
+	qt.Assert(t, err, qt.IsNil)
+	v := &View{}
+	v.update(objects.Object{Name: mapName, Revision: 1, Spec: spec})
+	return v
+}
+
+// TestCallCutByStopIsNoRefusal guards against callers that are told that a job wasn't accepted although the host that stopped had
+// executed the call: neither its end nor the refusal of the next owner says that.
+func TestCallCutByStopIsNoRefusal(t *testing.T) {
+	for _, op := range []bulk.Op{bulk.Submit, bulk.EndJob} {
+		call := bulk.Call{Op: op, Workspace: "w", Job: "j"}
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		address := ln.Addr().String()
+		qt.Assert(t, ln.Close(), qt.IsNil)
+		v := viewOf(t, bulk.ShardOf(call.Workspace), address)
+		stopping := stoppingOwner{executed: make(chan bulk.Op, 1), stopped: make(chan struct{})}
+		firstCtx, stopFirst := context.WithCancel(t.Context())
+		firstEnded := listenAsOwner(firstCtx, address, v, stopping)
+		client := NewJobsClient(v, hostlink.NewRPCClient("h", func() []string { return nil }))
+		ctx, cancel := context.WithTimeout(t.Context(), 2*unreachableTimeout)
+		reply := make(chan bulk.Reply, 1)
+		go func() { reply <- client.Call(ctx, call) }()
+		qt.Assert(t, <-stopping.executed, qt.Equals, op)
+		stopFirst()
+		qt.Assert(t, <-firstEnded, qt.IsNil)
+		secondCtx, stopSecond := context.WithCancel(t.Context())
+		secondEnded := listenAsOwner(secondCtx, address, v, refusingOwner{})
+		qt.Check(t, (<-reply).Code, qt.Equals, bulk.OutcomeUnknown)
+		cancel()
+		close(stopping.stopped)
+		stopSecond()
+		qt.Assert(t, <-secondEnded, qt.IsNil)
+	}
+}
