fix: a head that is cut within a line tells why it was cut

What callers saw: nothing is shown for real processes.

Cause: net/http parses a line that the end of the connection has cut off, and reports that it is malformed instead of the failed read. A host that closed the connection itself (the request's time was over, its server silent), or whose relay ended, then took that for a faulty answer of the server: the silence of a lost path or of a frozen relay counted against the server.

Ruled out: all other moments. With no answer, and with one cut within its body (a length, chunks, no framing), the host's own close is reported as such, directly and over a relay. An end in order within a line still counts as malformed: what a server sends before it may be, too.

--- a/verbenad/internal/upstream/head.go
+++ b/verbenad/internal/upstream/head.go
@@ -19,6 +19,8 @@
 	source    io.Reader
 	remaining int
 	active    bool
+	// failed is the error of a read, other than an end of the connection in order; nil if there was none.
+	failed error
 }
 
 func (h *headLimitReader) Read(p []byte) (n int, err error) {
@@ -30,6 +32,9 @@
 	}
 	n, err = h.source.Read(p[:min(len(p), h.remaining)])
 	h.remaining -= n
+	if err != nil && !errors.Is(err, io.EOF) {
+		h.failed = err
+	}
 	return n, err
 }
 
@@ -41,11 +46,8 @@
 		if err = c.checkFraming(); err == nil {
 			response, err = http.ReadResponse(c.reader, &http.Request{Method: method})
 		}
-		if err != nil && c.headLimit.remaining <= 0 {
-			err = fmt.Errorf("%w: %w", ErrHeadTooLong, err) // the parser may only have reported a line that is cut off
-		}
 		if err != nil {
-			return response, err
+			return response, c.headLimit.cause(err)
 		}
 		onHead(response)
 		if response.StatusCode >= http.StatusOK {
@@ -53,3 +55,14 @@
 		}
 	}
 }
+
+// cause adds to the parser's error why no more was read: the parser may only have reported a line that is cut off.
+func (h *headLimitReader) cause(err error) error {
+	switch {
+	case h.remaining <= 0:
+		return fmt.Errorf("%w: %w", ErrHeadTooLong, err)
+	case h.failed != nil && !errors.Is(err, h.failed):
+		return fmt.Errorf("%w: %w", h.failed, err)
+	}
+	return err
+}
