fix: a relay that gives up a stalled write doesn't report a reset by the server

What callers saw: nothing is shown for real processes. It takes a host that is cut off, and a server that reads nothing of a long request for 10 s.

Cause: a write to a server that takes longer than 10 s ends the relayed connection, by a deadline on the read. The relay reported that end as a reset by the server, which counts as a crash of the server that the request may have caused. On a direct connection the same server counts as silent. Now the relay ends its connection without a word, which says nothing about the server.

Ruled out: a write that fails because the server reset the connection, or a server that ends it after the relay has given up. Both are still reported as resets: only a read that ended by the relay's own deadline after such a write is silent.

--- a/verbenad/internal/serverrelay/pipe.go
+++ b/verbenad/internal/serverrelay/pipe.go
@@ -4,7 +4,9 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -31,6 +33,8 @@
 	// serverMu is held while bytes are written to the server. writeFailed is set if that has failed.
 	serverMu    sync.Mutex
 	writeFailed bool
+	// gaveUp is set if that took too long.
+	gaveUp atomic.Bool
 }
 
 func (p *pipe) close() {
@@ -74,6 +78,7 @@
 	}
 	if err != nil {
 		p.writeFailed = true
+		p.gaveUp.Store(errors.Is(err, os.ErrDeadlineExceeded))
 		if !errors.Is(err, net.ErrClosed) {
 			log.WithError(err).Info("relayed request not sent")
 		}
@@ -101,8 +106,8 @@
 
 // writeEnd tells the host how the server's connection ended.
 func (p *pipe) writeEnd(err error) {
-	if errors.Is(err, net.ErrClosed) {
-		return // closed by this host; the other one takes the end of its connection for the relay's
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) && p.gaveUp.Load() {
+		return // ended by this host; the other one takes the end of its connection for the relay's
 	}
 	kind := resetChunk
 	if errors.Is(err, io.EOF) && p.requestsWritten() && tcpstate.ClosedInOrder(p.server, requestWriteWait) {
