test: a call cut by a stop gets its outcome from the next owner

TestCallCutByStop takes the place of TestCallCutByStopIsNoRefusal with all of its checks, and adds the other half: if the next owner knows that the call took effect, its caller is told so.

--- a/verbenad/internal/owners/jobs_client_test.go
+++ b/verbenad/internal/owners/jobs_client_test.go
@@ -26,11 +26,11 @@
 	return bulk.Reply{Code: bulk.Done}
 }
 
-// refusingOwner has nothing.
-type refusingOwner struct{}
+// constantOwner replies the same to all calls.
+type constantOwner bulk.Code
 
-func (refusingOwner) Answer(context.Context, hostlink.JobsCall) bulk.Reply {
-	return bulk.Reply{Code: bulk.Unavailable}
+func (c constantOwner) Answer(context.Context, hostlink.JobsCall) bulk.Reply {
+	return bulk.Reply{Code: bulk.Code(c)}
 }
 
 // listenAsOwner serves calls at an address until the context ends.
@@ -53,32 +53,40 @@
 	return v
 }
 
-// TestCallCutByStopIsNoRefusal guards against callers that are told that a job wasn't accepted although the host that stopped had
-// executed the call: neither its end nor the refusal of the next owner says that.
-func TestCallCutByStopIsNoRefusal(t *testing.T) {
+// TestCallCutByStop guards against callers that are told that a job wasn't accepted although the host that stopped had executed the
+// call: neither its end nor the refusal of the next owner says that. If the next owner knows the outcome, callers get it.
+func TestCallCutByStop(t *testing.T) {
 	for _, op := range []bulk.Op{bulk.Submit, bulk.EndJob} {
-		call := bulk.Call{Op: op, Workspace: "w", Job: "j"}
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		qt.Assert(t, err, qt.IsNil)
-		address := ln.Addr().String()
-		qt.Assert(t, ln.Close(), qt.IsNil)
-		v := viewOf(t, bulk.ShardOf(call.Workspace), address)
-		stopping := stoppingOwner{executed: make(chan bulk.Op, 1), stopped: make(chan struct{})}
-		firstCtx, stopFirst := context.WithCancel(t.Context())
-		firstEnded := listenAsOwner(firstCtx, address, v, stopping)
-		client := NewJobsClient(v, hostlink.NewRPCClient("h", func() []string { return nil }))
-		ctx, cancel := context.WithTimeout(t.Context(), 2*unreachableTimeout)
-		reply := make(chan bulk.Reply, 1)
-		go func() { reply <- client.Call(ctx, call) }()
-		qt.Assert(t, <-stopping.executed, qt.Equals, op)
-		stopFirst()
-		qt.Assert(t, <-firstEnded, qt.IsNil)
-		secondCtx, stopSecond := context.WithCancel(t.Context())
-		secondEnded := listenAsOwner(secondCtx, address, v, refusingOwner{})
-		qt.Check(t, (<-reply).Code, qt.Equals, bulk.OutcomeUnknown)
-		cancel()
-		close(stopping.stopped)
-		stopSecond()
-		qt.Assert(t, <-secondEnded, qt.IsNil)
+		qt.Check(t, callCutByStop(t, op, constantOwner(bulk.Unavailable)).Code, qt.Equals, bulk.OutcomeUnknown)
+		qt.Check(t, callCutByStop(t, op, constantOwner(bulk.Done)).Code, qt.Equals, bulk.Done)
 	}
 }
+
+// callCutByStop returns the reply to a call whose owner stops once it has executed it; the next owner has the same address.
+func callCutByStop(t *testing.T, op bulk.Op, next hostlink.JobsOwner) bulk.Reply {
+	call := bulk.Call{Op: op, Workspace: "w", Job: "j"}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	address := ln.Addr().String()
+	qt.Assert(t, ln.Close(), qt.IsNil)
+	v := viewOf(t, bulk.ShardOf(call.Workspace), address)
+	stopping := stoppingOwner{executed: make(chan bulk.Op, 1), stopped: make(chan struct{})}
+	defer close(stopping.stopped)
+	stopCtx, stop := context.WithCancel(t.Context())
+	defer stop()
+	ended := listenAsOwner(stopCtx, address, v, stopping)
+	client := NewJobsClient(v, hostlink.NewRPCClient("h", func() []string { return nil }))
+	ctx, cancel := context.WithTimeout(t.Context(), 2*unreachableTimeout)
+	defer cancel()
+	reply := make(chan bulk.Reply, 1)
+	go func() { reply <- client.Call(ctx, call) }()
+	qt.Assert(t, <-stopping.executed, qt.Equals, op)
+	stop()
+	qt.Assert(t, <-ended, qt.IsNil)
+	nextCtx, stopNext := context.WithCancel(t.Context())
+	nextEnded := listenAsOwner(nextCtx, address, v, next)
+	r := <-reply
+	stopNext()
+	qt.Assert(t, <-nextEnded, qt.IsNil)
+	return r
+}
