fix: no suspect is sent to a server that has just crashed

Cause: a server's manager gave its place for suspects to the next one as soon as the call of the last one had ended, also when it had ended because the server crashed; and it gave the place at a server that had crashed under a request which nobody suspected yet. Hosts that don't know of the crash choose such a server like any other, those that do once the manager has refused them all others. A connection to a server that is going down may be accepted and then reset, which counts as its crash under the second suspect. Now all hosts keep a server's place taken for a second after a report of its crash, and the manager also when a suspect's call ends with a failure; suspects wait for another place as before, up to 5 s.

Ruled out: the test (the callers' requests and its check are right); a third failing server or a change of owners (none in the lines of the timeline that the run shows).

--- a/verbena/core/ownership_test.go
+++ b/verbena/core/ownership_test.go
@@ -34,6 +34,8 @@
 	isLost   func() bool
 	// timeline holds the events of all hosts.
 	timeline []string
+	// routed holds the server that each routed request got.
+	routed map[core.Ticket]ids.BackendID
 	// onMessage is called with each message that reaches a host.
 	onMessage func(h ids.HostID, m peer.Message)
 }
@@ -51,7 +53,10 @@
 var start = time.Unix(1_000_000, 0)
 
 func newCluster(hosts int) *cluster {
-	cl := &cluster{now: start, store: memory.New(), isLost: func() bool { return false }, onMessage: func(ids.HostID, peer.Message) {}}
+	cl := &cluster{
+		now: start, store: memory.New(), isLost: func() bool { return false }, onMessage: func(ids.HostID, peer.Message) {},
+		routed: map[core.Ticket]ids.BackendID{},
+	}
 	seeds := map[ids.HostID]string{}
 	for i := range hosts {
 		seeds[ids.HostID(fmt.Sprint("h", i))] = "x"
@@ -80,6 +85,8 @@
 	switch c := cmd.(type) {
 	case core.CallPeer:
 		cl.inFlight = append(cl.inFlight, func() { cl.callPeer(h, c) })
+	case core.Routed:
+		cl.routed[c.Ticket] = c.Server.ID
 	case core.Record:
 		cl.timeline = append(cl.timeline, fmt.Sprintf("%s %s %s %s", cl.now.Sub(start), h.id, c.Event.Kind, c.Event.Detail))
 	case core.ReadConfig, core.ReadHosts, core.WriteLease, core.ListLeases, core.ReadGuardedLeases, core.ReadLeaseGuards, core.BreakLease, core.WriteShardMap:
--- a/verbena/core/peer_messages.go
+++ b/verbena/core/peer_messages.go
@@ -57,6 +57,7 @@
 		return
 	}
 	c.poison.Merge(c.now, m.Record)
+	c.holdSuspectSlots(m.Record)
 	c.broadcastCrash(&crashReport{record: m.Record, messageID: id, remote: true})
 }
 
--- a/verbena/core/poison.go
+++ b/verbena/core/poison.go
@@ -29,6 +29,7 @@
 
 func (c *Core) crashDetected(e CrashDetected) {
 	rec := c.poison.RecordCrash(c.now, e.Fingerprint, e.Backend)
+	c.holdSuspectSlots(rec)
 	report := &crashReport{record: rec, ticket: e.Ticket}
 	owner, known := c.ownerOf(workspaceShardName(e.Workspace))
 	switch {
@@ -82,6 +83,7 @@
 		return
 	}
 	c.poison.Merge(c.now, m.Record)
+	c.holdSuspectSlots(m.Record)
 }
 
 func (c *Core) sortedPeers() []ids.HostID {
--- a/verbena/core/suspects.go
+++ b/verbena/core/suspects.go
@@ -7,12 +7,17 @@
 	"verbenaledge.example/verbena/backend"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/peer"
+	"verbenaledge.example/verbena/poison"
 	"verbenaledge.example/verbena/route"
 )
 
 // suspectSlotTimeout is how long a server's slot for suspected requests stays reserved if a host doesn't release it.
 const suspectSlotTimeout = 30 * time.Second
 
+// suspectSlotFailureHold is how long a server's slot for suspected requests stays taken after a failure of the server.
+// While a server goes down it may still accept connections, and its crash would be counted against a second suspect.
+const suspectSlotFailureHold = time.Second
+
 // suspectWaitLimit is how long a suspected request waits for a server with a free suspect slot.
 const suspectWaitLimit = 5 * time.Second
 
@@ -63,7 +68,11 @@
 // updateSuspectSlot reserves or releases the suspect slot of a managed server. It returns false if the slot is
 // taken or this host doesn't manage the server.
 func (c *Core) updateSuspectSlot(m *peer.SuspectSlotRequest) bool {
-	if m.Release {
+	switch {
+	case m.Release && m.Failed:
+		c.suspectSlots[m.Backend] = c.now.Add(suspectSlotFailureHold)
+		return true
+	case m.Release:
 		delete(c.suspectSlots, m.Backend)
 		return true
 	}
@@ -74,10 +83,10 @@
 	return true
 }
 
-// releaseSuspectSlot gives a server's suspect slot back to its manager.
-func (c *Core) releaseSuspectSlot(b ids.BackendID) {
+// releaseSuspectSlot gives a server's suspect slot back to its manager. failed is true if the server failed.
+func (c *Core) releaseSuspectSlot(b ids.BackendID, failed bool) {
 	owner, known := c.ownerOf(managerShardName(b))
-	m := &peer.SuspectSlotRequest{From: c.config.Host, Backend: b, Release: true}
+	m := &peer.SuspectSlotRequest{From: c.config.Host, Backend: b, Release: true, Failed: failed}
 	switch {
 	case !known:
 	case owner == c.config.Host:
@@ -87,6 +96,17 @@
 	}
 }
 
+// holdSuspectSlots keeps suspects away from the servers that crashed while they ran a request. All hosts do so, since
+// any of them may be a server's manager.
+func (c *Core) holdSuspectSlots(rec poison.Record) {
+	until := c.now.Add(suspectSlotFailureHold)
+	for _, b := range rec.Backends {
+		if c.suspectSlots[b].Before(until) {
+			c.suspectSlots[b] = until
+		}
+	}
+}
+
 func (c *Core) suspectSlotRequested(m *peer.SuspectSlotRequest) peer.Message {
 	if !c.updateSuspectSlot(m) {
 		return &peer.Refusal{Reason: peer.RetryLater}
--- a/verbena/core/traffic.go
+++ b/verbena/core/traffic.go
@@ -189,7 +189,7 @@
 		c.recordChanges(c.routes.Step(c.now, route.LeavingReported{Backend: e.Backend}))
 	}
 	if e.Suspect {
-		c.releaseSuspectSlot(e.Backend)
+		c.releaseSuspectSlot(e.Backend, e.Outcome == route.Failed)
 	}
 	if !e.Batch {
 		c.countOnline(e.Backend, -1)
--- a/verbena/peer/message.go
+++ b/verbena/peer/message.go
@@ -161,11 +161,12 @@
 }
 
 // SuspectSlotRequest requests the one slot that a backend server's manager grants to
-// suspected requests of all hosts. Release returns the slot.
+// suspected requests of all hosts. Release returns the slot, with Failed after a failure of the server.
 type SuspectSlotRequest struct {
 	From    ids.HostID    `cbor:"1,keyasint"`
 	Backend ids.BackendID `cbor:"2,keyasint"`
 	Release bool          `cbor:"3,keyasint,omitempty"`
+	Failed  bool          `cbor:"4,keyasint,omitempty"`
 }
 
 // Ack reports that a message was handled.
