fix: a stopping host keeps unused connections as long as it is busy

Cause: ended an unused connection a second after it was opened, also while the host waited for other requests. Now unused connections end, by their readers, once nothing else is in progress or expected. TestStopClosesUnusedConnectionInUse guards against it.

--- a/verbenad/internal/host/closing_writer.go
+++ b/verbenad/internal/callerconn/closing_writer.go
@@ -1,4 +1,4 @@
-package host
+package callerconn
 
 import (
 	"net/http"
--- a/verbenad/internal/callerconn/conn.go
+++ b/verbenad/internal/callerconn/conn.go
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// firstRequestTime is how long a connection may take for its first request, or for the rest of a head, while its listener stops.
-// Callers send at once.
+// firstRequestTime is how long the first request of a connection is expected, and how long the rest of a head may take while the
+// listener stops. Callers send at once.
 const firstRequestTime = time.Second
 
 // Conn is the connection of a caller. While it is idle, only the goroutine that reads it may close it: a read that was due
@@ -28,7 +28,8 @@
 	// readDeadline is the one that the server has set.
 	readDeadline time.Time
 	openedAt     time.Time
-	used         bool
+	// used is set once a request has begun. endsWhenUsed makes the connection end after its first one.
+	used, endsWhenUsed bool
 }
 
 func newConn(c net.Conn, s *connections) *Conn { return &Conn{Conn: c, set: s, openedAt: time.Now()} }
@@ -76,9 +77,8 @@
 		return
 	}
 	c.phase, c.used = head, true
-	if !c.endsAt.IsZero() {
-		c.endsAt = time.Now().Add(firstRequestTime)
-		c.applyReadDeadline()
+	if c.endsWhenUsed || !c.endsAt.IsZero() {
+		c.endAt(time.Now().Add(firstRequestTime))
 	}
 }
 
@@ -98,17 +98,33 @@
 	}
 }
 
-// endWhenIdle makes the connection end as soon as it is idle. One that is new or has a part of a head may still get its request.
+// endWhenIdle makes the connection end as soon as it is idle. One that has a part of a head may still get its request, and a new
+// one its first, until endUnused.
 func (c *Conn) endWhenIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.endsAt = time.Now()
 	switch {
 	case !c.used:
-		c.endsAt = c.openedAt.Add(firstRequestTime)
+		c.endsWhenUsed = true
 	case c.phase == head:
-		c.endsAt = c.endsAt.Add(firstRequestTime)
+		c.endAt(time.Now().Add(firstRequestTime))
+	default:
+		c.endAt(time.Now())
+	}
+}
+
+// endUnused makes the connection end if no request has begun on it.
+func (c *Conn) endUnused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.used {
+		c.endAt(time.Now())
 	}
+}
+
+// endAt is called with mu held.
+func (c *Conn) endAt(t time.Time) {
+	c.endsAt = t
 	c.applyReadDeadline()
 }
 
@@ -138,6 +154,13 @@
 	return c.phase, c.used
 }
 
+// expectsFirst reports whether the first request is expected.
+func (c *Conn) expectsFirst(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.used && now.Sub(c.openedAt) < firstRequestTime
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.ended(ClosedByHost)
--- a/verbenad/internal/callerconn/connections.go
+++ b/verbenad/internal/callerconn/connections.go
@@ -1,6 +1,10 @@
 package callerconn
 
-import "sync"
+import (
+	"slices"
+	"sync"
+	"time"
+)
 
 // Counts are the numbers of open connections: those that carry a request, that have carried one, and that haven't yet.
 type Counts struct{ Active, Idle, Unused int }
@@ -45,3 +49,11 @@
 	}
 	return n
 }
+
+// busy reports whether a request is in progress, or expected on a new connection.
+func (s *connections) busy(now time.Time) bool {
+	return slices.ContainsFunc(s.list(), func(c *Conn) bool {
+		p, _ := c.state()
+		return p != idle || c.expectsFirst(now)
+	})
+}
--- a/verbenad/internal/callerconn/listener.go
+++ b/verbenad/internal/callerconn/listener.go
@@ -22,6 +22,8 @@
 type Listener struct {
 	net.Listener
 	connections connections
+	// ending is set once connections end as soon as they carry no request.
+	ending atomic.Bool
 	// closeBy is the latest time at which it closes, in Unix nanoseconds; 0 while it isn't draining.
 	closeBy atomic.Int64
 }
@@ -68,6 +70,9 @@
 		}
 		c := newConn(accepted, &l.connections)
 		l.connections.add(c)
+		if l.ending.Load() {
+			c.endWhenIdle()
+		}
 		return c, nil
 	}
 }
@@ -92,13 +97,24 @@
 	}
 }
 
-// EndIdle ends each connection as soon as it carries no request. It is called once the listener is closed.
+// EndIdle ends each connection as soon as it has carried a request and is idle, also those that are accepted later.
 func (l *Listener) EndIdle() {
+	l.ending.Store(true)
 	for _, c := range l.connections.list() {
 		c.endWhenIdle()
 	}
 }
 
+// EndUnused ends the connections on which no request has begun.
+func (l *Listener) EndUnused() {
+	for _, c := range l.connections.list() {
+		c.endUnused()
+	}
+}
+
+// Busy reports whether a request is in progress, or expected on a new connection.
+func (l *Listener) Busy() bool { return l.connections.busy(time.Now()) }
+
 // Counts returns the numbers of open connections.
 func (l *Listener) Counts() Counts { return l.connections.counts() }
 
--- a/verbenad/internal/host/caller_server.go
+++ b/verbenad/internal/host/caller_server.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -26,8 +25,7 @@
 type callerServer struct {
 	http     *http.Server
 	listener *callerconn.Listener
-	// closing is set once responses announce that their connections close.
-	closing atomic.Bool
+	handler  *callerconn.Handler
 	// failed gets the error that ended the listener.
 	failed chan error
 	// endRequests makes the requests in progress end with an answer.
@@ -35,24 +33,18 @@
 }
 
 func startCallerServer(ln net.Listener, h http.Handler, endRequests func()) *callerServer {
-	s := &callerServer{listener: callerconn.NewListener(ln), failed: make(chan error, 1), endRequests: endRequests}
+	s := &callerServer{listener: callerconn.NewListener(ln), handler: callerconn.NewHandler(h), failed: make(chan error, 1), endRequests: endRequests}
 	s.http = &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			h.ServeHTTP(&closingWriter{ResponseWriter: w, closing: &s.closing}, r)
-		}),
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: logs.NewServerErrorLog(callerConnectionErrors.Inc), ConnState: s.listener.StateChanged, ConnContext: entry.ConnContext,
 	}
 	go func() { s.failed <- s.http.Serve(s.listener) }()
 	return s
 }
 
-// announceClose makes all responses that have not begun announce that their connections close.
-func (s *callerServer) announceClose() { s.closing.Store(true) }
-
 // stop accepts no more connections, and waits until all have ended and relaysEnded is closed, at the latest until end.
 func (s *callerServer) stop(end time.Time, relaysEnded <-chan struct{}) error {
-	s.announceClose()
+	s.handler.AnnounceClose()
 	s.listener.Drain()
 	if err := <-s.failed; !errors.Is(err, net.ErrClosed) {
 		log.WithError(err).Warn("the callers' listener failed")
@@ -61,6 +53,10 @@
 	log.WithFields(log.Fields{"active": before.Active, "idle": before.Idle, "unused": before.Unused}).Info("stopping: idle connections end")
 	// Idle connections would deliver further requests for as long as any other is busy.
 	s.listener.EndIdle()
+	for s.listener.Busy() && time.Now().Before(end) {
+		time.Sleep(openPollInterval)
+	}
+	s.listener.EndUnused()
 	s.awaitClosed(end)
 	if n := s.listener.Counts(); n.Open() > 0 {
 		log.WithFields(log.Fields{"active": n.Active, "idle": n.Idle, "unused": n.Unused}).Warn("requests in progress end with the grace period")
--- a/verbenad/internal/host/callers.go
+++ b/verbenad/internal/host/callers.go
@@ -36,7 +36,7 @@
 	}
 	log.Info("stopping: readiness is withdrawn")
 	h.Stop()
-	s.announceClose()
+	s.handler.AnnounceClose()
 	slotClient.AnnounceLeaving()
 	end := time.Now().Add(env.Settings.GracePeriod - graceMargin)
 	relaysEnded := make(chan struct{})
--- a/verbenad/internal/host/stop_states_test.go
+++ b/verbenad/internal/host/stop_states_test.go
@@ -141,3 +141,31 @@
 	time.Sleep(requestTime)
 	s.checkStopsAtOnce(c)
 }
+
+// TestStopClosesUnusedConnectionInUse guards against a stop that closes an unused connection although the server is busy, and
+// its caller sends the first request late.
+func TestStopClosesUnusedConnectionInUse(t *testing.T) {
+	c := qt.New(t)
+	s := newContextServer(c)
+	unused, err := net.Dial("tcp", s.conn.RemoteAddr().String())
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = unused.Close() }()
+	time.Sleep(firstRequestWait - longRequestTime/2)
+	s.write(c, longRequest)
+	s.waitHandled(c)
+	s.stopUntil(time.Now().Add(testGrace))
+	time.Sleep(longRequestTime / 2)
+	s.checkAnswerOn(c, unused)
+	s.checkAnswered(c)
+	s.checkStopped(c)
+}
+
+// checkAnswerOn checks that a request on another connection is answered.
+func (s *stoppingServer) checkAnswerOn(c *qt.C, conn net.Conn) {
+	_, err := io.WriteString(conn, shortRequest)
+	c.Assert(err, qt.IsNil)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Body.Close(), qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+}
