--- a/verbenad/internal/daemon/daemon.go
+++ b/verbenad/internal/daemon/daemon.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/apex/log"
@@ -38,9 +37,11 @@
 	jobs        *jobs.Runtime
 	items       *items.Runtime
 	callers     *caller.Handler
-	httpServers []*http.Server
-	cleanup     []func()
-	serveErrors chan error
+	httpServers []*httpServer
+	// callerServer is the one of them that serves callers.
+	callerServer *httpServer
+	cleanup      []func()
+	serveErrors  chan error
 }
 
 // New returns a daemon that uses the given object store. Run starts it.
@@ -88,7 +89,7 @@
 	d.loop.Post(core.Drain{})
 	sleep(ctx, time.Duration(d.settings.Drain.Notice))
 	for _, s := range d.httpServers {
-		s.SetKeepAlivesEnabled(false)
+		s.endConnections()
 	}
 	d.waitForCallers(ctx)
 	d.items.WaitIdle(ctx)
@@ -111,11 +112,16 @@
 const drainPollInterval = 20 * time.Millisecond
 
 func (d *Daemon) waitForCallers(ctx context.Context) {
-	for d.callers.InFlight() > 0 && ctx.Err() == nil {
+	for d.serving() && ctx.Err() == nil {
 		time.Sleep(drainPollInterval)
 	}
 }
 
+// serving reports whether a request is in progress, or was read and is about to be.
+func (d *Daemon) serving() bool {
+	return d.callers.InFlight() > 0 || d.callerServer.busy()
+}
+
 // waitForItems waits until no host runs an item of this host's jobs and every result is committed, so that the
 // jobs' next owner runs no item again.
 func (d *Daemon) waitForItems(ctx context.Context) {
--- a/verbenad/internal/daemon/start_steps.go
+++ b/verbenad/internal/daemon/start_steps.go
@@ -24,7 +24,6 @@
 	"verbenaledge.example/verbenad/internal/control"
 	"verbenaledge.example/verbenad/internal/items"
 	"verbenaledge.example/verbenad/internal/jobs"
-	"verbenaledge.example/verbenad/internal/logs"
 	"verbenaledge.example/verbenad/internal/metric"
 	"verbenaledge.example/verbenad/internal/operator"
 	"verbenaledge.example/verbenad/internal/peer"
@@ -193,33 +192,35 @@
 		return err
 	}
 	h := operator.NewHandler(d.loop, d.timeline, strings.TrimSpace(string(token)), d.callers.InFlight)
-	return d.serveHTTP(d.settings.Operator.Listen, h.Routes())
+	_, err = d.serveHTTP(d.settings.Operator.Listen, h.Routes())
+	return err
 }
 
 type serveCallers struct{}
 
 func (serveCallers) String() string { return "serve callers" }
 
-func (serveCallers) Run(_ context.Context, d *Daemon) error {
-	return d.serveHTTP(d.settings.Caller.Listen, d.callers.Routes())
+func (serveCallers) Run(_ context.Context, d *Daemon) (err error) {
+	d.callerServer, err = d.serveHTTP(d.settings.Caller.Listen, d.callers.Routes())
+	return err
 }
 
-func (d *Daemon) serveHTTP(address string, h http.Handler) (err error) {
+func (d *Daemon) serveHTTP(address string, h http.Handler) (s *httpServer, err error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: logs.NewServerErrorLog(func() {})}
+	s = newHTTPServer(listener, h)
 	d.httpServers = append(d.httpServers, s)
 	d.cleanup = append(d.cleanup, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
-		_ = s.Shutdown(ctx) // requests that outlast the drain limit are cut off
+		_ = s.http.Shutdown(ctx) // requests that outlast the drain limit are cut off
 	})
 	go func() {
-		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 			d.serveErrors <- fmt.Errorf("serve %s: %w", address, err)
 		}
 	}()
-	return nil
+	return s, nil
 }
