--- a/verbenalab/internal/soak/kept_connections_report.go
+++ b/verbenalab/internal/soak/kept_connections_report.go
@@ -18,6 +18,8 @@
 	// ClosedByHost counts the requests that were read and dropped, by the hosts' logs. It is a lower bound: a host writes at most
 	// 200 lines of a kind in a second, and leaves out the others.
 	ClosedByHost int
+	// Departed counts the requests whose callers had left, by the logs, with the same bound. These callers don't leave.
+	Departed int
 }
 
 func (r *KeptConnectionsReport) add(c Call, ran bool) {
@@ -36,8 +38,11 @@
 // addReasons adds what the hosts' logs say.
 func (r *KeptConnectionsReport) addReasons(reasons map[string]int) {
 	for k, n := range reasons {
-		if strings.HasPrefix(k, "closed_by_host ") {
+		switch outcome, _, _ := strings.Cut(k, " "); outcome {
+		case "closed_by_host":
 			r.ClosedByHost += n
+		case "caller_left":
+			r.Departed += n
 		}
 	}
 }
--- a/verbenalab/internal/soak/kept_connections_test.go
+++ b/verbenalab/internal/soak/kept_connections_test.go
@@ -39,6 +39,7 @@
 			t.Logf("%d answered, refused %v, %d closed unread, %d closed by the host", r.Answered, r.Refused, r.ClosedUnread, r.ClosedByHost)
 			c.Check(r.Lost, qt.HasLen, 0)
 			c.Check(r.ClosedByHost, qt.Equals, 0)
+			c.Check(r.Departed, qt.Equals, 0)
 		})
 	}
 }
