fix: TestHostReportsStreamsToNextDispatcher moves the dispatcher without a data race

The race detector reports the write of the client's function `address` by the test and its read in maintainConn, after which the test fails; its check itself had held.

Cause: the test. It replaced the function while the client's goroutines were running; only by chance other locks ordered the two. The product never replaces the function. Now the client has a function from the start that follows an atomic pointer; the check is unchanged.

Ruled out: a record lost between the dispatchers: in the failed run the host registered at the next dispatcher and the check passed.

--- a/verbenad/internal/slots/client_test.go
+++ b/verbenad/internal/slots/client_test.go
@@ -103,7 +103,12 @@
 }
 
 func newClient(t *testing.T, name ids.HostID, address string) *Client {
-	c := NewClient(name, "z", "", clock.System{}, objectfeed.NewFeed(clock.System{}), func() string { return address }, noAddress, withFreshServers)
+	return newFollowingClient(t, name, func() string { return address })
+}
+
+// newFollowingClient returns a client that connects to whichever dispatcher address returns.
+func newFollowingClient(t *testing.T, name ids.HostID, address func() string) *Client {
+	c := NewClient(name, "z", "", clock.System{}, objectfeed.NewFeed(clock.System{}), address, noAddress, withFreshServers)
 	go c.Run(t.Context())
 	c.SetServers(twoServers)
 	return c
--- a/verbenad/internal/slots/origins_test.go
+++ b/verbenad/internal/slots/origins_test.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,10 +105,12 @@
 	c := qt.New(t)
 	first, next := startDispatcher(t), startDispatcher(t)
 	next.dispatcher.SetServers(twoVersions)
-	one := newClient(t, "one", first.address)
+	var dispatching atomic.Pointer[testHost]
+	dispatching.Store(first)
+	one := newFollowingClient(t, "one", func() string { return dispatching.Load().address })
 	waitConnected(t, one)
 	one.ReportStreamBegan(beganAt("s1", twoVersions["b"]))
-	one.dispatcher.address = func() string { return next.address }
+	dispatching.Store(next)
 	first.inactive.Store(true)
 	first.dispatcher.DisconnectAll()
 	two := newClient(t, "two", next.address)
