fix: a relaying host delivers what an owner sent before its connection ended

It takes a host that is cut off from an owner and reaches it over another host, and an owner that replies and then ends its connection while frames to it are on their way, as at a stop. The call is sent again and gets its outcome later, or 504 unsettled; slots that were given in such frames are asked for again.

Cause: forward closed both connections as soon as one direction had ended. With frames of the calling host unread the kernel makes that a reset, and drops what that host hasn't received yet. Now the direction to the calling host ends in order, and its frames are read and dropped until it closes, for 2 s at most. The same for a write to the owner that fails: what the owner sent before is still copied.

Ruled out: the owner's own end.

--- a/verbenad/internal/hostlink/listen.go
+++ b/verbenad/internal/hostlink/listen.go
@@ -18,6 +18,9 @@
 // firstFrameTimeout is how long the first frame on a new connection may take.
 const firstFrameTimeout = 3 * time.Second
 
+// forwardEndTimeout is how long the rest of a relayed connection may take once one of its ends has gone.
+const forwardEndTimeout = 2 * time.Second
+
 var connectionsForwarded = metrics.NewCounter("verbenad_host_connections_passed_on_total")
 
 // OwnerMap maps shared state to the hosts that own it.
@@ -139,19 +142,37 @@
 	}
 	connectionsForwarded.Inc()
 	closeBoth := func() {
-		_ = target.Close() // the other direction ends with it
+		_ = target.Close() // both directions have ended, or the process is ending
 		_ = c.Close()
 	}
+	defer closeBoth()
 	stop := context.AfterFunc(ctx, closeBoth)
 	defer stop()
+	requestsEnded := make(chan struct{})
 	go func() {
-		defer closeBoth()
-		_, err := io.Copy(target, r)
-		logCopyError(err)
+		defer close(requestsEnded)
+		forwardRequests(target, r)
 	}()
-	defer closeBoth()
 	_, err = io.Copy(c, target)
 	logCopyError(err)
+	// A close now would be a reset if frames of the other host are unread, and drop what it hasn't received yet.
+	_ = c.SetReadDeadline(time.Now().Add(forwardEndTimeout)) // fails only on a closed connection, as the copy then has
+	if half, ok := c.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
+		return
+	}
+	<-requestsEnded
+}
+
+// forwardRequests copies what a host sends until it closes its connection. What the target doesn't take any more is dropped.
+func forwardRequests(target net.Conn, r io.Reader) {
+	defer func() { _ = target.Close() }() // the host has gone
+	_, err := io.Copy(target, r)
+	if err == nil {
+		return
+	}
+	logCopyError(err)
+	_ = target.SetReadDeadline(time.Now().Add(forwardEndTimeout)) // fails only on a closed connection, as the copy then has
+	_, _ = io.Copy(io.Discard, r)                                 // ends with the host's connection, or once nothing is left to send to it
 }
 
 func logCopyError(err error) {
