--- a/verbenad/internal/callerconn/conn.go
+++ b/verbenad/internal/callerconn/conn.go
@@ -93,7 +93,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = p
-	if !c.endsAt.IsZero() {
+	switch {
+	case c.endsAt.IsZero():
+	case p == idle:
+		c.endAt(time.Now())
+	default:
 		c.applyReadDeadline()
 	}
 }
