fix: callers who leave a long response don't count against its request

What callers saw: once three callers had left in the middle of a response longer than 512 KiB, or hadn't read it until their deadline, the same request (workspace, path and body) got 503 `crashing` from all callers for a minute.

Cause: relayLong took a failed write to the caller, and a read that ended with the request's context, for a response that its server had broken off. Three of them mark the request as one that crashes servers, and they count as failures of the server. Now both count as cancelled, as they do for streams.

Ruled out: slots that stay occupied (in the new test the refusal names `crashing`).

--- a/verbenad/cmd/endless_responses_test.go
+++ b/verbenad/cmd/endless_responses_test.go
@@ -133,6 +133,32 @@
 	})
 }
 
+// TestFleetCallersLeaveLongResponses guards against a request that counts as one that breaks servers, and is refused to all
+// callers, because some callers left in the middle of its long response.
+func TestFleetCallersLeaveLongResponses(t *testing.T) {
+	const (
+		callers   = 6
+		readBytes = 4 << 20 // more than an entry host buffers
+	)
+	c := qt.New(t)
+	f := newFleet(t, 1000)
+	f.injectFault("app", 1<<40, standin.EndlessBody)
+	for range callers {
+		conn := f.connect(c)
+		f.writeHead(c, conn, "GET /app/long HTTP/1.1")
+		c.Assert(conn.SetReadDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+		response, err := io.ReadAll(io.LimitReader(conn, readBytes))
+		c.Assert(err, qt.IsNil, qt.Commentf("%d bytes: %.300s", len(response), response))
+		c.Assert(conn.Close(), qt.IsNil)
+	}
+	f.injectFault("app", 0, standin.NoFault)
+	f.awaitIdle()
+	for range 10 {
+		r := f.call("GET", "/app/long", workspaceKey, nil, nil)
+		c.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.body))
+	}
+}
+
 // TestFleetManyEndlessResponses checks that each of many requests with endless response heads fails, or is refused only
 // if it has not run, and that the service recovers.
 func TestFleetManyEndlessResponses(t *testing.T) {
--- a/verbenad/internal/entry/response.go
+++ b/verbenad/internal/entry/response.go
@@ -71,7 +71,7 @@
 	}
 	switch end := buffer.end.(type) {
 	case nil:
-		return h.relayLong(req, state, response, buffer.body, outcome)
+		return h.relayLong(ctx, req, state, response, buffer.body, outcome)
 	case completion.BrokenOff:
 		return h.answerCut(ctx, req, state, outcome, end)
 	case completion.Whole, completion.Claimed:
@@ -112,9 +112,10 @@
 	return stepDone, outcome
 }
 
-// relayLong forwards the buffered beginning of a response, then the rest as it arrives.
+// relayLong forwards the buffered beginning of a response, then the rest as it arrives. A caller that leaves or doesn't read
+// says nothing about the server or the request.
 func (h *Handler) relayLong(
-	req *request, state *forwardState, response *upstream.Response, buffered []byte, outcome dispatch.Outcome,
+	ctx context.Context, req *request, state *forwardState, response *upstream.Response, buffered []byte, outcome dispatch.Outcome,
 ) (nextStep, dispatch.Outcome) {
 	h.writeHead(req, response.Status, response.Header, int(response.Length))
 	state.responseStarted = true
@@ -122,7 +123,13 @@
 		outcome.Result = dispatch.Cancelled
 		return stepFail, outcome
 	}
-	switch end := copyRest(req.writer, response.Rest(buffered)).(type) {
+	end, err := copyRest(req.writer, response.Rest(buffered))
+	if err != nil {
+		outcome.Result = dispatch.Cancelled
+		state.reason = "caller_left"
+		return stepFail, outcome
+	}
+	switch end := end.(type) {
 	case completion.Whole, completion.Claimed:
 		outcome.Result = dispatch.Served
 		return stepDone, outcome
@@ -133,23 +140,27 @@
 		}
 	}
 	outcome.Result = dispatch.Broken
+	if ctx.Err() != nil {
+		outcome.Result = dispatch.Cancelled
+	}
 	return stepFail, outcome
 }
 
-// copyRest forwards the rest of a body as it arrives, up to responseLimit, and returns its end.
-func copyRest(w io.Writer, body completion.Body) completion.End {
+// copyRest forwards the rest of a body as it arrives, up to responseLimit. It returns the body's end, or the error of a write
+// to the caller.
+func copyRest(w io.Writer, body completion.Body) (end completion.End, err error) {
 	part := make([]byte, copyBytes)
 	for sent := 0; sent < responseLimit; {
 		n, end := body.ReadBody(part[:min(len(part), responseLimit-sent)])
 		if _, err := w.Write(part[:n]); err != nil {
-			return completion.BrokenOff{Err: err}
+			return nil, err
 		}
 		if end != nil {
-			return end
+			return end, nil
 		}
 		sent += n
 	}
-	return completion.BrokenOff{Err: errResponseTooLong}
+	return completion.BrokenOff{Err: errResponseTooLong}, nil
 }
 
 // relayStream forwards complete events as they arrive.
