test: the use of the grace period is checked by a bound that load can't break

TestFleetGraceMarginCutsStream failed 1 of 21 at a load of 35: the stand-in's twelve pauses took 0.2 s longer than their sum, and the stream outlasted what the host may wait. The test was wrong, the product wasn't. In its place TestFleetGraceEndsWithoutAnswer checks that a request isn't ended before 3.5 of the 4 s: as strict for the margin, and a busy machine only makes it later.

--- a/verbenad/cmd/stop_test.go
+++ b/verbenad/cmd/stop_test.go
@@ -172,8 +172,12 @@
 	streams.Wait()
 }
 
+// usedGrace is the part of the grace period in which a stopping host waits for requests, at least. A busy machine only makes it
+// wait longer.
+const usedGrace = 3500 * time.Millisecond
+
 // TestFleetGraceEndsWithoutAnswer guards against a stop that closes the connections of requests that still run at the end of
-// the grace period, in place of an answer that says so.
+// the grace period, in place of an answer that says so, and against one that ends them while much of the period is left.
 func TestFleetGraceEndsWithoutAnswer(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(t, 1000)
@@ -188,32 +192,11 @@
 		}
 		return n == 1
 	})
+	stopped := time.Now()
 	stop()
 	r := <-answered
 	c.Assert(r.err, qt.IsNil)
 	c.Assert(r.status, qt.Equals, http.StatusGatewayTimeout)
+	c.Assert(time.Since(stopped) >= usedGrace, qt.IsTrue, qt.Commentf("ended %s after the stop", time.Since(stopped)))
 	c.Assert(f.runCount(r.id), qt.Equals, 1)
 }
-
-// TestFleetGraceMarginCutsStream guards against a stop that cuts streams although what is left of the grace period would hold
-// their last events.
-func TestFleetGraceMarginCutsStream(t *testing.T) {
-	const streamPauses = 12
-	c := qt.New(t)
-	f := newFleet(t, 1000)
-	stop := f.startGraceful()
-	f.setEventPause((f.grace - 600*time.Millisecond) / streamPauses)
-	streamed := make(chan result, 1)
-	go func() { streamed <- f.call("POST", "/stream/x", workspaceKey, streamHeaders, nil) }()
-	f.eventually("the stream runs", func() bool {
-		n := 0
-		for _, s := range f.servers {
-			n += s.Running()
-		}
-		return n == 1
-	})
-	stop()
-	r := <-streamed
-	c.Assert(r.err, qt.IsNil)
-	c.Assert(r.body, qt.Equals, streamBody(r.id))
-}
