--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 MODULES  := platform verbena verbenad verbenactl verbenalab
 LINT     := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.12.2
 LINTER   := $(BIN)/golangci-lint
+# Results in a shared cache name the files of the tree that they came from, even after it is gone.
+export GOLANGCI_LINT_CACHE := $(BIN)/lint-cache
 RENAME   := golang.org/x/tools/gopls@v0.23.0
 
 .PHONY: build demo test lint format rename-tool check-red
