fix: a reset just after an orderly end counts as a reset

Callers could get an answer without a stated length as complete whose server reset the connection at once after the end of its direction: the kernel's state was read once, between the two.

ClosedInOrder now looks again after 5 ms and wants the same state.

--- a/verbenad/internal/tcpstate/closed_in_order.go
+++ b/verbenad/internal/tcpstate/closed_in_order.go
@@ -10,7 +10,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// acknowledgementPoll is the time between checks whether a server has received the rest of a request.
+// acknowledgementPoll is the time between checks whether a server has received the rest of a request, and how long a reset may
+// follow an orderly end.
 const acknowledgementPoll = 5 * time.Millisecond
 
 // tcpCloseWait is the kernel's state of a connection whose other direction has been closed in order, and that hasn't been
@@ -18,13 +19,14 @@
 const tcpCloseWait = 8
 
 // ClosedInOrder reports whether the peer has closed its direction of a connection in order after it had received all that was
-// written. It waits for the receipt as long as given. Other connections than those of the kernel report no end but an orderly
-// one.
+// written, and has not reset the connection at once. It waits for the receipt as long as given. Other connections than those of
+// the kernel report no end but an orderly one.
 func ClosedInOrder(c net.Conn, wait time.Duration) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
 	}
+	received := false
 	for end := time.Now().Add(wait); ; time.Sleep(acknowledgementPoll) {
 		info, err := tcpInfo(sc)
 		if err != nil {
@@ -34,10 +36,11 @@
 		if info.State != tcpCloseWait {
 			return false
 		}
-		if info.Unacked == 0 && info.Notsent_bytes == 0 {
+		if received {
 			return true
 		}
-		if time.Now().After(end) {
+		received = info.Unacked == 0 && info.Notsent_bytes == 0
+		if !received && time.Now().After(end) {
 			return false
 		}
 	}
