fix: items aren't sent to a service that their route led to before

The item read the route once, then waited for a slot as long as the queue is.

Ruled out: a late configuration (items that start anew go to the new service), slots of another service. A configuration now ends waits for services that the routes no longer lead to, and a route is read again after a grant.

--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -82,6 +82,8 @@
 	failures int
 	yields   int
 	cancel   context.CancelFunc
+	// wait is used by the owner's goroutine only. It is nil while the item doesn't wait for a slot.
+	wait *slotWait
 	// partial is a former owner's partial answer; the next send resumes from it.
 	partial atomic.Pointer[bulk.PartialAnswer]
 	// reason is why the item ends as errored.
@@ -105,17 +107,15 @@
 		return bulk.Result{Item: i.item.ID, State: bulk.Errored}, true
 	}
 	for ctx.Err() == nil {
-		route, service, ok := i.service(ctx)
+		target, slot, ok := i.acquire(ctx)
 		if !ok {
 			return bulk.Result{Item: i.item.ID, State: bulk.Errored}, ctx.Err() == nil
 		}
-		i.followRoute(service)
-		slot, err := i.owner.slots.Acquire(ctx, i.slotRequest(service))
-		if err != nil {
+		if slot == nil {
 			clock.Sleep(ctx, itemRetryPause)
 			continue
 		}
-		sent := i.send(ctx, route, slot)
+		sent := i.send(ctx, target.route, slot)
 		switch sent {
 		case itemComplete:
 			itemsDone.Inc()
@@ -152,24 +152,6 @@
 	itemErrored
 )
 
-// service returns the item's route and service in the current configuration.
-func (i *itemRun) service(ctx context.Context) (r *catalog.Route, name ids.ServiceName, ok bool) {
-	found := make(chan *catalog.Route, 1)
-	i.owner.post(func() {
-		r, _ := i.owner.catalog.Route(i.route)
-		found <- r
-	})
-	select {
-	case r = <-found:
-	case <-ctx.Done():
-	}
-	if r == nil {
-		return nil, "", false
-	}
-	name, ok = r.PickService(0)
-	return r, name, ok
-}
-
 func (i *itemRun) slotRequest(service ids.ServiceName) dispatch.SlotRequest {
 	now := i.owner.clock.Now()
 	_, header := i.owner.protocol.ItemRequest(i.item)
--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -16,7 +16,6 @@
 	"verbenaledge.example/verbena/exchange"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/objects"
-	"verbenaledge.example/verbenad/internal/slots"
 	"verbenaledge.example/verbenad/internal/upstream"
 )
 
@@ -43,7 +42,7 @@
 	valueBytes int
 	lease      Lease
 	protocol   Protocol
-	slots      *slots.Client
+	slots      SlotSource
 	client     *upstream.Client
 	clock      clock.Clock
 	estimator  eventEstimator
@@ -96,7 +95,7 @@
 
 // New returns an owner without shards that works until the context ends.
 func New(
-	ctx context.Context, host ids.HostID, store objects.Client, valueBytes int, l Lease, p Protocol, s *slots.Client, u *upstream.Client,
+	ctx context.Context, host ids.HostID, store objects.Client, valueBytes int, l Lease, p Protocol, s SlotSource, u *upstream.Client,
 	c clock.Clock, retention time.Duration, others OwnerClient,
 ) *Owner {
 	return &Owner{
@@ -132,9 +131,32 @@
 	}
 }
 
-// SetCatalog applies a configuration.
+// SetCatalog applies a configuration. Items that wait for slots of services that their routes no longer lead to wait anew.
 func (o *Owner) SetCatalog(c *catalog.Catalog) {
-	o.post(func() { o.catalog = c })
+	o.post(func() {
+		o.catalog = c
+		for _, run := range o.runs {
+			if run.wait == nil {
+				continue
+			}
+			if target, ok := o.targetOf(run.route); !ok || target.service != run.wait.service {
+				run.wait.cancel()
+			}
+		}
+	})
+}
+
+// targetOf returns where a route leads. Items of one job are sent to one service, also if the route splits its traffic.
+func (o *Owner) targetOf(route string) (target routeTarget, ok bool) {
+	r, ok := o.catalog.Route(route)
+	if !ok {
+		return routeTarget{}, false
+	}
+	service, ok := r.PickService(0)
+	if !ok {
+		return routeTarget{}, false
+	}
+	return routeTarget{route: r, service: service}, true
 }
 
 // SetShards sets the shards that this host owns and their epochs. A shard with a new epoch is loaded again.
--- /dev/null
+++ b/verbenad/internal/bulk/slot_wait.go
@@ -0,0 +1,77 @@
+package bulk
+
+import (
+	"context"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"verbenaledge.example/verbena/catalog"
+	"verbenaledge.example/verbena/dispatch"
+	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbenad/internal/slots"
+)
+
+var itemsMoved = metrics.NewCounter("verbenad_items_moved_total")
+
+// slotWait is an item's wait for a slot of a service.
+type slotWait struct {
+	service ids.ServiceName
+	cancel  context.CancelFunc
+}
+
+// routeTarget is a route and the service that it leads to.
+type routeTarget struct {
+	route   *catalog.Route
+	service ids.ServiceName
+}
+
+// target returns where the item's route leads in the current configuration.
+func (i *itemRun) target(ctx context.Context) (target routeTarget, ok bool) {
+	return i.targetOf(ctx, nil)
+}
+
+// targetOf returns the item's target. Until the next call, cancelWait is called once the route no longer leads there.
+func (i *itemRun) targetOf(ctx context.Context, cancelWait context.CancelFunc) (target routeTarget, ok bool) {
+	found := make(chan routeTarget, 1)
+	i.owner.post(func() {
+		i.wait = nil
+		target, ok := i.owner.targetOf(i.route)
+		if ok && cancelWait != nil {
+			i.wait = &slotWait{service: target.service, cancel: cancelWait}
+		}
+		found <- target
+	})
+	select {
+	case target = <-found:
+	case <-ctx.Done():
+	}
+	return target, target.route != nil
+}
+
+// acquire waits for a slot of the service that the item's route leads to. It returns no slot if the wait ended or the route leads
+// elsewhere by then, and ok is false if there is no such route.
+func (i *itemRun) acquire(ctx context.Context) (target routeTarget, slot *slots.Slot, ok bool) {
+	waitCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	target, ok = i.targetOf(ctx, cancel)
+	if !ok {
+		return target, nil, false
+	}
+	i.followRoute(target.service)
+	slot, err := i.owner.slots.Acquire(waitCtx, i.slotRequest(target.service))
+	current, ok := i.target(ctx)
+	if err == nil && ok && current.service == target.service {
+		return current, slot, true
+	}
+	if err == nil {
+		i.owner.slots.Release(slot, dispatch.Outcome{Result: dispatch.Cancelled})
+	}
+	if ok && current.service != target.service {
+		itemsMoved.Inc()
+		log.WithFields(log.Fields{
+			"job": i.record.Job.ID, "item": i.item.ID, "route": i.route, "service": target.service, "new_service": current.service,
+		}).Info("route of a waiting item leads to another service")
+	}
+	return current, nil, ok
+}
