fix: an answer that the host ended isn't one that the server broke off

If the silence watch ends a send just as the head of its answer arrives, the body ends by this host's own close. answerCut and relayLong counted that as broken off by the server: a failure of the server, and with two more within a minute a request that is refused to all callers of its workspace as crashing.

Both now ask the watch, as sendFailed and streamFailed do.

--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -217,7 +217,7 @@
 		return h.afterFailure(req, state, false), outcome
 	}
 	watch.stop() // once the headers have arrived, the response is read to its end
-	return h.relay(ctx, req, state, response, outcome)
+	return h.relay(ctx, req, state, response, outcome, watch)
 }
 
 // sendFailed decides what to do after a send that got no response.
--- a/verbenad/internal/entry/response.go
+++ b/verbenad/internal/entry/response.go
@@ -62,7 +62,7 @@
 
 // relay forwards a response once all of it has been buffered; one that exceeds the buffer is forwarded as it arrives.
 func (h *Handler) relay(
-	ctx context.Context, req *request, state *forwardState, response *upstream.Response, outcome dispatch.Outcome,
+	ctx context.Context, req *request, state *forwardState, response *upstream.Response, outcome dispatch.Outcome, watch *silenceWatch,
 ) (nextStep, dispatch.Outcome) {
 	buffer := h.bufferResponse(response)
 	defer buffer.release()
@@ -71,9 +71,9 @@
 	}
 	switch end := buffer.end.(type) {
 	case nil:
-		return h.relayLong(ctx, req, state, response, buffer.body, outcome)
+		return h.relayLong(ctx, req, state, response, buffer.body, outcome, watch)
 	case completion.BrokenOff:
-		return h.answerCut(ctx, req, state, outcome, end)
+		return h.answerCut(ctx, req, state, outcome, end, watch)
 	case completion.Whole, completion.Claimed:
 		return h.relayBuffered(req, state, response, buffer.body, outcome)
 	}
@@ -82,10 +82,13 @@
 
 // answerCut decides what to do after a response was broken off before any of it was forwarded.
 func (h *Handler) answerCut(
-	ctx context.Context, req *request, state *forwardState, outcome dispatch.Outcome, end completion.BrokenOff,
+	ctx context.Context, req *request, state *forwardState, outcome dispatch.Outcome, end completion.BrokenOff, watch *silenceWatch,
 ) (nextStep, dispatch.Outcome) {
 	outcome.Result, outcome.Unanswered = dispatch.Broken, upstream.ConnectionEnded(end.Err)
 	state.reason, state.brokenBy = "answer_cut", end.Err
+	if watch.expired.Load() {
+		outcome.Result, outcome.Unanswered, state.reason = dispatch.Silent, false, "server_silent"
+	}
 	if ctx.Err() != nil {
 		outcome.Result = dispatch.Cancelled
 		return stepFail, outcome
@@ -116,6 +119,7 @@
 // says nothing about the server or the request.
 func (h *Handler) relayLong(
 	ctx context.Context, req *request, state *forwardState, response *upstream.Response, buffered []byte, outcome dispatch.Outcome,
+	watch *silenceWatch,
 ) (nextStep, dispatch.Outcome) {
 	h.writeHead(req, response.Status, response.Header, int(response.Length))
 	state.responseStarted = true
@@ -129,6 +133,7 @@
 		state.reason = "caller_left"
 		return stepFail, outcome
 	}
+	outcome.Result = dispatch.Broken
 	switch end := end.(type) {
 	case completion.Whole, completion.Claimed:
 		outcome.Result = dispatch.Served
@@ -137,9 +142,10 @@
 		state.reason = "answer_cut"
 		if errors.Is(end.Err, errResponseTooLong) {
 			state.reason = "answer_too_long"
+		} else if watch.expired.Load() {
+			state.reason, outcome.Result = "server_silent", dispatch.Silent
 		}
 	}
-	outcome.Result = dispatch.Broken
 	if ctx.Err() != nil {
 		outcome.Result = dispatch.Cancelled
 	}
