fix: items that wait for servers don't block other routes

The limit of items that run or wait for a slot was given out by due time whatever the items wait for.

Ruled out: the dispatcher's queue (no slot request reached it). Each workspace and route now has a share of the limit: queues below it start first, and if all runs are taken, waits of queues beyond their share end, those that are due last first. Items with output or a failure, or at a server, don't give way.

--- a/verbena/bulk/ledger.go
+++ b/verbena/bulk/ledger.go
@@ -1,7 +1,6 @@
 package bulk
 
 import (
-	"sort"
 	"time"
 
 	"verbenaledge.example/verbena/ids"
@@ -10,13 +9,7 @@
 // Ledger holds the jobs of an owner's shards and their progress. It is not safe for concurrent use.
 type Ledger struct {
 	jobs    map[ids.JobID]*Record
-	waiting map[capKey]int64
-}
-
-// capKey identifies a cap on waiting tokens: each workspace has one per route.
-type capKey struct {
-	workspace ids.WorkspaceID
-	route     string
+	waiting map[Queue]int64
 }
 
 // Record is one job with its progress.
@@ -56,7 +49,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{jobs: make(map[ids.JobID]*Record), waiting: make(map[capKey]int64)}
+	return &Ledger{jobs: make(map[ids.JobID]*Record), waiting: make(map[Queue]int64)}
 }
 
 // Job returns a job of the workspace. A job of another workspace counts as not found.
@@ -70,7 +63,7 @@
 
 // ReserveTokens counts a job's tokens as waiting, unless they would exceed the limit. Limit 0 means none.
 func (l *Ledger) ReserveTokens(j *Job, limit int64) bool {
-	key := capKey{j.Workspace, j.Route}
+	key := Queue{j.Workspace, j.Route}
 	if limit > 0 && l.waiting[key]+j.Tokens() > limit {
 		return false
 	}
@@ -80,7 +73,7 @@
 
 // ReleaseTokens undoes ReserveTokens for a job that was not accepted.
 func (l *Ledger) ReleaseTokens(j *Job) {
-	l.waiting[capKey{j.Workspace, j.Route}] -= j.Tokens()
+	l.waiting[Queue{j.Workspace, j.Route}] -= j.Tokens()
 }
 
 // Add adds an accepted job, or returns the record that exists already. reserved means that ReserveTokens
@@ -96,7 +89,7 @@
 	for _, i := range j.Items {
 		r.items[i.ID] = &itemRecord{item: i, countedWaiting: true}
 		if !reserved {
-			l.waiting[capKey{j.Workspace, j.Route}] += i.Tokens
+			l.waiting[Queue{j.Workspace, j.Route}] += i.Tokens
 		}
 	}
 	l.jobs[j.ID] = r
@@ -139,7 +132,7 @@
 func (l *Ledger) removeFromWaiting(r *Record, p *itemRecord) {
 	if p.countedWaiting {
 		p.countedWaiting = false
-		l.waiting[capKey{r.Job.Workspace, r.Job.Route}] -= p.item.Tokens
+		l.waiting[Queue{r.Job.Workspace, r.Job.Route}] -= p.item.Tokens
 	}
 }
 
@@ -222,49 +215,6 @@
 	return p.item, true
 }
 
-// StartedItem is an item that StartItems has marked as running.
-type StartedItem struct {
-	Record *Record
-	Item   Item
-	// PartialAnswer is the beginning of its answer that a former owner reported, or nil.
-	PartialAnswer *PartialAnswer
-}
-
-// StartItems marks up to n waiting items as running and returns them in the order of their jobs' due times.
-func (l *Ledger) StartItems(n int) (list []StartedItem) {
-	if n <= 0 {
-		return nil
-	}
-	records := make([]*Record, 0, len(l.jobs))
-	for _, r := range l.jobs {
-		if r.Open() && !r.AwaitingProgress {
-			records = append(records, r)
-		}
-	}
-	sort.Slice(records, func(i, j int) bool {
-		a, b := records[i].Job, records[j].Job
-		if !a.Due.Equal(b.Due) {
-			return a.Due.Before(b.Due)
-		}
-		return a.ID < b.ID
-	})
-	for _, r := range records {
-		for _, i := range r.Job.Items {
-			p := r.items[i.ID]
-			if p.state != itemWaiting {
-				continue
-			}
-			if len(list) == n {
-				return list
-			}
-			p.state = itemRunning
-			list = append(list, StartedItem{Record: r, Item: p.item, PartialAnswer: p.partial})
-			p.partial = nil
-		}
-	}
-	return list
-}
-
 // Expired returns the unfinished items of a job once its GiveUpAt has passed.
 func (r *Record) Expired(now time.Time) (list []ItemID) {
 	if !r.Open() || now.Before(r.Job.GiveUpAt) {
@@ -305,7 +255,7 @@
 
 // WaitingTokens returns the number of waiting tokens of a workspace on a route.
 func (l *Ledger) WaitingTokens(w ids.WorkspaceID, route string) int64 {
-	return l.waiting[capKey{w, route}]
+	return l.waiting[Queue{w, route}]
 }
 
 // Page returns the visible results from a position on and the next position. It stops before maxBytes is
--- a/verbenad/internal/bulk/moved_route_test.go
+++ b/verbenad/internal/bulk/moved_route_test.go
@@ -1,7 +1,6 @@
 package bulk
 
 import (
-	"context"
 	"net"
 	"testing"
 	"time"
@@ -13,39 +12,12 @@
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/dispatch"
 	"verbenaledge.example/verbena/ids"
-	"verbenaledge.example/verbena/objects/memory"
 	"verbenaledge.example/verbenad/internal/slots"
 )
 
 // testTimeout is longer than any step of these tests takes on a busy machine.
 const testTimeout = 10 * time.Second
 
-// scriptedSlots grants slots when a test says so.
-type scriptedSlots struct {
-	SlotSource
-	requests chan dispatch.SlotRequest
-	grants   chan *slots.Slot
-	released chan dispatch.Outcome
-	// ignoresEnd makes a wait last until the grant, as one does whose grant has already been sent.
-	ignoresEnd bool
-}
-
-func (s *scriptedSlots) Acquire(ctx context.Context, r dispatch.SlotRequest) (*slots.Slot, error) {
-	s.requests <- r
-	ended := ctx.Done()
-	if s.ignoresEnd {
-		ended = nil
-	}
-	select {
-	case slot := <-s.grants:
-		return slot, nil
-	case <-ended:
-		return nil, ctx.Err()
-	}
-}
-
-func (s *scriptedSlots) Release(_ *slots.Slot, o dispatch.Outcome) { s.released <- o }
-
 // movedRouteFixture runs an item whose route leads to the service llm.
 type movedRouteFixture struct {
 	*fixture
@@ -53,20 +25,8 @@
 }
 
 func newMovedRouteFixture(t *testing.T, ignoresEnd bool) *movedRouteFixture {
-	f := newFixtureWithoutShards(t, memory.New(), unreachableOwner{})
-	s := &scriptedSlots{
-		requests: make(chan dispatch.SlotRequest, 9), grants: make(chan *slots.Slot), released: make(chan dispatch.Outcome, 9), ignoresEnd: ignoresEnd,
-	}
-	j := job(1, 10)
-	prepared := make(chan struct{})
-	f.owner.post(func() {
-		s.SlotSource, f.owner.slots = f.owner.slots, s
-		f.owner.protocol = plainProtocol{}
-		close(prepared)
-	})
-	<-prepared
-	f.owner.SetShards(map[bulk.Shard]ids.Epoch{3: 1})
-	f.eventually(func() bool { return f.submit(j) == bulk.Done })
+	f, s := newScriptedFixture(t, ignoresEnd)
+	f.Assert(f.submit(job(1, 10)), qt.Equals, bulk.Done)
 	return &movedRouteFixture{fixture: f, slots: s}
 }
 
--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -65,6 +65,7 @@
 	deletions     map[ids.JobID]int
 	retention     time.Duration
 	gaugesUpdated time.Time
+	sharesChecked time.Time
 	owners        OwnerClient
 }
 
@@ -199,15 +200,16 @@
 		}
 	}
 	o.updateGauges(now)
+	o.displaceWaits(now)
 	o.start()
 }
 
-// start runs waiting items in the order of their jobs' due times, at most maxRunning at a time.
+// start runs waiting items, at most maxRunning at a time.
 func (o *Owner) start() {
 	if o.catalog == nil {
 		return
 	}
-	for _, r := range o.ledger.StartItems(maxRunning - o.running) {
+	for _, r := range o.ledger.StartItems(maxRunning-o.running, maxRunning) {
 		sh := o.shards[r.Record.Shard]
 		route, ok := o.catalog.Route(r.Record.Job.Route)
 		if !ok {
--- a/verbenad/internal/bulk/slot_wait.go
+++ b/verbenad/internal/bulk/slot_wait.go
@@ -18,6 +18,8 @@
 type slotWait struct {
 	service ids.ServiceName
 	cancel  context.CancelFunc
+	// begun is set if the item has a part of its output, or has failed before.
+	begun bool
 }
 
 // routeTarget is a route and the service that it leads to.
@@ -34,11 +36,12 @@
 // targetOf returns the item's target. Until the next call, cancelWait is called once the route no longer leads there.
 func (i *itemRun) targetOf(ctx context.Context, cancelWait context.CancelFunc) (target routeTarget, ok bool) {
 	found := make(chan routeTarget, 1)
+	begun := i.events > 0 || i.emptyAnswers > 0 || i.failures > 0
 	i.owner.post(func() {
 		i.wait = nil
 		target, ok := i.owner.targetOf(i.route)
 		if ok && cancelWait != nil {
-			i.wait = &slotWait{service: target.service, cancel: cancelWait}
+			i.wait = &slotWait{service: target.service, cancel: cancelWait, begun: begun}
 		}
 		found <- target
 	})
