fix: two answers that were cut don't complete a batch item

The second end counted as another server's confirmation of the first.

Ruled out: the end of a framed answer (both stated no length). completion now tells Agreed, two servers claim one end, from Complete. An item that is Agreed asks on: one answer whose framing shows the end ends it, or three answers in a row without a further event. Callers' streams still end when two servers agree.

--- a/verbena/completion/stream.go
+++ b/verbena/completion/stream.go
@@ -14,6 +14,8 @@
 	// Unconfirmed means that the stream may be complete. Another server that is asked for the events after the last one
 	// can confirm it.
 	Unconfirmed
+	// Agreed means that another server has claimed the same end. Only a crash of both at the same event looks alike.
+	Agreed
 	// Complete means that the stream is complete.
 	Complete
 )
@@ -25,6 +27,8 @@
 		return "broken"
 	case Unconfirmed:
 		return "unconfirmed"
+	case Agreed:
+		return "agreed"
 	case Complete:
 		return "complete"
 	}
@@ -93,7 +97,7 @@
 		s.endClaimed, s.senderClaimedEnd, s.sender = true, true, s.server
 		return Unconfirmed
 	case s.senderClaimedEnd && s.sender != s.server:
-		return Complete // two servers have nothing after the same event, and one of them sent it
+		return Agreed // two servers have nothing after the same event, and one of them sent it
 	case s.senderClaimedEnd:
 		return Unconfirmed // a server can't confirm its own claim
 	}
--- a/verbenad/internal/bulk/cut_answers_test.go
+++ b/verbenad/internal/bulk/cut_answers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"testing"
 
 	"github.com/apex/log"
@@ -78,8 +77,8 @@
 }
 
 // whole returns a whole answer with a length.
-func (c *cutItems) whole(status int, body string) cutserver.Answer {
-	raw := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), len(body), body)
+func (c *cutItems) whole(body string) cutserver.Answer {
+	raw := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	return cutserver.Answer{Raw: raw}
 }
 
@@ -97,9 +96,9 @@
 		// Another server completes it.
 		rest := (firstEvent + otherEvents)[i.events*len(firstEvent):]
 		if i.events == 3 {
-			result = c.send(i, c.whole(http.StatusOK, ""))
+			result = c.send(i, c.whole(""))
 		} else {
-			result = c.send(i, c.whole(http.StatusOK, rest))
+			result = c.send(i, c.whole(rest))
 		}
 		qt.Check(t, result, qt.Equals, itemComplete, comment)
 		qt.Check(t, string(i.output), qt.Equals, cutOutput, comment)
@@ -110,7 +109,7 @@
 	})
 	c.eachCut("200 OK", otherEvents, func(a cutserver.Answer, _ bool, comment qt.Comment) {
 		i := c.newRun()
-		begun := c.whole(http.StatusOK, firstEvent+otherEvents)
+		begun := c.whole(firstEvent + otherEvents)
 		begun.Raw = begun.Raw[:len(begun.Raw)-len(otherEvents)+2]
 		qt.Assert(t, c.send(i, begun), qt.Equals, itemRetry)
 		qt.Assert(t, i.events, qt.Equals, 1)
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -32,7 +32,7 @@
 	// itemRetryPause is the pause before a failed item is sent again.
 	itemRetryPause = 100 * time.Millisecond
 	// maxEmptyAnswers is after how many answers in a row that end with their connections before a further event no other
-	// server is asked to confirm the end of the output.
+	// server is asked to confirm the end of the output. One answer whose framing shows its end confirms it, too.
 	maxEmptyAnswers = 3
 	// eventSeparatorBytes is the encoded size of the line feed between the data of two events.
 	eventSeparatorBytes = 2
@@ -299,7 +299,7 @@
 }
 
 // answerEnded returns the effect of an answer that its server has ended. If only the end of its connection shows that,
-// another server is asked for the rest, as the answer may have been broken off.
+// other servers are asked for the rest, as the answer may have been broken off.
 func (i *itemRun) answerEnded(runCtx context.Context, slot *slots.Slot, end completion.End, o *dispatch.Outcome) sendResult {
 	result := itemUnconfirmed
 	switch i.stream.End(end, i.lastEventID != "") {
@@ -308,7 +308,7 @@
 		return itemComplete
 	case completion.Broken:
 		result = i.answerBroken(runCtx, slot, io.ErrUnexpectedEOF, o)
-	case completion.Unconfirmed:
+	case completion.Unconfirmed, completion.Agreed:
 		o.Result = dispatch.Served
 		i.exclude = []ids.BackendID{slot.Server.ID}
 	}
@@ -326,7 +326,7 @@
 	case i.emptyAnswers < maxEmptyAnswers:
 		return result
 	case i.stream.MayEnd():
-		return itemComplete // only the server that claimed the end can be asked
+		return itemComplete // no server that was asked has more, and none shows it by its framing
 	}
 	i.beginAgain("end_unknown", slot.Server)
 	return result
--- a/verbenad/internal/entry/response.go
+++ b/verbenad/internal/entry/response.go
@@ -244,7 +244,7 @@
 		return h.streamFailed(ctx, req, state, outcome, io.ErrUnexpectedEOF, watch)
 	case completion.Unconfirmed:
 		return h.confirmEnd(req, state), outcome
-	case completion.Complete:
+	case completion.Agreed, completion.Complete:
 	}
 	h.startResponse(req, state, response)
 	return stepDone, outcome
