fix: a rate without a burst admits requests

A workspace that states no burst now gets a tenth of a second of its rate, at least one request; one below one request is raised to one. A stated burst of one or more is kept.

Before: TestRateWithoutBurstAdmitsRequests fails (0 and 0.5). After: it passes.

--- a/verbena/catalog/catalog.go
+++ b/verbena/catalog/catalog.go
@@ -55,6 +55,7 @@
 	}
 	for i := range c.Workspaces {
 		w := &c.Workspaces[i]
+		w.setBurst()
 		c.workspacesByID[w.ID] = w
 		for _, k := range w.Keys {
 			c.workspacesByKey[k] = w
--- a/verbena/catalog/catalog_test.go
+++ b/verbena/catalog/catalog_test.go
@@ -72,3 +72,13 @@
 	_, ok := (&Route{}).PickService(0)
 	qt.Assert(t, ok, qt.IsFalse)
 }
+
+// TestRateWithoutBurstAdmitsRequests guards against a workspace that has a rate and no burst, and whose requests are all refused.
+func TestRateWithoutBurstAdmitsRequests(t *testing.T) {
+	for _, tc := range []struct{ rate, burst, want float64 }{{0, 0, 0}, {5, 0, 1}, {0.2, 0, 1}, {44, 0, 4.4}, {44, 0.5, 1}, {44, 2, 2}, {44, 11, 11}} {
+		c := New(1, nil, nil, []Workspace{{ID: "w", Keys: []string{"k"}, RatePerSecond: tc.rate, Burst: tc.burst}}, Limits{})
+		w, ok := c.WorkspaceByKey("k")
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Check(t, w.Burst, qt.Equals, tc.want, qt.Commentf("rate %v/s, burst %v", tc.rate, tc.burst))
+	}
+}
--- a/verbena/catalog/route.go
+++ b/verbena/catalog/route.go
@@ -108,11 +108,26 @@
 	Keys []string
 	// Priority overrides the route's, if set; 0 is the highest.
 	Priority *int
-	// RatePerSecond and Burst limit the requests over all hosts together; 0 means no limit.
+	// RatePerSecond and Burst limit the requests over all hosts together; a rate of 0 means no limit.
 	RatePerSecond float64
 	Burst         float64
 }
 
+// defaultBurstTime times a rate is the burst of a workspace that states none: with less, requests inside the rate are refused for
+// arriving together.
+const defaultBurstTime = 100 * time.Millisecond
+
+// setBurst gives a workspace that has a rate a burst that admits a request.
+func (w *Workspace) setBurst() {
+	if w.RatePerSecond <= 0 {
+		return
+	}
+	if w.Burst <= 0 {
+		w.Burst = w.RatePerSecond * defaultBurstTime.Seconds()
+	}
+	w.Burst = max(w.Burst, 1)
+}
+
 // PriorityOf returns the priority of a workspace's requests on the route. w may be nil.
 func (r *Route) PriorityOf(w *Workspace) int {
 	if w != nil && w.Priority != nil {
