fix: answers beyond this host's limits don't count as crashes

A request three of whose responses exceeded 16 MiB, or whose head or event exceeded its limit, was refused to all callers of its workspace with 503 crashing for 60 s. The host ends such a response itself and reported it as broken off by the server.

Now brokenOffResult decides in one place: Failed for this host's limits, Silent for its silence watch, Broken for the server's own end.

--- a/verbenad/internal/entry/answer_cut_test.go
+++ b/verbenad/internal/entry/answer_cut_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"verbenaledge.example/verbena/catalog"
 	"verbenaledge.example/verbena/completion"
 	"verbenaledge.example/verbena/dispatch"
+	"verbenaledge.example/verbenad/internal/upstream"
 )
 
 // TestOwnEndOfAnswerIsNotTheServers guards against an answer that this host ended because of the server's silence, just as its
@@ -38,3 +40,12 @@
 		})
 	}
 }
+
+// TestOwnLimitIsNotAServersEnd guards against answers that exceed a limit of this host, and that count as ones that the server broke
+// off: three such refuse the request to all callers of its workspace for crashing servers.
+func TestOwnLimitIsNotAServersEnd(t *testing.T) {
+	for _, err := range []error{errResponseTooLong, upstream.ErrEventTooLong, fmt.Errorf("read response: %w", upstream.ErrHeadTooLong)} {
+		qt.Check(t, brokenOffResult(err, &silenceWatch{}), qt.Equals, dispatch.Failed, qt.Commentf("%v", err))
+	}
+	qt.Check(t, brokenOffResult(io.ErrUnexpectedEOF, &silenceWatch{}), qt.Equals, dispatch.Broken)
+}
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -241,9 +241,9 @@
 	}
 	if watch.expired.Load() {
 		state.reason = "server_silent"
-		if outcome.Result == dispatch.Broken {
-			outcome.Result = dispatch.Silent
-		}
+	}
+	if outcome.Result == dispatch.Broken {
+		outcome.Result = brokenOffResult(err, watch)
 	}
 	if e.Execution != upstream.NotSent {
 		state.sends++
--- a/verbenad/internal/entry/response.go
+++ b/verbenad/internal/entry/response.go
@@ -80,14 +80,26 @@
 	return stepFail, outcome
 }
 
+// brokenOffResult returns what an answer that was broken off says about its server. Only the server's own end of it is Broken, which
+// counts against the request, too.
+func brokenOffResult(err error, watch *silenceWatch) dispatch.Result {
+	switch {
+	case errors.Is(err, errResponseTooLong), errors.Is(err, upstream.ErrEventTooLong), errors.Is(err, upstream.ErrHeadTooLong):
+		return dispatch.Failed
+	case watch.expired.Load():
+		return dispatch.Silent
+	}
+	return dispatch.Broken
+}
+
 // answerCut decides what to do after a response was broken off before any of it was forwarded.
 func (h *Handler) answerCut(
 	ctx context.Context, req *request, state *forwardState, outcome dispatch.Outcome, end completion.BrokenOff, watch *silenceWatch,
 ) (nextStep, dispatch.Outcome) {
-	outcome.Result, outcome.Unanswered = dispatch.Broken, upstream.ConnectionEnded(end.Err)
+	outcome.Result, outcome.Unanswered = brokenOffResult(end.Err, watch), upstream.ConnectionEnded(end.Err)
 	state.reason, state.brokenBy = "answer_cut", end.Err
-	if watch.expired.Load() {
-		outcome.Result, outcome.Unanswered, state.reason = dispatch.Silent, false, "server_silent"
+	if outcome.Result == dispatch.Silent {
+		outcome.Unanswered, state.reason = false, "server_silent"
 	}
 	if ctx.Err() != nil {
 		outcome.Result = dispatch.Cancelled
@@ -133,17 +145,19 @@
 		state.reason = "caller_left"
 		return stepFail, outcome
 	}
-	outcome.Result = dispatch.Broken
 	switch end := end.(type) {
 	case completion.Whole, completion.Claimed:
 		outcome.Result = dispatch.Served
 		return stepDone, outcome
 	case completion.BrokenOff:
-		state.reason = "answer_cut"
-		if errors.Is(end.Err, errResponseTooLong) {
+		outcome.Result = brokenOffResult(end.Err, watch)
+		switch {
+		case errors.Is(end.Err, errResponseTooLong):
 			state.reason = "answer_too_long"
-		} else if watch.expired.Load() {
-			state.reason, outcome.Result = "server_silent", dispatch.Silent
+		case outcome.Result == dispatch.Silent:
+			state.reason = "server_silent"
+		default:
+			state.reason = "answer_cut"
 		}
 	}
 	if ctx.Err() != nil {
@@ -283,11 +297,11 @@
 func (h *Handler) streamFailed(
 	ctx context.Context, req *request, state *forwardState, outcome dispatch.Outcome, err error, watch *silenceWatch,
 ) (nextStep, dispatch.Outcome) {
-	outcome.Result, state.brokenBy = dispatch.Broken, err
+	outcome.Result, state.brokenBy = brokenOffResult(err, watch), err
 	outcome.Unanswered = !state.responseStarted && state.lastEventID == "" && !watch.expired.Load() && upstream.ConnectionEnded(err)
 	state.reason = "stream_cut"
-	if watch.expired.Load() {
-		state.reason, outcome.Result = "server_silent", dispatch.Silent
+	if outcome.Result == dispatch.Silent {
+		state.reason = "server_silent"
 	}
 	if errors.Is(err, upstream.ErrEventTooLong) {
 		state.reason = "event_too_long"
