fix: items of one service keep the order of their due times

Runs are now divided among services, whose lack of slots is what blocks others, and only as many waits are asked to end as can. An item that a server failed keeps its run, a partial answer that arrives as an item gives way is kept, one that gave way isn't sent, and a wait that is ending isn't replaced a second time.

The ledger's tests state a service in place of a workspace and route, with the same numbers.

--- a/verbena/bulk/ledger.go
+++ b/verbena/bulk/ledger.go
@@ -9,7 +9,13 @@
 // Ledger holds the jobs of an owner's shards and their progress. It is not safe for concurrent use.
 type Ledger struct {
 	jobs    map[ids.JobID]*Record
-	waiting map[Queue]int64
+	waiting map[capKey]int64
+}
+
+// capKey identifies a cap on waiting tokens: each workspace has one per route.
+type capKey struct {
+	workspace ids.WorkspaceID
+	route     string
 }
 
 // Record is one job with its progress.
@@ -49,7 +55,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{jobs: make(map[ids.JobID]*Record), waiting: make(map[Queue]int64)}
+	return &Ledger{jobs: make(map[ids.JobID]*Record), waiting: make(map[capKey]int64)}
 }
 
 // Job returns a job of the workspace. A job of another workspace counts as not found.
@@ -63,7 +69,7 @@
 
 // ReserveTokens counts a job's tokens as waiting, unless they would exceed the limit. Limit 0 means none.
 func (l *Ledger) ReserveTokens(j *Job, limit int64) bool {
-	key := Queue{j.Workspace, j.Route}
+	key := capKey{j.Workspace, j.Route}
 	if limit > 0 && l.waiting[key]+j.Tokens() > limit {
 		return false
 	}
@@ -73,7 +79,7 @@
 
 // ReleaseTokens undoes ReserveTokens for a job that was not accepted.
 func (l *Ledger) ReleaseTokens(j *Job) {
-	l.waiting[Queue{j.Workspace, j.Route}] -= j.Tokens()
+	l.waiting[capKey{j.Workspace, j.Route}] -= j.Tokens()
 }
 
 // Add adds an accepted job, or returns the record that exists already. reserved means that ReserveTokens
@@ -89,7 +95,7 @@
 	for _, i := range j.Items {
 		r.items[i.ID] = &itemRecord{item: i, countedWaiting: true}
 		if !reserved {
-			l.waiting[Queue{j.Workspace, j.Route}] += i.Tokens
+			l.waiting[capKey{j.Workspace, j.Route}] += i.Tokens
 		}
 	}
 	l.jobs[j.ID] = r
@@ -132,7 +138,7 @@
 func (l *Ledger) removeFromWaiting(r *Record, p *itemRecord) {
 	if p.countedWaiting {
 		p.countedWaiting = false
-		l.waiting[Queue{r.Job.Workspace, r.Job.Route}] -= p.item.Tokens
+		l.waiting[capKey{r.Job.Workspace, r.Job.Route}] -= p.item.Tokens
 	}
 }
 
@@ -255,7 +261,7 @@
 
 // WaitingTokens returns the number of waiting tokens of a workspace on a route.
 func (l *Ledger) WaitingTokens(w ids.WorkspaceID, route string) int64 {
-	return l.waiting[Queue{w, route}]
+	return l.waiting[capKey{w, route}]
 }
 
 // Page returns the visible results from a position on and the next position. It stops before maxBytes is
--- a/verbena/bulk/ledger_test.go
+++ b/verbena/bulk/ledger_test.go
@@ -64,12 +64,12 @@
 	soon.Due = noon.Add(time.Second)
 	l.Add(late, 1, false)
 	r := l.Add(soon, 1, false)
-	list := l.StartItems(2, 9)
+	list := l.StartItems(2, testShares)
 	c.Assert(list, qt.HasLen, 2)
 	c.Assert(list[0].Item.ID, qt.Equals, ItemID("b-0"))
 	c.Assert(list[1].Item.ID, qt.Equals, ItemID("b-1"))
 	l.Requeue(r, "b-1")
-	list = l.StartItems(9, 9)
+	list = l.StartItems(9, testShares)
 	c.Assert(list, qt.HasLen, 2)
 	c.Assert(list[0].Item.ID, qt.Equals, ItemID("b-1"))
 	c.Assert(list[1].Item.ID, qt.Equals, ItemID("a-0"))
@@ -80,7 +80,7 @@
 	l := NewLedger()
 	r := l.Add(newJob("a", 2), 1, false)
 	l.EndJob(r)
-	c.Assert(l.StartItems(9, 9), qt.HasLen, 0)
+	c.Assert(l.StartItems(9, testShares), qt.HasLen, 0)
 	select {
 	case <-r.Stopped():
 	default:
@@ -181,7 +181,7 @@
 	l := NewLedger()
 	r := l.Add(Job{ID: "j", Workspace: "w", Items: []Item{{ID: "a"}, {ID: "b"}}}, 0, false)
 	r.AwaitingProgress = true
-	c.Assert(l.StartItems(2, 9), qt.HasLen, 0)
+	c.Assert(l.StartItems(2, testShares), qt.HasLen, 0)
 	r.AwaitingProgress = false
 	r.AddPartial(PartialAnswer{Item: "a", Events: 3})
 	r.AddPartial(PartialAnswer{Item: "a", Events: 2})
@@ -189,9 +189,9 @@
 	c.Assert(l.AddResult(r, Result{Item: "b", State: Completed}), qt.IsTrue)
 	c.Assert(l.AddResult(r, Result{Item: "b", State: Completed}), qt.IsFalse)
 	r.AddPartial(PartialAnswer{Item: "b", Events: 9})
-	started := l.StartItems(2, 9)
+	started := l.StartItems(2, testShares)
 	c.Assert(started, qt.HasLen, 1)
 	c.Assert(started[0].PartialAnswer.Events, qt.Equals, 3)
 	l.Requeue(r, "a")
-	c.Assert(l.StartItems(2, 9)[0].PartialAnswer, qt.IsNil)
+	c.Assert(l.StartItems(2, testShares)[0].PartialAnswer, qt.IsNil)
 }
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -84,6 +84,8 @@
 	cancel   context.CancelFunc
 	// wait is used by the owner's goroutine only. It is nil while the item doesn't wait for a slot.
 	wait *slotWait
+	// displaced is used by the owner's goroutine only. It is set once the item makes room for others.
+	displaced bool
 	// partial is a former owner's partial answer; the next send resumes from it.
 	partial atomic.Pointer[bulk.PartialAnswer]
 	// reason is why the item ends as errored.
--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -66,7 +66,9 @@
 	retention     time.Duration
 	gaugesUpdated time.Time
 	sharesChecked time.Time
-	owners        OwnerClient
+	// displaced is how many runs have been displaced and haven't ended yet.
+	displaced int
+	owners    OwnerClient
 }
 
 // runKey identifies an item among the items of all jobs.
@@ -209,7 +211,7 @@
 	if o.catalog == nil {
 		return
 	}
-	for _, r := range o.ledger.StartItems(maxRunning-o.running, maxRunning) {
+	for _, r := range o.ledger.StartItems(maxRunning-o.running, o.shares()) {
 		sh := o.shards[r.Record.Shard]
 		route, ok := o.catalog.Route(r.Record.Job.Route)
 		if !ok {
@@ -241,6 +243,9 @@
 // meanwhile, it reports the run to the new owner.
 func (o *Owner) finishRun(run *itemRun, result bulk.Result, done bool) {
 	o.running--
+	if run.displaced {
+		o.displaced--
+	}
 	r := run.record
 	if key := (runKey{r.Job.ID, run.item.ID}); o.runs[key] == run {
 		delete(o.runs, key)
@@ -251,6 +256,9 @@
 	}
 	if !done {
 		o.ledger.Requeue(r, run.item.ID)
+		if partial := run.partial.Load(); partial != nil {
+			r.AddPartial(*partial)
+		}
 		return
 	}
 	o.addResult(r, result)
--- a/verbenad/internal/bulk/shares.go
+++ b/verbenad/internal/bulk/shares.go
@@ -8,44 +8,56 @@
 	"github.com/apex/log"
 
 	"verbenaledge.example/verbena/bulk"
+	"verbenaledge.example/verbena/ids"
 )
 
-// shareCheckInterval is the time between checks whether a queue lacks its share of the runs.
+// shareCheckInterval is the time between checks whether a service lacks its share of the runs.
 const shareCheckInterval = time.Second
 
 var itemsDisplaced = metrics.NewCounter("verbenad_items_displaced_total")
 
-// displaceWaits ends waits for slots of queues that have more than their share of the runs, if all runs are taken and another
-// queue has fewer than its share.
+// displaceWaits ends waits for slots of services that have more than their share of the runs, if all runs are taken and another
+// service has fewer than its share.
 func (o *Owner) displaceWaits(now time.Time) {
 	if o.running < maxRunning || now.Sub(o.sharesChecked) < shareCheckInterval {
 		return
 	}
 	o.sharesChecked = now
-	excess := o.ledger.Excess(maxRunning-o.running, maxRunning)
-	if len(excess) == 0 {
-		return
+	runs := o.displaceable()
+	displaceable := make(map[ids.ServiceName]int)
+	for _, run := range runs {
+		displaceable[o.serviceOf(run.route)]++
 	}
-	displaced := make(map[bulk.Queue]int)
-	for _, run := range o.displaceable() {
-		q := run.record.Job.Queue()
-		if displaced[q] == excess[q] {
+	excess := o.ledger.Excess(maxRunning-o.running+o.displaced, displaceable, o.shares())
+	displaced := make(map[ids.ServiceName]int)
+	for _, run := range runs {
+		s := o.serviceOf(run.route)
+		if displaced[s] == excess[s] {
 			continue
 		}
-		displaced[q]++
-		run.wait = nil
+		displaced[s]++
+		o.displaced++
+		run.displaced = true
 		run.cancel()
 		itemsDisplaced.Inc()
 	}
-	for q, n := range displaced {
-		log.WithFields(log.Fields{"workspace": q.Workspace, "route": q.Route, "items": n}).Info("waiting items make room for other routes")
+	for s, n := range displaced {
+		log.WithFields(log.Fields{"service": s, "items": n}).Info("waiting items make room for other services")
 	}
 }
 
+func (o *Owner) shares() bulk.Shares { return bulk.Shares{Limit: maxRunning, ServiceOf: o.serviceOf} }
+
+// serviceOf returns the service that a route leads to, or none.
+func (o *Owner) serviceOf(route string) ids.ServiceName {
+	target, _ := o.targetOf(route)
+	return target.service
+}
+
 // displaceable returns the runs that wait for a slot and have nothing to keep, those of the jobs that are due last first.
 func (o *Owner) displaceable() (list []*itemRun) {
 	for _, run := range o.runs {
-		if run.wait != nil && !run.wait.begun && run.partial.Load() == nil {
+		if !run.displaced && run.wait != nil && !run.wait.begun && run.partial.Load() == nil {
 			list = append(list, run)
 		}
 	}
--- a/verbenad/internal/bulk/slot_wait.go
+++ b/verbenad/internal/bulk/slot_wait.go
@@ -18,7 +18,7 @@
 type slotWait struct {
 	service ids.ServiceName
 	cancel  context.CancelFunc
-	// begun is set if the item has a part of its output, or has failed before.
+	// begun is set if the item has a part of its output, or a server failed to complete it.
 	begun bool
 }
 
@@ -36,7 +36,7 @@
 // targetOf returns the item's target. Until the next call, cancelWait is called once the route no longer leads there.
 func (i *itemRun) targetOf(ctx context.Context, cancelWait context.CancelFunc) (target routeTarget, ok bool) {
 	found := make(chan routeTarget, 1)
-	begun := i.events > 0 || i.emptyAnswers > 0 || i.failures > 0
+	begun := i.events > 0 || i.emptyAnswers > 0 || i.failures > 0 || len(i.exclude) > 0
 	i.owner.post(func() {
 		i.wait = nil
 		target, ok := i.owner.targetOf(i.route)
@@ -64,7 +64,7 @@
 	i.followRoute(target.service)
 	slot, err := i.owner.slots.Acquire(waitCtx, i.slotRequest(target.service))
 	current, ok := i.target(ctx)
-	if err == nil && ok && current.service == target.service {
+	if err == nil && ok && ctx.Err() == nil && current.service == target.service {
 		return current, slot, true
 	}
 	if err == nil {
