fix: the run of an item ends when the item is given up

Items that wait for a slot when they are given up (maxWaitS) went on waiting: 400 of them kept every other job of the host from starting, and a slot granted later was used for an item whose result was listed already. The owner recorded the result and didn't end the run; the dispatcher refuses only online requests at their deadline. Found by a review; as old as the limit of runs.

--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -196,6 +196,7 @@
 			for _, id := range r.Expired(now) {
 				log.WithFields(log.Fields{"job": r.Job.ID, "item": id, "reason": "given_up", "outcome": "errored"}).Warn("item ended")
 				o.addResult(r, bulk.Result{Item: id, State: bulk.Errored})
+				o.cancelRun(runKey{r.Job.ID, id})
 			}
 			o.commitIfDue(now, r)
 			o.expire(now, r)
@@ -239,6 +240,13 @@
 	}
 }
 
+// cancelRun ends the run of an item that has its result.
+func (o *Owner) cancelRun(key runKey) {
+	if run, ok := o.runs[key]; ok {
+		run.cancel()
+	}
+}
+
 // finishRun adds the result of an item's run, or makes the item waiting again if it has none. If the shard was given up
 // meanwhile, it reports the run to the new owner.
 func (o *Owner) finishRun(run *itemRun, result bulk.Result, done bool) {
