fix: an item that was cut once ends where no server frames its answers

Three answers without a further event, of which the last agrees with the server that sent the last event, now end it, as docs/design/ends_of_responses.md says.

Before: TestItemCutAndTakenUpNeverEnds fails (the item begins again). After: passes.

--- a/verbenad/internal/bulk/cut_twice_test.go
+++ b/verbenad/internal/bulk/cut_twice_test.go
@@ -30,7 +30,7 @@
 	c := newCutItems(t)
 	i := c.newRun()
 	qt.Assert(t, c.send(i, c.closed(firstEvent+otherEvents)), qt.Equals, itemUnconfirmed)
-	for range maxEmptyAnswers - 1 {
+	for range 2 {
 		qt.Assert(t, c.send(i, c.closed("")), qt.Equals, itemUnconfirmed)
 	}
 	qt.Assert(t, c.send(i, c.closed("")), qt.Equals, itemComplete)
@@ -41,3 +41,17 @@
 	qt.Assert(t, c.send(i, c.whole("")), qt.Equals, itemComplete)
 	qt.Assert(t, string(i.output), qt.Equals, cutOutput)
 }
+
+// TestItemCutAndTakenUpNeverEnds guards against an item that begins again for good because one of its answers was cut before its
+// end, and no server shows an end by its framing.
+func TestItemCutAndTakenUpNeverEnds(t *testing.T) {
+	c := newCutItems(t)
+	i := c.newRun()
+	qt.Assert(t, c.send(i, c.closed(firstEvent)), qt.Equals, itemUnconfirmed)
+	qt.Assert(t, c.send(i, c.closed(otherEvents)), qt.Equals, itemUnconfirmed)
+	for range 2 {
+		qt.Assert(t, c.send(i, c.closed("")), qt.Equals, itemUnconfirmed)
+	}
+	qt.Assert(t, c.send(i, c.closed("")), qt.Equals, itemComplete)
+	qt.Assert(t, string(i.output), qt.Equals, cutOutput)
+}
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -315,19 +315,19 @@
 		i.exclude = []ids.BackendID{slot.Server.ID}
 	}
 	if o.StreamEvents == 0 && i.events > 0 {
-		return i.emptyAnswerEnded(slot, result)
+		return i.emptyAnswerEnded(slot, result, agreed)
 	}
 	return result
 }
 
 // emptyAnswerEnded counts an answer that brought no further event. Once there are maxEmptyAnswers in a row, the item is
-// complete if a server claimed the end of its output, and begins again otherwise.
-func (i *itemRun) emptyAnswerEnded(slot *slots.Slot, result sendResult) sendResult {
+// complete if it may end where it is, and begins again otherwise.
+func (i *itemRun) emptyAnswerEnded(slot *slots.Slot, result sendResult, agreed bool) sendResult {
 	i.emptyAnswers++
 	switch {
 	case i.emptyAnswers < maxEmptyAnswers:
 		return result
-	case i.stream.MayEnd():
+	case agreed || i.stream.MayEnd():
 		return itemComplete // no server that was asked has more, and none shows it by its framing
 	}
 	i.beginAgain("end_unknown", slot.Server)
