--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -206,7 +206,7 @@
 	stall.Progress()
 	o.TimeToFirstByte, i.framing = answer.TimeToHeaders, answer.Framing()
 	if answer.Status != http.StatusOK || !answer.Info.Signed || !answer.MayBeStream() {
-		o.Result, result = i.classifyRefusal(route, answer)
+		o.Result, result = i.classifyRefusal(runCtx, slot, route, answer)
 		log.WithFields(log.Fields{
 			"job": i.record.Job.ID, "item": i.item.ID, "server": slot.Server.ID, "status": answer.Status, "not_executed": answer.Info.NotExecuted,
 			"server_running": answer.Info.Load.Running, "server_waiting": answer.Info.Load.Waiting, "failures": i.failures, "outcome": "not_served",
