fix: a failure that the host stops reading isn't broken off by the server

A server's failure of an item, whose body this host stops reading because the slot is taken back, the run ends or the server is silent, counted as broken off by the server, without a look at the path. It is now classified as the end of a stream is. A long response that broke off keeps its error, too, so that a lost path is found.

--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -110,8 +111,12 @@
 	}
 	for ctx.Err() == nil {
 		target, slot, ok := i.acquire(ctx)
+		if !ok && ctx.Err() != nil {
+			return result, false
+		}
 		if !ok {
-			return bulk.Result{Item: i.item.ID, State: bulk.Errored}, ctx.Err() == nil
+			log.WithFields(log.Fields{"job": i.record.Job.ID, "item": i.item.ID, "reason": "route_gone", "outcome": "errored"}).Warn("item ended")
+			return bulk.Result{Item: i.item.ID, State: bulk.Errored}, true
 		}
 		if slot == nil {
 			clock.Sleep(ctx, itemRetryPause)
@@ -221,16 +226,25 @@
 }
 
 // classifyRefusal returns the dispatch result of an answer that isn't an event stream, and its effect on the item.
-func (i *itemRun) classifyRefusal(route *catalog.Route, a *upstream.Response) (dispatch.Result, sendResult) {
+func (i *itemRun) classifyRefusal(
+	runCtx context.Context, slot *slots.Slot, route *catalog.Route, a *upstream.Response,
+) (dispatch.Result, sendResult) {
 	if a.Info.NotExecuted {
 		if a.Status == http.StatusMisdirectedRequest {
 			return dispatch.Gone, itemRetry
 		}
 		return dispatch.Full, itemRetry
 	}
-	if !a.Info.Signed || !endsWithin(a, maxRefusalBytes) {
+	if !a.Info.Signed {
 		return dispatch.Broken, itemRetry
 	}
+	if err := readToEnd(a, maxRefusalBytes); err != nil {
+		result := i.classifyError(runCtx, slot, err)
+		if result == dispatch.Cancelled {
+			return result, itemYielded
+		}
+		return result, itemRetry
+	}
 	if a.Status == statusCannotBeDone {
 		i.reason = "cannot_be_done"
 		return dispatch.Served, itemErrored
@@ -245,21 +259,26 @@
 	return dispatch.Failed, itemRetry
 }
 
-// endsWithin reports whether a body ends within a number of bytes, and isn't broken off.
-func endsWithin(b completion.Body, limit int) bool {
+var errRefusalTooLong = errors.New("answer that isn't a stream exceeds the limit")
+
+// readToEnd reads a body that ends within a number of bytes. It returns an error if it is broken off or longer.
+func readToEnd(b completion.Body, limit int) error {
 	part := make([]byte, min(limit, refusalPartBytes))
 	for read := 0; read < limit; {
 		n, end := b.ReadBody(part)
-		switch end.(type) {
+		read += n
+		switch end := end.(type) {
 		case nil:
 		case completion.Whole, completion.Claimed:
-			return read+n < limit
+			if read >= limit {
+				return errRefusalTooLong
+			}
+			return nil
 		case completion.BrokenOff:
-			return false
+			return end.Err
 		}
-		read += n
 	}
-	return false
+	return errRefusalTooLong
 }
 
 // readEvents reads the answer's events until it ends or breaks off.
@@ -303,14 +322,17 @@
 // answerEnded returns the effect of an answer that its server has ended. If only the end of its connection shows that,
 // other servers are asked for the rest, as the answer may have been broken off.
 func (i *itemRun) answerEnded(runCtx context.Context, slot *slots.Slot, end completion.End, o *dispatch.Outcome) sendResult {
-	result := itemUnconfirmed
+	result, agreed := itemUnconfirmed, false
 	switch i.stream.End(end, i.lastEventID != "") {
 	case completion.Complete:
 		o.Result = dispatch.Served
 		return itemComplete
 	case completion.Broken:
 		result = i.answerBroken(runCtx, slot, io.ErrUnexpectedEOF, o)
-	case completion.Unconfirmed, completion.Agreed:
+	case completion.Agreed:
+		agreed = true
+		fallthrough
+	case completion.Unconfirmed:
 		o.Result = dispatch.Served
 		i.exclude = []ids.BackendID{slot.Server.ID}
 	}
--- a/verbenad/internal/entry/response.go
+++ b/verbenad/internal/entry/response.go
@@ -150,7 +150,7 @@
 		outcome.Result = dispatch.Served
 		return stepDone, outcome
 	case completion.BrokenOff:
-		outcome.Result = brokenOffResult(end.Err, watch)
+		outcome.Result, state.brokenBy = brokenOffResult(end.Err, watch), end.Err
 		switch {
 		case errors.Is(end.Err, errResponseTooLong):
 			state.reason = "answer_too_long"
