fix: text that is no UTF-8 doesn't end connections between hosts

A host closed its connection to another one, and so cut off all calls and slot requests on it, when a frame held a string that is no UTF-8: the decoder refuses text strings of CBOR that aren't valid (seen in the code by the review, not run).

The decoder now accepts them. No outside string may decide on a connection that all callers share; what it means is decided where it is used. Ruled out: byte strings instead of text in frames, which hosts of former releases don't decode into strings.

--- a/verbenad/internal/hostlink/frame.go
+++ b/verbenad/internal/hostlink/frame.go
@@ -183,6 +183,16 @@
 	return mode
 }()
 
+// decMode accepts text that is no UTF-8: a string from outside that a host didn't check must not end the connection, and with
+// it the requests of all callers. Former releases don't accept it, so what is encoded should be valid.
+var decMode = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
 // Encode returns a frame with its length prefix. The bytes may be sent to many hosts.
 func Encode(f Frame) (raw []byte, err error) {
 	defer func() {
@@ -255,5 +265,5 @@
 			return f, err
 		}
 	}
-	return f, cbor.Unmarshal(body, &f)
+	return f, decMode.Unmarshal(body, &f)
 }
