fix: ids of jobs that are no UTF-8 are refused

A caller could make the host that it reached send a frame that the job owner's host can't read: GET /lots/ with the byte ff, GET /items/j?id=%ff, or a job submitted under such a request id. The owner closed the connection, and with it everybody's calls on batch jobs that were sent over it.

A job with such an id was accepted (202) and stored under another name: JSON replaces what is no UTF-8, in the object's name as in its spec. By reading, two ids of this kind get one name, and after the next load neither finds its job.

Requests on other routes keep any id, since it enters no frame but as a hash (StreamID). Ruled out by a trial with net/http's server: such bytes in the Host header or in the host of an absolute target, both answered 400 by the library.

--- a/verbena/bulk/call.go
+++ b/verbena/bulk/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"time"
+	"unicode/utf8"
 
 	"verbenaledge.example/verbena/ids"
 )
@@ -56,6 +57,12 @@
 	Progress *Progress `cbor:"10,keyasint,omitempty"`
 }
 
+// NamesStorable reports whether a job and an item with the call's ids can exist: ids that are no UTF-8 are refused on
+// submission, since the store would alter them and hosts of former releases can't read them.
+func (c Call) NamesStorable() bool {
+	return utf8.ValidString(string(c.Job)) && utf8.ValidString(string(c.Item))
+}
+
 // Code is the outcome of a call.
 type Code int
 
--- a/verbenad/internal/entry/jobs.go
+++ b/verbenad/internal/entry/jobs.go
@@ -39,6 +39,10 @@
 		}
 		req.workspace = w
 	}
+	if !call.NamesStorable() {
+		h.refuse(req, http.StatusNotFound, 0, "not_found")
+		return
+	}
 	call.Workspace = req.workspaceID()
 	call.Wait = req.info.Wait
 	call.Remaining = jobCallTimeout
