fix: outputs of batch items are UTF-8

An item whose server writes bytes that are no UTF-8 made the results of its job unreadable for the host that the caller reached: an output is text in the reply to a read and in the report to a new owner. The receiver closed the connection to the owner's host, for all calls on it, and again at each read of that job.

The owner now keeps an output as it is stored and listed: each byte that is no UTF-8 is replaced by U+FFFD, as JSON does, which callers so far saw only once another owner had loaded the job. Results that a host of a former release hands over are treated alike. Ruled out: strings.ToValidUTF8, which replaces a run of bytes by one U+FFFD, so that an output would read otherwise after a load. Partial answers are bytes in frames and stay as they are.

Before: TestOutputsAreListedAsUTF8 and TestOutputsOfFormerOwnersAreListedAsUTF8 fail (the outputs hold ff). Package bulk with -race: passes.

--- a/verbena/bulk/job.go
+++ b/verbena/bulk/job.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -91,6 +92,11 @@
 	Output string `json:"output,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
+// ListedOutput returns an output as it is stored and listed: each byte that is no UTF-8 is replaced by U+FFFD, as in JSON.
+func ListedOutput[S ~string | ~[]byte](output S) string {
+	return strings.Map(func(r rune) rune { return r }, string(output))
+}
+
 // resultOverheadBytes bounds the encoded size of a result apart from its id and output.
 const resultOverheadBytes = 64
 
--- a/verbenad/internal/bulk/handover.go
+++ b/verbenad/internal/bulk/handover.go
@@ -141,6 +141,7 @@
 			log.WithFields(log.Fields{"job": c.Job, "item": rs.Item, "bytes": size, "outcome": "too_large"}).Warn("result of a former owner dropped")
 			continue
 		}
+		rs.Output = bulk.ListedOutput(rs.Output) // former releases report it as the server sent it
 		run := o.runs[runKey{c.Job, rs.Item}]
 		if !o.addResult(r, rs) {
 			continue
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -123,7 +123,7 @@
 			i.owner.estimator.observe(i.item.Tokens, i.events)
 			i.reason = ""
 			i.logEnd("completed", slot)
-			return bulk.Result{Item: i.item.ID, State: bulk.Completed, Output: string(i.output)}, true
+			return bulk.Result{Item: i.item.ID, State: bulk.Completed, Output: bulk.ListedOutput(i.output)}, true
 		case itemErrored:
 			i.logEnd("errored", slot)
 			return bulk.Result{Item: i.item.ID, State: bulk.Errored}, true
--- /dev/null
+++ b/verbenad/internal/bulk/output_text_test.go
@@ -0,0 +1,30 @@
+package bulk
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbena/bulk"
+	"verbenaledge.example/verbena/objects/memory"
+)
+
+// TestOutputsAreListedAsUTF8 guards against results that hosts of former releases can't read: an item's server may write bytes
+// that are no UTF-8.
+func TestOutputsAreListedAsUTF8(t *testing.T) {
+	f, s := newScriptedFixture(t, false)
+	f.Assert(f.submit(job(1, 10)), qt.Equals, bulk.Done)
+	<-s.requests
+	s.grants <- newVersionServer(t, "a", "llm", "\xff").slot()
+	f.listsOutput(1, wholeOutput("\ufffd"))
+}
+
+// TestOutputsOfFormerOwnersAreListedAsUTF8 guards against the same for results that a host of a former release hands over.
+func TestOutputsOfFormerOwnersAreListedAsUTF8(t *testing.T) {
+	f := newFixture(t, memory.New())
+	f.Assert(f.submit(job(1, 10)), qt.Equals, bulk.Done)
+	f.call(bulk.Call{Op: bulk.HandOverProgress, Job: "a", Progress: &bulk.Progress{Results: []bulk.Result{
+		{Item: "aa", State: bulk.Completed, Output: "a\xff\xc3"},
+	}}})
+	f.listsOutput(1, "a\ufffd\ufffd")
+}
