fix: event ids that are no UTF-8 aren't handed over

The report to a new owner of a batch job holds the id of an item's last event as text. An id from a server that is no UTF-8 made the report unreadable: the new owner closed the connection, and the report, with the results of other items of the job, was lost.

Such a partial answer is now left out, with a log line, and its item begins again. Ruled out: another id in its place, from which the server would go on elsewhere. Within one host the id is still sent back to servers as it came. Callers' streams put no event id into frames (by reading: slot requests hold the hash of the stream's first request).

Before: TestUnreadableEventIDIsNotHandedOver fails (one report). After: it passes; TestResultWithUnreadableEventIDIsHandedOver holds that results are still reported.

--- a/verbenad/internal/bulk/handover.go
+++ b/verbenad/internal/bulk/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"time"
+	"unicode/utf8"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
@@ -107,6 +108,10 @@
 	case run.record.Ended:
 	case done:
 		o.queueReport(run.record, bulk.Progress{Results: []bulk.Result{result}})
+	case !utf8.ValidString(run.lastEventID):
+		// Text in the report, which hosts of former releases can't read; another id would be resumed elsewhere.
+		log.WithFields(log.Fields{"job": run.record.Job.ID, "item": run.item.ID, "events_dropped": run.events}).
+			Warn("partial answer not handed over: its last event id is no UTF-8")
 	case run.events > 0 && !run.originUncertain:
 		o.queueReport(run.record, bulk.Progress{PartialAnswers: []bulk.PartialAnswer{
 			{Item: run.item.ID, Text: run.output, Events: run.events, LastEventID: run.lastEventID, Origin: &run.origin},
--- a/verbenad/internal/bulk/output_text_test.go
+++ b/verbenad/internal/bulk/output_text_test.go
@@ -7,6 +7,7 @@
 
 	"verbenaledge.example/verbena/bulk"
 	"verbenaledge.example/verbena/objects/memory"
+	"verbenaledge.example/verbenad/internal/upstream"
 )
 
 // TestOutputsAreListedAsUTF8 guards against results that hosts of former releases can't read: an item's server may write bytes
@@ -28,3 +29,22 @@
 	}}})
 	f.listsOutput(1, "a\ufffd\ufffd")
 }
+
+// TestUnreadableEventIDIsNotHandedOver guards against a report that hosts of former releases can't read: the id of a server's
+// event may be no UTF-8. The item begins again at the new owner.
+func TestUnreadableEventIDIsNotHandedOver(t *testing.T) {
+	for id, reports := range map[string]int{"\xff": 0, "ž": 1} {
+		i := newItemRun(t)
+		qt.Assert(t, i.appendEvent(upstream.Event{ID: id, Data: []byte("one")}), qt.IsTrue)
+		i.owner.reportRun(i, bulk.Result{}, false)
+		qt.Assert(t, i.owner.reports, qt.HasLen, reports, qt.Commentf("%q", id))
+	}
+}
+
+// TestResultWithUnreadableEventIDIsHandedOver checks that a result is reported whatever the ids of its events are.
+func TestResultWithUnreadableEventIDIsHandedOver(t *testing.T) {
+	i := newItemRun(t)
+	qt.Assert(t, i.appendEvent(upstream.Event{ID: "\xff", Data: []byte("one")}), qt.IsTrue)
+	i.owner.reportRun(i, bulk.Result{Item: i.item.ID, State: bulk.Completed, Output: "one"}, true)
+	qt.Assert(t, i.owner.reports, qt.HasLen, 1)
+}
