test: an unreadable id leaves other calls on the connection

TestOneUnreadableCallLeavesTheOthers now runs over a connection of two hosts: a call that waits for its reply must not end because another call's id is no UTF-8.

Before, without the decoder's option: both calls end with "no reply from the host".

--- a/verbenad/internal/hostlink/any_text_test.go
+++ b/verbenad/internal/hostlink/any_text_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"math/rand/v2"
+	"net"
 	"reflect"
 	"testing"
 	"time"
@@ -29,24 +31,47 @@
 	}
 }
 
-// TestOneUnreadableCallLeavesTheOthers guards against a connection that ends with everybody's calls because one caller's id
-// holds bytes that are no UTF-8.
-func TestOneUnreadableCallLeavesTheOthers(t *testing.T) {
-	var sent []byte
-	for _, c := range []bulk.Call{
-		{Op: bulk.ReadBody, Job: "j", Item: "\xff"}, {Op: bulk.ReadResults, Job: "\xc3"}, {Op: bulk.ReadResults, Job: "other"},
-	} {
-		raw, err := Encode(Frame{CallID: 1, Jobs: &JobsCall{Call: c}})
-		qt.Assert(t, err, qt.IsNil)
-		sent = append(sent, raw...)
+// waitingOwner replies to calls on the job "waits" once release is closed, and to others at once.
+type waitingOwner struct{ begun, release chan struct{} }
+
+func (o waitingOwner) Answer(_ context.Context, call JobsCall) bulk.Reply {
+	if call.Call.Job == "waits" {
+		close(o.begun)
+		<-o.release
 	}
-	r, last := bytes.NewReader(sent), Frame{}
-	for r.Len() > 0 {
-		var err error
-		last, err = decode(r)
+	return bulk.Reply{Code: bulk.Done}
+}
+
+// TestOneUnreadableCallLeavesTheOthers guards against a connection that ends with everybody's calls because the id in one of
+// them holds bytes that are no UTF-8.
+func TestOneUnreadableCallLeavesTheOthers(t *testing.T) {
+	for _, unreadable := range []bulk.Call{{Op: bulk.ReadResults, Job: "\xff"}, {Op: bulk.ReadBody, Job: "j", Item: "\xff"}} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		qt.Assert(t, err, qt.IsNil)
+		owner := waitingOwner{begun: make(chan struct{}), release: make(chan struct{})}
+		go func() {
+			l := &listener{handle: func(l *Link, first Frame) { Serve(t.Context(), l, first, nil, owner) }}
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go l.serve(t.Context(), c)
+			}
+		}()
+		client := NewRPCClient("h", func() []string { return nil })
+		waited := make(chan error, 1)
+		go func() {
+			_, err := client.Call(t.Context(), ln.Addr().String(), JobsCall{Call: bulk.Call{Job: "waits", Wait: 10 * time.Second}})
+			waited <- err
+		}()
+		<-owner.begun
+		_, err = client.Call(t.Context(), ln.Addr().String(), JobsCall{Call: unreadable})
+		qt.Check(t, err, qt.IsNil)
+		close(owner.release)
+		qt.Check(t, <-waited, qt.IsNil, qt.Commentf("the other call"))
+		qt.Assert(t, ln.Close(), qt.IsNil)
 	}
-	qt.Assert(t, string(last.Jobs.Call.Job), qt.Equals, "other")
 }
 
 // fill sets everything that a frame carries below v: strings and bytes to arbitrary bytes, numbers to other values than 0.
