fix: owners refuse job ids that are no UTF-8

Hosts of former releases pass on what callers send. Since frames with such text are decoded, an owner accepted their job ids that are no UTF-8 (202 to the caller), and the store would keep the job under another id. The owner now answers a submission as unavailable, nothing of it runs, and other calls as not found.

Before: TestJobIDWithoutUTF8IsNotStored fails (done). After: it passes.

--- a/verbenad/internal/bulk/answer.go
+++ b/verbenad/internal/bulk/answer.go
@@ -27,6 +27,9 @@
 func (o *Owner) Answer(ctx context.Context, q hostlink.JobsCall) bulk.Reply {
 	ctx, cancel := context.WithTimeout(ctx, max(q.Call.Remaining, minCallTimeout))
 	defer cancel()
+	if !q.Call.NamesStorable() {
+		return answerUnstorable(q.Call.Op)
+	}
 	switch q.Call.Op {
 	case bulk.Submit:
 		return o.submit(ctx, q)
@@ -46,6 +49,14 @@
 
 var unavailable = bulk.Reply{Code: bulk.Unavailable, RetryAfter: unavailableRetryAfter}
 
+// answerUnstorable answers a call on ids that no job or item can have. Only hosts of former releases send them.
+func answerUnstorable(op bulk.Op) bulk.Reply {
+	if op == bulk.Submit {
+		return unavailable
+	}
+	return bulk.Reply{Code: bulk.NotFound}
+}
+
 // query runs a function in the goroutine of Run and waits for its return value.
 func query[T any](ctx context.Context, o *Owner, f func() T) (answer T, ok bool) {
 	c := make(chan T, 1)
--- a/verbenad/internal/bulk/output_text_test.go
+++ b/verbenad/internal/bulk/output_text_test.go
@@ -48,3 +48,15 @@
 	i.owner.reportRun(i, bulk.Result{Item: i.item.ID, State: bulk.Completed, Output: "one"}, true)
 	qt.Assert(t, i.owner.reports, qt.HasLen, 1)
 }
+
+// TestJobIDWithoutUTF8IsNotStored guards against a job that a host of a former release passes on and that is accepted, but
+// stored under another id.
+func TestJobIDWithoutUTF8IsNotStored(t *testing.T) {
+	f := newFixture(t, memory.New())
+	j := job(1, 10)
+	j.ID = "\xff"
+	f.Assert(f.submit(j), qt.Equals, bulk.Unavailable)
+	f.Assert(f.call(bulk.Call{Op: bulk.ReadResults, Job: j.ID}).Code, qt.Equals, bulk.NotFound)
+	j.ID = "ž"
+	f.Assert(f.submit(j), qt.Equals, bulk.Done)
+}
