fix: text about HTTP isn't another answer

What callers saw: on a connection in use again, an answer whose text holds "HTTP/1.1 " and three digits was dropped and asked for again. TestFleetAnswersThatSpeakOfHTTP without the change: 33 of 48 calls got no answer, 3 of them 502 answer_cut, 30 503 crashing, as their requests then counted as ones that break servers; others ran two or three times. A batch item began again.

Cause: HasEmbeddedResponse took bytes for a late copy of another response if nothing in them spoke against a head. Text without CRLF never did, a complete head needed no request id, and each part of a long answer was searched as if the body ended there.

Change: heads are read as HTTP demands (embedded_head.go). A complete head counts with a request id or the sign "not run"; one that isn't complete only where the body's end can cut it off, so not in chunks, where it breaks the framing, and not before the end; lines of text (LF) are no head's without an id. Rest holds back what may be a head until it is decided.

Ruled out: only complete heads (FuzzResponses: the body's length cuts copies off); only ids that the connection has carried (servers also send answers to requests that it never carried: UnframedTwice, ForeignAnswer); the body's type (a copy may arrive in any).

Before: 54 of 60 cases of TestSoundTextOnReusedConnection failed, so did TestSoundEventsOnReusedConnection, TestItemSpeaksOfHTTP and TestFleetAnswersThatSpeakOfHTTP.

Conclusion: what can't be told apart still counts as a copy (TestTextLikeLateCopy); docs/design/ends_of_responses.md lists that text, and the heads that now count as text: without an id, or cut off with lines that end with LF alone or quotes in the reason.

--- a/verbenad/internal/entry/response.go
+++ b/verbenad/internal/entry/response.go
@@ -66,7 +66,7 @@
 ) (nextStep, dispatch.Outcome) {
 	buffer := h.bufferResponse(response)
 	defer buffer.release()
-	if _, broken := buffer.end.(completion.BrokenOff); !broken && response.HasEmbeddedResponse(buffer.body) {
+	if hasEmbeddedResponse(response, buffer) {
 		buffer.end = completion.BrokenOff{Err: upstream.ErrRequestIDMismatch}
 	}
 	switch end := buffer.end.(type) {
@@ -80,6 +80,18 @@
 	return stepFail, outcome
 }
 
+// hasEmbeddedResponse reports whether what was buffered of a response contains another one.
+func hasEmbeddedResponse(response *upstream.Response, buffer *responseBuffer) bool {
+	switch buffer.end.(type) {
+	case nil:
+		return response.BeginningHasEmbeddedResponse(buffer.body)
+	case completion.Whole, completion.Claimed:
+		return response.HasEmbeddedResponse(buffer.body)
+	case completion.BrokenOff:
+	}
+	return false
+}
+
 // answerCut decides what to do after a response was broken off before any of it was forwarded.
 func (h *Handler) answerCut(
 	ctx context.Context, req *request, state *forwardState, outcome dispatch.Outcome, end completion.BrokenOff, watch *silenceWatch,
--- a/verbenad/internal/upstream/embedded_response.go
+++ b/verbenad/internal/upstream/embedded_response.go
@@ -1,65 +1,65 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
-	"net/http"
 )
 
 // statusLinePrefix begins a response's status line.
 var statusLinePrefix = []byte("HTTP/1.1 ")
 
-// HasEmbeddedResponse reports whether bytes of this response's body seem to contain another response. On a reused
-// connection a late copy of an earlier response may arrive within the body, complete or cut off by the body's length.
-// On a new connection this can happen only in a body that ends with the connection.
+// HasEmbeddedResponse reports whether a body of this response contains another response. On a reused connection a late copy
+// of an earlier response may arrive within the body, complete or cut off by the body's end. On a new connection this can
+// happen only in a body that ends with the connection. docs/design/ends_of_responses.md says how a copy is told from text.
 func (r *Response) HasEmbeddedResponse(body []byte) bool {
+	found, _ := r.findEmbedded(body, true)
+	return found
+}
+
+// BeginningHasEmbeddedResponse is HasEmbeddedResponse for a beginning of the body that Rest follows. A head that the
+// beginning cuts off is left to Rest.
+func (r *Response) BeginningHasEmbeddedResponse(beginning []byte) bool {
+	found, _ := r.findEmbedded(beginning, false)
+	return found
+}
+
+// findEmbedded reports whether bytes of the body contain another response; ended is set if the body ends with them. Otherwise
+// the bytes from decided on may be the beginning of one.
+func (r *Response) findEmbedded(body []byte, ended bool) (found bool, decided int) {
 	if r.Framing() != FramedByConnection && !r.conn.reused {
-		return false
+		return false, len(body)
 	}
-	for {
-		start := bytes.Index(body, statusLinePrefix)
-		if start < 0 {
-			return false
+	decided = len(body)
+	p := headParser{body: body}
+	for start := 0; ; start += len(statusLinePrefix) {
+		next := bytes.Index(body[start:], statusLinePrefix)
+		if next < 0 {
+			return false, decided
 		}
-		body = body[start:]
-		if r.conn.reused && looksLikeHead(body) || r.startsWithResponse(body) {
-			return true
+		start += next
+		h := p.parse(start)
+		switch {
+		case r.isCopy(h, ended):
+			return true, start
+		case r.conn.reused && !ended && h.cutOff():
+			decided = min(decided, start)
 		}
-		body = body[len(statusLinePrefix):]
-	}
-}
-
-// startsWithResponse reports whether bytes begin with the complete head of a response that carries a request id or says
-// that a request was not executed.
-func (r *Response) startsWithResponse(raw []byte) bool {
-	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(raw)), nil)
-	if err != nil {
-		return false
 	}
-	defer func() { _ = response.Body.Close() }() // it reads from memory
-	info := r.protocol.ParseResponse(response.StatusCode, response.Header)
-	return info.ID != "" || info.NotExecuted
 }
 
-// statusDigits is the number of digits of a status code.
-const statusDigits = 3
-
-// looksLikeHead reports whether bytes that begin with statusLinePrefix look like a response's head, as far as they go.
-func looksLikeHead(raw []byte) bool {
-	line, rest, complete := bytes.Cut(raw[len(statusLinePrefix):], []byte("\r\n"))
-	for n, c := range line {
-		if n < statusDigits && (c < '0' || c > '9') {
-			return false
-		}
+// isCopy reports whether a head belongs to another response. One that isn't complete is none before the body has ended,
+// unless it has an id.
+func (r *Response) isCopy(h head, ended bool) bool {
+	info := r.protocol.ParseResponse(h.status, h.header)
+	if h.end == headComplete && (info.ID != "" || info.NotExecuted) {
+		return true
 	}
-	for complete && len(rest) > 0 {
-		line, rest, complete = bytes.Cut(rest, []byte("\r\n"))
-		if len(line) == 0 {
-			return true
-		}
-		if complete && !bytes.Contains(line, []byte(":")) {
-			return false
-		}
+	switch {
+	case !r.conn.reused:
+		return false
+	case info.ID != "":
+		return true // what follows may be the copy's own chunks, or bytes of this response
+	case r.Framing() == FramedByChunks:
+		return false // a copy that isn't in chunks breaks the framing
 	}
-	return true
+	return ended && h.cutOff() || h.isInterim() // an interim response needs no id
 }
