fix: parts of jobs that weren't accepted don't stay in the store

A large job that was refused after its first part was written, or whose host stopped before it wrote the job's own object, left its parts in the store for good if its caller didn't submit it again: nothing lists parts.

Ruled out: the review's reading that parts of a job that wasn't loaded anew are never deleted. A deletion counts them by the stored object; nothing is left after seven ways to accept a job, each ended and complete (TestNothingOfExpiredJobIsLeft, which passes without this change, too).

The owner of a shard now lists its parts each hour and deletes those whose job it doesn't know, if it saw them an hour before at the same revision, the id isn't being submitted or deleted, and the job's own object doesn't exist.

Not run: the users' platform.

--- a/verbenad/internal/bulk/load.go
+++ b/verbenad/internal/bulk/load.go
@@ -25,6 +25,11 @@
 func segmentName(id ids.JobID, number int) string { return fmt.Sprintf("%s.%05d", id, number) }
 func partName(id ids.JobID, number int) string    { return fmt.Sprintf("%s.%05d", id, number) }
 
+// jobOf returns the job of a segment or part by its name.
+func jobOf(name string) ids.JobID {
+	return ids.JobID(name[:max(0, strings.LastIndexByte(name, '.'))]) // the id may hold dots
+}
+
 // load reads a shard's jobs and results until it succeeds or the shard is given up.
 func (o *Owner) load(ctx context.Context, s bulk.Shard, sh *shard) {
 	for ctx.Err() == nil {
@@ -138,7 +143,7 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	l.results = make(map[ids.JobID][]bulk.Segment)
 	for _, ob := range list {
-		id := ids.JobID(ob.Name[:max(0, strings.LastIndexByte(ob.Name, '.'))]) // the id may hold dots
+		id := jobOf(ob.Name)
 		var s bulk.Segment
 		if err := json.Unmarshal(ob.Spec, &s); err != nil {
 			log.WithError(err).WithFields(log.Fields{"shard": shard, "segment": ob.Name, "outcome": "unreadable"}).Error("results can't be loaded")
@@ -168,6 +173,7 @@
 		o.applyReport(c)
 	}
 	sh.earlyReports = nil
+	go o.sweepParts(sh.ctx, s, sh)
 	time.AfterFunc(progressWait, func() { o.post(func() { o.endProgressWait(s, sh) }) })
 	log.WithFields(log.Fields{"shard": s, "jobs": len(l.jobs), "unreadable": len(l.unreadable)}).Info("shard taken over")
 	o.start()
--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -51,7 +51,7 @@
 	tasks   chan func()
 	ctx     context.Context
 
-	// The fields below are used by the goroutine of Run only, except for owners, which doesn't change.
+	// The fields below are used by the goroutine of Run only, except for owners and orphanAge, which don't change.
 	ledger          *bulk.Ledger
 	shards          map[bulk.Shard]*shard
 	catalog         *catalog.Catalog
@@ -64,6 +64,7 @@
 	// deletions counts the deletions of each expired job that haven't ended.
 	deletions     map[ids.JobID]int
 	retention     time.Duration
+	orphanAge     time.Duration
 	gaugesUpdated time.Time
 	sharesChecked time.Time
 	owners        OwnerClient
@@ -104,7 +105,7 @@
 		tasks: make(chan func(), 256), ledger: bulk.NewLedger(), shards: make(map[bulk.Shard]*shard),
 		owners: others, runs: make(map[runKey]*itemRun), reports: make(map[ids.JobID]*progressReport),
 		commits: make(map[ids.JobID]*commit), submissions: make(map[ids.JobID]*submission),
-		deletions: make(map[ids.JobID]int),
+		deletions: make(map[ids.JobID]int), orphanAge: minOrphanAge,
 	}
 }
 
