test: test processes don't share loopback addresses

The fleets of verbenad/cmd took their addresses from the process id modulo 50. Of two test processes that ran at the same time, one in 50 pairs had the same addresses: the later one's hosts couldn't listen, and its requests reached the other's hosts. A process now claims its network with a listener that stays open. No check has changed.

--- a/verbenad/cmd/fleet_test.go
+++ b/verbenad/cmd/fleet_test.go
@@ -126,7 +126,7 @@
 
 func (f *fleet) startHost(name string, run role) {
 	f.hostCount++
-	ip := fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%50, f.fleetNumber, f.hostCount)
+	ip := fmt.Sprintf("127.%d.%d.%d", claimedNetwork().number, f.fleetNumber, f.hostCount)
 	s := node.Settings{
 		Host: ids.HostID(name), Zone: "z", IP: ip, PeerPort: peerPort, MetricsPort: metricsPort, GracePeriod: f.grace,
 		StoreAddress: f.storeAddress, StoreValueBytes: 1 << 20, ResultRetention: time.Minute,
