fix: two other servers agree on an item's end, each asked once

An item now ends once two other servers agree with the one that claimed the end, and those that were asked are excluded from the next send. Three answers without a further event in a row remain the end where there are too few servers.

TestItemOfTwoServersWithoutFramingEnds is new.

--- a/verbenad/internal/bulk/cut_twice_test.go
+++ b/verbenad/internal/bulk/cut_twice_test.go
@@ -30,9 +30,8 @@
 	c := newCutItems(t)
 	i := c.newRun()
 	qt.Assert(t, c.send(i, c.closed(firstEvent+otherEvents)), qt.Equals, itemUnconfirmed)
-	for range 2 {
-		qt.Assert(t, c.send(i, c.closed("")), qt.Equals, itemUnconfirmed)
-	}
+	qt.Assert(t, c.send(i, c.closed("")), qt.Equals, itemUnconfirmed)
+	qt.Assert(t, i.exclude, qt.HasLen, 2, qt.Commentf("a third server is asked"))
 	qt.Assert(t, c.send(i, c.closed("")), qt.Equals, itemComplete)
 	qt.Assert(t, string(i.output), qt.Equals, cutOutput)
 
@@ -42,6 +41,23 @@
 	qt.Assert(t, string(i.output), qt.Equals, cutOutput)
 }
 
+// TestItemOfTwoServersWithoutFramingEnds checks that an item ends if there are no three servers to ask, and only after three
+// answers without a further event.
+func TestItemOfTwoServersWithoutFramingEnds(t *testing.T) {
+	for _, servers := range []int{1, 2} {
+		c := newCutItems(t)
+		i := c.newRun()
+		qt.Assert(t, c.send(i, c.closed(firstEvent+otherEvents)), qt.Equals, itemUnconfirmed)
+		for range 2 {
+			c.sends %= servers
+			qt.Assert(t, c.send(i, c.closed("")), qt.Equals, itemUnconfirmed)
+		}
+		c.sends %= servers
+		qt.Assert(t, c.send(i, c.closed("")), qt.Equals, itemComplete)
+		qt.Assert(t, string(i.output), qt.Equals, cutOutput)
+	}
+}
+
 // TestItemCutAndTakenUpNeverEnds guards against an item that begins again for good because one of its answers was cut before its
 // end, and no server shows an end by its framing.
 func TestItemCutAndTakenUpNeverEnds(t *testing.T) {
@@ -49,9 +65,7 @@
 	i := c.newRun()
 	qt.Assert(t, c.send(i, c.closed(firstEvent)), qt.Equals, itemUnconfirmed)
 	qt.Assert(t, c.send(i, c.closed(otherEvents)), qt.Equals, itemUnconfirmed)
-	for range 2 {
-		qt.Assert(t, c.send(i, c.closed("")), qt.Equals, itemUnconfirmed)
-	}
+	qt.Assert(t, c.send(i, c.closed("")), qt.Equals, itemUnconfirmed)
 	qt.Assert(t, c.send(i, c.closed("")), qt.Equals, itemComplete)
 	qt.Assert(t, string(i.output), qt.Equals, cutOutput)
 }
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -32,8 +33,11 @@
 	silenceTimeout = 3 * time.Second
 	// itemRetryPause is the pause before a failed item is sent again.
 	itemRetryPause = 100 * time.Millisecond
+	// minAgreeing is how many servers have to agree with the end that another one claimed by the end of its connection. One answer
+	// whose framing shows its end suffices.
+	minAgreeing = 2
 	// maxEmptyAnswers is after how many answers in a row that end with their connections before a further event no other
-	// server is asked to confirm the end of the output. One answer whose framing shows its end confirms it, too.
+	// server is asked, if there are too few.
 	maxEmptyAnswers = 3
 	// eventSeparatorBytes is the encoded size of the line feed between the data of two events.
 	eventSeparatorBytes = 2
@@ -68,6 +72,8 @@
 	stream completion.Stream
 	// emptyAnswers is the number of answers in a row that ended with their connections before a further event.
 	emptyAnswers int
+	// agreeing are the servers that agreed with the end that another one had claimed after the last event.
+	agreeing []ids.BackendID
 
 	events      int
 	lastEventID string
@@ -306,7 +312,7 @@
 			o.StreamEvents += len(found)
 			if len(found) > 0 {
 				i.stream.Receive()
-				i.emptyAnswers = 0
+				i.emptyAnswers, i.agreeing = 0, nil
 			}
 			continue
 		}
@@ -331,10 +337,14 @@
 		result = i.answerBroken(runCtx, slot, io.ErrUnexpectedEOF, o)
 	case completion.Agreed:
 		agreed = true
+		i.agreeing = appendMissing(i.agreeing, slot.Server.ID)
 		fallthrough
 	case completion.Unconfirmed:
 		o.Result = dispatch.Served
-		i.exclude = []ids.BackendID{slot.Server.ID}
+		if o.StreamEvents > 0 {
+			i.exclude = nil
+		}
+		i.exclude = appendMissing(i.exclude, slot.Server.ID)
 	}
 	if o.StreamEvents == 0 && i.events > 0 {
 		return i.emptyAnswerEnded(slot, result, agreed)
@@ -342,15 +352,24 @@
 	return result
 }
 
-// emptyAnswerEnded counts an answer that brought no further event. Once there are maxEmptyAnswers in a row, the item is
-// complete if it may end where it is, and begins again otherwise.
+func appendMissing(list []ids.BackendID, id ids.BackendID) []ids.BackendID {
+	if slices.Contains(list, id) {
+		return list
+	}
+	return append(slices.Clip(list), id)
+}
+
+// emptyAnswerEnded counts an answer that brought no further event. Once minAgreeing servers agree with the one that claimed the end,
+// the item is complete. Once there are maxEmptyAnswers in a row, it is complete if it may end where it is, and begins again otherwise.
 func (i *itemRun) emptyAnswerEnded(slot *slots.Slot, result sendResult, agreed bool) sendResult {
 	i.emptyAnswers++
 	switch {
+	case len(i.agreeing) >= minAgreeing:
+		return itemComplete
 	case i.emptyAnswers < maxEmptyAnswers:
 		return result
 	case agreed || i.stream.MayEnd():
-		return itemComplete // no server that was asked has more, and none shows it by its framing
+		return itemComplete // no other server can be asked
 	}
 	i.beginAgain("end_unknown", slot.Server)
 	return result
--- a/verbenad/internal/bulk/item_origin.go
+++ b/verbenad/internal/bulk/item_origin.go
@@ -82,7 +82,7 @@
 		i.output, i.outputBytes = partial.Text, objects.EncodedSize(partial.Text)
 		i.events, i.lastEventID = partial.Events, partial.LastEventID
 		i.origin, i.beganAt, i.originUncertain = *partial.Origin, serverStart{}, false
-		i.stream, i.emptyAnswers = completion.Stream{}, 0
+		i.stream, i.emptyAnswers, i.agreeing = completion.Stream{}, 0, nil
 		i.stream.Resume()
 	}
 }
@@ -128,5 +128,5 @@
 func (i *itemRun) dropOutput() {
 	i.output, i.outputBytes, i.events, i.lastEventID = nil, 0, 0, ""
 	i.origin, i.beganAt = origin.Origin{}, serverStart{}
-	i.stream, i.emptyAnswers = completion.Stream{}, 0
+	i.stream, i.emptyAnswers, i.agreeing = completion.Stream{}, 0, nil
 }
