fix: a job isn't accepted for another workspace's job of the same id

A submission whose id is that of another workspace's job in the same shard was answered 202 and never ran: the stored job was taken for its own. Found by reading; no caller has reported it.

Ruled out: other names of stored objects, which hosts of former releases wouldn't find.

--- a/verbena/bulk/call.go
+++ b/verbena/bulk/call.go
@@ -80,6 +80,9 @@
 	OutcomeUnknown
 	// TooLarge means that the job has an item that can't be stored; no part of it runs, now or later.
 	TooLarge
+	// IDTaken means that a job of another workspace has the submitted job's id; no part of it runs, now or later. Hosts of former
+	// releases take it for Unavailable.
+	IDTaken
 )
 
 // String names the code for logs.
@@ -97,6 +100,8 @@
 		return "unsettled"
 	case TooLarge:
 		return "too_large"
+	case IDTaken:
+		return "id_taken"
 	}
 	return "unknown"
 }
--- a/verbena/bulk/ledger.go
+++ b/verbena/bulk/ledger.go
@@ -67,6 +67,12 @@
 	return r, true
 }
 
+// HasOther reports whether a job of another workspace has an id.
+func (l *Ledger) HasOther(id ids.JobID, w ids.WorkspaceID) bool {
+	r, ok := l.jobs[id]
+	return ok && r.Job.Workspace != w
+}
+
 // ReserveTokens counts a job's tokens as waiting, unless they would exceed the limit. Limit 0 means none.
 func (l *Ledger) ReserveTokens(j *Job, limit int64) bool {
 	key := capKey{j.Workspace, j.Route}
--- a/verbenad/internal/bulk/submit.go
+++ b/verbenad/internal/bulk/submit.go
@@ -18,8 +18,9 @@
 
 // submission is a new job that is being written to the store. Repeated submissions wait for the same outcome.
 type submission struct {
-	done chan struct{}
-	code bulk.Code
+	workspace ids.WorkspaceID
+	done      chan struct{}
+	code      bulk.Code
 }
 
 // submit accepts a job once, however often it is submitted.
@@ -38,7 +39,12 @@
 		if l.record != nil {
 			return admission{reply: &bulk.Reply{Code: bulk.Done}}
 		}
-		if s, ok := o.submissions[job.ID]; ok {
+		if o.ledger.HasOther(job.ID, job.Workspace) {
+			return admission{reply: &bulk.Reply{Code: bulk.IDTaken}}
+		}
+		if s, ok := o.submissions[job.ID]; ok && s.workspace != job.Workspace {
+			return admission{reply: &unavailable} // that one may not be accepted
+		} else if ok {
 			return admission{sub: s}
 		}
 		if !l.authoritative || o.deletions[job.ID] > 0 {
@@ -47,7 +53,7 @@
 		if !o.ledger.ReserveTokens(job, q.Call.TokenCap) {
 			return admission{reply: &bulk.Reply{Code: bulk.OverCap, RetryAfter: overCapRetryAfter}}
 		}
-		s := &submission{done: make(chan struct{})}
+		s := &submission{workspace: job.Workspace, done: make(chan struct{})}
 		o.submissions[job.ID] = s
 		return admission{sub: s, first: true}
 	})
@@ -86,6 +92,9 @@
 			// A successor may have listed the jobs before this one was stored; the caller's retry reaches it.
 			code = bulk.OutcomeUnknown
 		}
+		if stored.job.ID == job.ID && stored.job.Workspace != job.Workspace {
+			code = bulk.IDTaken
+		}
 		switch {
 		case code != bulk.Done:
 			o.ledger.ReleaseTokens(&job)
