--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -135,7 +135,8 @@
 	}
 }
 
-// SetCatalog applies a configuration. Items that wait for slots of services that their routes no longer lead to wait anew.
+// SetCatalog applies a configuration. An item that waits for a slot of a service that its route no longer leads to waits for one
+// of the present service instead.
 func (o *Owner) SetCatalog(c *catalog.Catalog) {
 	o.post(func() {
 		o.catalog = c
