--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -41,12 +40,6 @@
 	maxEmptyAnswers = 3
 	// eventSeparatorBytes is the encoded size of the line feed between the data of two events.
 	eventSeparatorBytes = 2
-	// maxRefusalBytes bounds how much is read of an answer that isn't an event stream.
-	maxRefusalBytes = 1 << 20
-	// refusalPartBytes is how much of such an answer is read at once.
-	refusalPartBytes = 4 << 10
-	// statusCannotBeDone is a server's status for an item that can never succeed.
-	statusCannotBeDone = http.StatusUnprocessableEntity
 )
 
 var (
@@ -231,62 +224,6 @@
 	return i.readEvents(runCtx, slot, answer, &o, progress)
 }
 
-// classifyRefusal returns the dispatch result of an answer that isn't an event stream, and its effect on the item.
-func (i *itemRun) classifyRefusal(
-	runCtx context.Context, slot *slots.Slot, route *catalog.Route, a *upstream.Response,
-) (dispatch.Result, sendResult) {
-	if a.Info.NotExecuted {
-		if a.Status == http.StatusMisdirectedRequest {
-			return dispatch.Gone, itemRetry
-		}
-		return dispatch.Full, itemRetry
-	}
-	if !a.Info.Signed {
-		return dispatch.Broken, itemRetry
-	}
-	if err := readToEnd(a, maxRefusalBytes); err != nil {
-		result := i.classifyError(runCtx, slot, err)
-		if result == dispatch.Cancelled {
-			return result, itemYielded
-		}
-		return result, itemRetry
-	}
-	if a.Status == statusCannotBeDone {
-		i.reason = "cannot_be_done"
-		return dispatch.Served, itemErrored
-	}
-	if a.Status == http.StatusInternalServerError {
-		i.failures++
-		i.reason = "failed_too_often"
-		if i.failures >= route.MaxAttempts {
-			return dispatch.Failed, itemErrored
-		}
-	}
-	return dispatch.Failed, itemRetry
-}
-
-var errRefusalTooLong = errors.New("answer that isn't a stream exceeds the limit")
-
-// readToEnd reads a body that ends within a number of bytes. It returns an error if it is broken off or longer.
-func readToEnd(b completion.Body, limit int) error {
-	part := make([]byte, min(limit, refusalPartBytes))
-	for read := 0; read < limit; {
-		n, end := b.ReadBody(part)
-		read += n
-		switch end := end.(type) {
-		case nil:
-		case completion.Whole, completion.Claimed:
-			if read >= limit {
-				return errRefusalTooLong
-			}
-			return nil
-		case completion.BrokenOff:
-			return end.Err
-		}
-	}
-	return errRefusalTooLong
-}
-
 // readEvents reads the answer's events until it ends or breaks off.
 func (i *itemRun) readEvents(runCtx context.Context, slot *slots.Slot, a *upstream.Response, o *dispatch.Outcome, progress func()) sendResult {
 	reader := upstream.NewEventReader(a)
