--- a/verbenad/internal/callerconn/conn.go
+++ b/verbenad/internal/callerconn/conn.go
@@ -30,6 +30,8 @@
 	openedAt     time.Time
 	// used is set once a request has begun. endsWhenUsed makes the connection end after its first one.
 	used, endsWhenUsed bool
+	// requests counts the requests that have begun.
+	requests int
 }
 
 func newConn(c net.Conn, s *connections) *Conn { return &Conn{Conn: c, set: s, openedAt: time.Now()} }
@@ -37,6 +39,13 @@
 // End returns how the connection ended, or Open.
 func (c *Conn) End() End { return End(c.end.Load()) }
 
+// Use returns how the connection has been used so far.
+func (c *Conn) Use() Use {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Use{OpenedAt: c.openedAt, Requests: c.requests}
+}
+
 func (c *Conn) ended(by End) { c.end.CompareAndSwap(int32(Open), int32(by)) }
 
 // Read reads from the connection, and notices its end.
@@ -84,7 +93,12 @@
 
 // requestBegins is called when the head of a request was read. One that was read together with the request before it has had no
 // read of its own.
-func (c *Conn) requestBegins() { c.enter(active) }
+func (c *Conn) requestBegins() {
+	c.mu.Lock()
+	c.requests++
+	c.mu.Unlock()
+	c.enter(active)
+}
 
 // becomeIdle is called when a response is complete.
 func (c *Conn) becomeIdle() { c.enter(idle) }
--- a/verbenad/internal/entry/caller_connection.go
+++ b/verbenad/internal/entry/caller_connection.go
@@ -26,6 +26,19 @@
 	return c.End()
 }
 
+// connectionFields returns the log fields of the caller's connection: how it ended, its age when the request began, and the
+// number of the request on it.
+func (r *request) connectionFields() []logField {
+	fields := []logField{{"connection", r.connectionEnd().String()}}
+	c, ok := r.httpRequest.Context().Value(connectionKey{}).(interface{ Use() callerconn.Use })
+	if !ok {
+		return fields
+	}
+	use := c.Use()
+	return append(fields,
+		logField{"connection_age_ms", max(0, r.start.Sub(use.OpenedAt)).Milliseconds()}, logField{"connection_requests", use.Requests})
+}
+
 // defaultLinger makes a connection end in order when it is closed.
 const defaultLinger = -1
 
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -347,13 +347,17 @@
 		h.retryBudget.earn()
 	}
 	requests.With(req.routeName(), string(req.service), outcome, state.reason).Inc()
-	log.WithFields(log.Fields{
+	fields := log.Fields{
 		"request_id": req.info.ID, "route": req.route.Name, "server": state.server, "version": state.version, "configuration": req.configVersion,
 		"sends": state.sends, "refusals": state.refusals, "events": state.events, "reason": state.reason, "outcome": outcome,
 		"first_ms": state.timeToFirstByte.Milliseconds(), "slot_wait_ms": state.slotWait.Milliseconds(),
 		"objective_ms": req.route.Objective.Milliseconds(), "took_ms": h.clock.Now().Sub(req.start).Milliseconds(),
 		"patience_ms": req.deadline.Sub(req.start).Milliseconds(), "prompt_parts": req.promptPartsText(), "send_result": state.result.String(),
 		"server_status": state.serverStatus, "relayed": state.relayed, "framing": state.framing.String(), "unconfirmed_reason": state.unconfirmedReason,
-		"connection": req.connectionEnd().String(), "stopping_ms": h.stoppingFor().Milliseconds(),
-	}).Info("request ended")
+		"stopping_ms": h.stoppingFor().Milliseconds(),
+	}
+	for _, f := range req.connectionFields() {
+		fields[f.name] = f.value
+	}
+	log.WithFields(fields).Info("request ended")
 }
--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -333,9 +333,9 @@
 	fields := log.Fields{
 		"request_id": req.info.ID, "status": status, "reason": reason, "retry_after_ms": retryAfter.Milliseconds(),
 		"workspace": req.workspaceID(), "configuration": req.configVersion, "held_ms": h.clock.Now().Sub(req.start).Milliseconds(),
-		"patience_ms": req.info.Remaining.Milliseconds(), "outcome": "refused",
+		"patience_ms": req.info.Remaining.Milliseconds(), "outcome": "refused", "stopping_ms": h.stoppingFor().Milliseconds(),
 	}
-	for _, f := range extra {
+	for _, f := range append(extra, req.connectionFields()...) {
 		fields[f.name] = f.value
 	}
 	log.WithFields(fields).Info("request refused")
--- a/verbenad/internal/host/callers.go
+++ b/verbenad/internal/host/callers.go
@@ -34,7 +34,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	log.Info("stopping: readiness is withdrawn")
+	log.WithField("ends_in_ms", (env.Settings.GracePeriod - graceMargin).Milliseconds()).Info("stopping: readiness is withdrawn")
 	h.Stop()
 	s.handler.AnnounceClose()
 	slotClient.AnnounceLeaving()
