--- a/verbenad/internal/callerconn/use_test.go
+++ b/verbenad/internal/callerconn/use_test.go
@@ -18,8 +18,10 @@
 	l := NewListener(listenLocal(c))
 	var uses []Use
 	s := &http.Server{
-		ConnState:   l.StateChanged,
-		ConnContext: func(ctx context.Context, conn net.Conn) context.Context { return context.WithValue(ctx, useKey{}, conn) },
+		ConnState: l.StateChanged,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, useKey{}, conn)
+		},
 		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			conn, ok := r.Context().Value(useKey{}).(*Conn)
 			c.Check(ok, qt.IsTrue)
