--- a/verbenad/cmd/late_streams_test.go
+++ b/verbenad/cmd/late_streams_test.go
@@ -35,10 +35,10 @@
 // connection closes.
 func (s lateStream) request(c *qt.C) (r result, closes bool) {
 	r.id = s.id
-	head := []string{
+	head := append(make([]string, 0, 5+len(streamHeaders)),
 		"POST " + s.path + " HTTP/1.1", "Host: host.example", "Authorization: Bearer " + workspaceKey, standin.HeaderRequestID + ": " + s.id,
 		"Content-Length: 0",
-	}
+	)
 	for k, v := range streamHeaders {
 		head = append(head, k+": "+v)
 	}
--- a/verbenad/internal/entry/caller_connection.go
+++ b/verbenad/internal/entry/caller_connection.go
@@ -29,7 +29,7 @@
 // connectionFields returns the log fields of the caller's connection: how it ended, its age when the request began, and the
 // number of the request on it.
 func (r *request) connectionFields() []logField {
-	fields := []logField{{"connection", r.connectionEnd().String()}}
+	fields := append(make([]logField, 0, 3), logField{"connection", r.connectionEnd().String()})
 	c, ok := r.httpRequest.Context().Value(connectionKey{}).(interface{ Use() callerconn.Use })
 	if !ok {
 		return fields
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -90,6 +90,13 @@
 	failure *serverFailure
 }
 
+// sending records that the request is about to be sent.
+func (s *forwardState) sending(now time.Time) {
+	if s.firstSentAt.IsZero() {
+		s.firstSentAt = now
+	}
+}
+
 // forward sends a request to one server after another until one answers it completely or no other may be tried.
 func (h *Handler) forward(req *request) {
 	ctx, cancel := context.WithDeadline(req.httpRequest.Context(), req.deadline)
@@ -126,6 +133,7 @@
 		state.slotWait += slot.Waited
 		slotWaitSeconds.With(string(req.service)).Update(slot.Waited.Seconds())
 		h.logPlaced(req, state)
+		state.sending(h.clock.Now())
 		state.brokenBy, state.relayed = nil, false
 		next, outcome := h.attempt(ctx, req, state, slot, fingerprint)
 		state.result = outcome.Result
@@ -179,9 +187,6 @@
 		state.reserved = watch.reserved
 	}()
 	start := h.clock.Now()
-	if state.firstSentAt.IsZero() {
-		state.firstSentAt = start
-	}
 	response, err := h.client.Send(sendCtx, h.protocol, upstream.Request{
 		ID: req.info.ID, Method: req.httpRequest.Method, Target: req.httpRequest.RequestURI, Host: req.httpRequest.Host, Body: req.body, Server: slot.Server,
 		OnLimit: func(s limit.Statement) { h.slots.ReportLimit(slot, s) },
