--- a/verbenad/cmd/late_streams_test.go
+++ b/verbenad/cmd/late_streams_test.go
@@ -36,7 +36,7 @@
 func (s lateStream) request(c *qt.C) (r result, closes bool) {
 	r.id = s.id
 	head := append(make([]string, 0, 5+len(streamHeaders)),
-		"POST " + s.path + " HTTP/1.1", "Host: host.example", "Authorization: Bearer " + workspaceKey, standin.HeaderRequestID + ": " + s.id,
+		"POST "+s.path+" HTTP/1.1", "Host: host.example", "Authorization: Bearer "+workspaceKey, standin.HeaderRequestID+": "+s.id,
 		"Content-Length: 0",
 	)
 	for k, v := range streamHeaders {
