fix: SIGHUP doesn't end a host that is stopping

Callers saw (in a test): all streams of a stopping host cut at once. Cause: the handler of SIGHUP was taken away with SIGTERM, and the default effect of SIGHUP is the end of the process. Ruled out: a second SIGTERM or SIGINT (the test's second case passed before). Conclusion: the signal is received as long as the process runs.

--- a/verbenad/cmd/role.go
+++ b/verbenad/cmd/role.go
@@ -34,6 +34,9 @@
 
 // runRole runs a role with the platform's settings.
 func runRole(name string, run role, args []string) int {
+	// By default SIGHUP ends a process, also one that has just started or that is stopping.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	var o roleOptions
 	rest, err := flags.NewParser(&o, flags.Default).ParseArgs(args)
 	if err != nil || len(rest) > 0 {
@@ -57,7 +60,7 @@
 	log.Log = (&log.Logger{Handler: limiter, Level: log.InfoLevel}).WithField("host", s.Host)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go reloadOnHangup(ctx, s)
+	go reloadOnHangup(hangups, s)
 	env := host.Environment{
 		Settings: s, Store: metered.New(platform.NewStore(s.StoreAddress), clock.System{}), Decoder: platform.Decoder{},
 		Protocol: platform.Protocol{}, DisabledMechanisms: disabled,
@@ -71,18 +74,10 @@
 	return ExitOK
 }
 
-// reloadOnHangup reads the settings again on SIGHUP. Only a new memory limit takes effect at once; addresses, ports and
-// all other settings are applied at the next restart.
-func reloadOnHangup(ctx context.Context, current node.Settings) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-		}
+// reloadOnHangup reads the settings again on each signal, as long as the process runs. Only a new memory limit takes effect at once;
+// addresses, ports and all other settings are applied at the next restart.
+func reloadOnHangup(hangups <-chan os.Signal, current node.Settings) {
+	for range hangups {
 		s, err := platform.LoadSettings()
 		if err != nil {
 			log.WithError(err).Error("cannot read the settings, keeping the current ones")
