fix: calls on batch jobs end before their host does

Callers saw (in a test): a read of results that waits beyond the grace period of its host ends without an answer. By reading, the same held for submissions and ends of jobs, which may take 3 s. Cause: the end of a stop ended requests to servers, not calls on jobs. Conclusion: a wait ends while its answer can still be sent, and a call that is in progress at the end is answered as one without a reply.

--- a/verbenad/cmd/late_streams_test.go
+++ b/verbenad/cmd/late_requests_test.go
@@ -16,30 +16,31 @@
 	"verbenaledge.example/platform/standin"
 )
 
-// lateStream is the request for a stream on a connection that was opened earlier and not used.
-type lateStream struct {
-	id   string
-	path string
-	conn net.Conn
+// lateRequest is a request on a connection that was opened earlier and not used.
+type lateRequest struct {
+	id           string
+	method, path string
+	header       map[string]string
+	conn         net.Conn
 }
 
-// openLateStreams opens a connection for each path.
-func (f *fleet) openLateStreams(c *qt.C, paths ...string) (streams []lateStream) {
+// openLateStreams opens a connection for a stream of each path.
+func (f *fleet) openLateStreams(c *qt.C, paths ...string) (streams []lateRequest) {
 	for n, p := range paths {
-		streams = append(streams, lateStream{id: fmt.Sprintf("late-%d", n), path: p, conn: f.connect(c)})
+		streams = append(streams, lateRequest{id: fmt.Sprintf("late-%d", n), method: http.MethodPost, path: p, header: streamHeaders, conn: f.connect(c)})
 	}
 	return streams
 }
 
-// request sends the request and reads its response. A whole response has no error; closes tells whether it announces that its
+// send sends the request and reads its response. A whole response has no error; closes tells whether it announces that its
 // connection closes.
-func (s lateStream) request(c *qt.C) (r result, closes bool) {
+func (s lateRequest) send(c *qt.C) (r result, closes bool) {
 	r.id = s.id
-	head := append(make([]string, 0, 5+len(streamHeaders)),
-		"POST "+s.path+" HTTP/1.1", "Host: host.example", "Authorization: Bearer "+workspaceKey, standin.HeaderRequestID+": "+s.id,
+	head := append(make([]string, 0, 5+len(s.header)),
+		s.method+" "+s.path+" HTTP/1.1", "Host: host.example", "Authorization: Bearer "+workspaceKey, standin.HeaderRequestID+": "+s.id,
 		"Content-Length: 0",
 	)
-	for k, v := range streamHeaders {
+	for k, v := range s.header {
 		head = append(head, k+": "+v)
 	}
 	c.Assert(s.conn.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
@@ -62,12 +63,15 @@
 	var running sync.WaitGroup
 	running.Go(func() { f.call("POST", "/once/x", workspaceKey, nil, []byte("q")) })
 	c.Cleanup(running.Wait)
-	f.eventually("the request runs", func() bool { return f.runningRequests() == 1 })
+	f.eventually("the request runs", func() bool { return f.runningRequests("app") == 1 })
 }
 
-func (f *fleet) runningRequests() (n int) {
+// runningRequests returns how many requests the servers of a service run.
+func (f *fleet) runningRequests(service string) (n int) {
 	for _, s := range f.servers {
-		n += s.Running()
+		if s.Service == service {
+			n += s.Running()
+		}
 	}
 	return n
 }
@@ -86,7 +90,7 @@
 	var callers sync.WaitGroup
 	for _, s := range streams {
 		callers.Go(func() {
-			r, closes := s.request(c)
+			r, closes := s.send(c)
 			c.Check(r.err, qt.IsNil, qt.Commentf("status %d, %q", r.status, r.body))
 			c.Check(r.status, qt.Equals, http.StatusServiceUnavailable)
 			c.Check(closes, qt.IsTrue)
@@ -109,8 +113,27 @@
 	streams := f.openLateStreams(c, "/stream/x")
 	stop()
 	time.Sleep(f.grace / 8)
-	r, _ := streams[0].request(c)
+	r, _ := streams[0].send(c)
 	c.Assert(r.err, qt.IsNil)
 	c.Assert(r.status, qt.Equals, http.StatusOK)
 	c.Assert(r.body, qt.Equals, streamBody(r.id))
 }
+
+// TestFleetStopCutsReadOfResults guards against a stop that cuts a call on a job which waits for results beyond the grace period.
+func TestFleetStopCutsReadOfResults(t *testing.T) {
+	const items = 2
+	c := qt.New(t)
+	f := newFleet(t, 1000)
+	stop := f.startGraceful()
+	f.setEventPause(time.Second) // the job is open until after the stop
+	f.submitUntilAccepted("job-late", items)
+	read := lateRequest{
+		id: "late", method: http.MethodGet, path: standin.JobPath("job-late", items), header: standin.WaitHeaders(1000), conn: f.connect(c),
+	}
+	f.keepBusy(c)
+	stop()
+	time.Sleep(f.grace - 700*time.Millisecond) // 0.3 s before the host ends requests
+	r, _ := read.send(c)
+	c.Assert(r.err, qt.IsNil)
+	c.Assert(r.status == http.StatusOK || r.status == http.StatusServiceUnavailable, qt.IsTrue, qt.Commentf("status %d", r.status))
+}
--- a/verbenad/internal/entry/jobs.go
+++ b/verbenad/internal/entry/jobs.go
@@ -17,6 +17,8 @@
 	// jobCallTimeout bounds other calls on jobs. Within it, the job's owner can find out whether a write to the store that
 	// got no answer took effect.
 	jobCallTimeout = 3 * time.Second
+	// jobReplyTime is how long before a host ends its requests a wait for results ends, and the last call on a job is begun.
+	jobReplyTime = 200 * time.Millisecond
 )
 
 // hasBatchRoute reports whether a host name has a route for batch jobs.
@@ -78,8 +80,16 @@
 
 // callJobOwner sends a call to the owner of its job and writes the owner's reply to the caller.
 func (h *Handler) callJobOwner(req *request, call bulk.Call) {
+	if left, stops := h.timeLeft(); stops {
+		if left < jobReplyTime {
+			h.refuse(req, http.StatusServiceUnavailable, 0, reasonStopping)
+			return
+		}
+		call.Wait, call.Remaining = min(call.Wait, left-jobReplyTime), min(call.Remaining, left)
+	}
 	ctx, cancel := context.WithTimeout(req.httpRequest.Context(), call.Remaining)
 	defer cancel()
+	defer context.AfterFunc(h.runCtx, cancel)()
 	reply := h.jobOwners.Call(ctx, call)
 	if call.Op != bulk.ReadResults || reply.Code != bulk.Done {
 		log.WithFields(log.Fields{
--- a/verbenad/internal/entry/late_requests.go
+++ b/verbenad/internal/entry/late_requests.go
@@ -36,8 +36,8 @@
 // latestStart returns how long the request may wait for its send, negative if it isn't to be sent any more since the host stops.
 // bounded is false if only the request's own time limits that, as it does once its response has begun.
 func (h *Handler) latestStart(req *request, p sendProgress) (wait time.Duration, bounded bool) {
-	stop := h.stop.Load()
-	if stop == nil || p.begun {
+	left, stops := h.timeLeft()
+	if !stops || p.begun {
 		return 0, false
 	}
 	now := h.clock.Now()
@@ -46,7 +46,7 @@
 	}
 	h.durations.mu.Lock()
 	defer h.durations.mu.Unlock()
-	return h.durations.recent.LatestStart(now, r, stop.end.Sub(now)), true
+	return h.durations.recent.LatestStart(now, r, left), true
 }
 
 // endsInTime reports whether the request can be expected to end before the host does.
--- a/verbenad/internal/entry/stop.go
+++ b/verbenad/internal/entry/stop.go
@@ -18,6 +18,14 @@
 // EndRequests ends the requests in progress, as if their time was over: they are answered if their response has not begun.
 func (h *Handler) EndRequests() { h.endRequests() }
 
+// timeLeft returns the time until the requests in progress end. stops is false before Stop was called.
+func (h *Handler) timeLeft() (left time.Duration, stops bool) {
+	if s := h.stop.Load(); s != nil {
+		return s.end.Sub(h.clock.Now()), true
+	}
+	return 0, false
+}
+
 // stoppingFor returns the time since Stop was called, 0 before.
 func (h *Handler) stoppingFor() time.Duration {
 	if s := h.stop.Load(); s != nil {
