--- a/verbenalab/internal/soak/fault.go
+++ b/verbenalab/internal/soak/fault.go
@@ -35,7 +35,7 @@
 	"kill":   {hostCount, func(e *Environment, n int) { e.hosts[n].kill() }, func(e *Environment, n int) { e.hosts[n].ensureRunning() }},
 	"stop":   {hostCount, func(e *Environment, n int) { e.hosts[n].stop() }, func(e *Environment, n int) { e.hosts[n].ensureRunning() }},
 	"pause":  {hostCount, func(e *Environment, n int) { e.hosts[n].signal(syscall.SIGSTOP) }, func(e *Environment, n int) { e.hosts[n].signal(syscall.SIGCONT) }},
-	"reload": {hostCount, func(e *Environment, n int) { e.hosts[n].signal(syscall.SIGHUP) }, noop},
+	"reload": {hostCount, func(e *Environment, n int) { e.hosts[n].reload() }, noop},
 
 	"peers_silent":  losingRelay(peerRelay, relay.DropAll),
 	"peers_deaf":    losingRelay(peerRelay, relay.DropToTarget),
--- a/verbenalab/internal/soak/host.go
+++ b/verbenalab/internal/soak/host.go
@@ -104,6 +104,13 @@
 	}
 }
 
+// reload sends SIGHUP, also to a process that is stopping.
+func (h *host) reload() {
+	if p := h.current.Load(); p != nil {
+		p.Signal(syscall.SIGHUP)
+	}
+}
+
 func (h *host) kill() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
