--- a/verbena/dispatch/scheduler.go
+++ b/verbena/dispatch/scheduler.go
@@ -225,7 +225,7 @@
 		return
 	}
 	p := sc.pool(r.request.Service)
-	if o.Result == Full {
+	if o.Result == Full || o.NotSent {
 		sc.refundToken(r.request)
 	}
 	sc.releaseSlot(now, r)
--- a/verbena/dispatch/scheduler_test.go
+++ b/verbena/dispatch/scheduler_test.go
@@ -77,7 +77,7 @@
 	case "end":
 		return SendEnded{Host: host(words[0]), Outcome: Outcome{
 			Ticket: ticket(words[0]), Result: results[words[1]], StreamEvents: o.number("events", 0), Elapsed: o.time("elapsed", 0),
-			TimeToFirstByte: o.time("first_byte", 0), Unanswered: o["unanswered"] != "",
+			TimeToFirstByte: o.time("first_byte", 0), Unanswered: o["unanswered"] != "", NotSent: o["not_sent"] != "",
 		}}
 	case "began":
 		return AnswerBegan{Key: Key{Host: host(words[0]), Ticket: ticket(words[0])}}
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -136,6 +136,8 @@
 	// Unanswered is set for a broken send if the server closed or reset the connection before it began to answer, as it
 	// does when it crashes.
 	Unanswered bool `cbor:"9,keyasint,omitempty"`
+	// NotSent is set for a cancelled send that never began: it doesn't count against the rate.
+	NotSent bool `cbor:"10,keyasint,omitempty"`
 }
 
 // HeldSlot is a slot that a host holds when it connects to a dispatcher.
--- a/verbena/shutdown/durations.go
+++ b/verbena/shutdown/durations.go
@@ -28,15 +28,19 @@
 	return &Durations{current: make(map[string]*observations)}
 }
 
-// Observe records that a request was answered, how large its response was expected to be and how long it took.
-func (d *Durations) Observe(now time.Time, route string, size int, took time.Duration) {
+// Observe records the end of a request.
+func (d *Durations) Observe(now time.Time, e Ended) {
 	d.advance(now)
-	o, ok := d.current[route]
+	o, ok := d.current[e.Route]
 	if !ok {
 		o = &observations{}
-		d.current[route] = o
+		d.current[e.Route] = o
 	}
-	o.add(observations{count: 1, longest: took, largest: size})
+	seen := observations{longest: e.Took, unbuffered: e.Unbuffered}
+	if e.Complete {
+		seen.count, seen.total, seen.largest = 1, e.Took, e.Size
+	}
+	o.add(seen)
 }
 
 // LatestStart returns how long a request may wait before it is sent to a server, if the host ends requests after the given time.
@@ -44,12 +48,15 @@
 func (d *Durations) LatestStart(now time.Time, r Request, left time.Duration) time.Duration {
 	d.advance(now)
 	seen := d.observed(r.Route)
+	answered := r.Repeatable && !seen.unbuffered // its caller gets an answer in any case
 	switch {
-	case r.Repeatable:
-		return left - seen.longest
 	case r.Remaining <= left:
 		return r.Remaining // its own time is over before the host's
-	case seen.count < minObservations, r.Size > seen.largest:
+	case answered && r.Sent:
+		return left
+	case answered && seen.count > 0:
+		return left - seen.mean()
+	case !seen.covers(r.Size):
 		return never
 	}
 	return left - seen.longest - silenceAllowance
--- a/verbena/shutdown/durations_test.go
+++ b/verbena/shutdown/durations_test.go
@@ -10,8 +10,9 @@
 )
 
 // TestScripts replays the scripts of testdata. A line is an event with its time in milliseconds:
-// `observe ROUTE SIZE TOOK [times=N]`, and `request ROUTE SIZE REMAINING LEFT [repeatable=true]`, whose result tells whether the
-// request is begun, and how long it may wait. Durations are in milliseconds.
+// `observe ROUTE SIZE TOOK [times=N] [complete=false] [unbuffered=true]`, and
+// `request ROUTE SIZE REMAINING LEFT [repeatable=true] [sent=true]`, whose result tells whether the request is begun, and how long it
+// may wait. Durations are in milliseconds.
 func TestScripts(t *testing.T) {
 	scripted.Run(t, func() scripted.Step {
 		d := NewDurations()
@@ -30,10 +31,16 @@
 			times, _ = strconv.Atoi(n) // a wrong number makes later results differ
 		}
 		for range times {
-			d.Observe(now, route, size, milliseconds(words.Number(4)))
+			d.Observe(now, Ended{
+				Route: route, Size: size, Took: milliseconds(words.Number(4)),
+				Complete: words.Option("complete") != "false", Unbuffered: words.Option("unbuffered") == "true",
+			})
 		}
 	case "request":
-		r := Request{Route: route, Size: size, Remaining: milliseconds(words.Number(4)), Repeatable: words.Option("repeatable") == "true"}
+		r := Request{
+			Route: route, Size: size, Remaining: milliseconds(words.Number(4)),
+			Repeatable: words.Option("repeatable") == "true", Sent: words.Option("sent") == "true",
+		}
 		wait := d.LatestStart(now, r, milliseconds(words.Number(5)))
 		if wait < 0 {
 			return []string{"refused"}
--- a/verbenad/cmd/late_requests_test.go
+++ b/verbenad/cmd/late_requests_test.go
@@ -79,6 +79,7 @@
 // TestFleetStopBeginsStreamsItCannotEnd guards against a stopping host that begins a stream which takes longer than what is left
 // of the grace period, and cuts it.
 func TestFleetStopBeginsStreamsItCannotEnd(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(t, 1000)
 	stop := f.startGraceful()
@@ -103,6 +104,7 @@
 // TestFleetStopServesStreamsThatFit checks that a stopping host serves a stream that may last longer than what is left of the grace
 // period, if streams of its route have not taken that long.
 func TestFleetStopServesStreamsThatFit(t *testing.T) {
+	t.Parallel()
 	const earlierStreams = 20
 	c := qt.New(t)
 	f := newFleet(t, 1000)
@@ -121,6 +123,7 @@
 
 // TestFleetStopCutsReadOfResults guards against a stop that cuts a call on a job which waits for results beyond the grace period.
 func TestFleetStopCutsReadOfResults(t *testing.T) {
+	t.Parallel()
 	const items = 2
 	c := qt.New(t)
 	f := newFleet(t, 1000)
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -60,6 +60,8 @@
 	stream          completion.Stream
 	responseStarted bool
 	events          int
+	// unbuffered is set once a part of a plain response was forwarded before its end had arrived.
+	unbuffered bool
 	// firstSentAt is when the request was first sent to a server, zero before.
 	firstSentAt time.Time
 	// timeToFirstByte is the time from the request to the first byte of its response, 0 if there is none.
@@ -116,6 +118,10 @@
 		if state.lastEventID != "" {
 			h.logResumption(req, state, slot, err)
 		}
+		if _, refused := slots.AsRefusedError(err); !refused && !h.endsInTime(req, state.progress()) {
+			h.answerTooLate(req, state, slot)
+			return
+		}
 		if err != nil && h.askAgain(ctx, req, state, err) {
 			continue
 		}
@@ -123,10 +129,6 @@
 			h.answerNoSlot(ctx, req, state, err)
 			return
 		}
-		if !h.endsInTime(req, state.progress()) {
-			h.answerTooLate(req, state, slot)
-			return
-		}
 		state.slot = slot
 		req.service = slot.Server.Service // a stream is resumed at the service that began it
 		state.server, state.version, state.placer, state.inputs = slot.Server.ID, slot.Server.SoftwareVersion, slot.Placer, slot.Inputs
@@ -146,13 +148,14 @@
 		switch next {
 		case stepDone:
 			h.completeResponse(req)
-			h.recordDuration(req, state)
+			h.recordDuration(req, state, true)
 			h.recordEnd(req, state, "answered")
 			return
 		case stepRetry:
 			retriedRequests.Inc()
 			state.exclude = append(state.exclude, slot.Server.ID)
 		case stepFail:
+			h.recordDuration(req, state, false)
 			h.answerFailed(ctx, req, state)
 			return
 		}
--- a/verbenad/internal/entry/late_requests.go
+++ b/verbenad/internal/entry/late_requests.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"time"
 
 	"verbenaledge.example/verbena/catalog"
+	"verbenaledge.example/verbena/clock"
 	"verbenaledge.example/verbena/dispatch"
 	"verbenaledge.example/verbena/shutdown"
 	"verbenaledge.example/verbenad/internal/slots"
@@ -22,15 +24,28 @@
 
 func newDurations() *durations { return &durations{recent: shutdown.NewDurations()} }
 
-// recordDuration records how long an answered request took.
-func (h *Handler) recordDuration(req *request, state *forwardState) {
-	if state.serverStatus >= http.StatusMultipleChoices {
+func (d *durations) observe(now time.Time, e shutdown.Ended) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recent.Observe(now, e)
+}
+
+func (d *durations) latestStart(now time.Time, r shutdown.Request, left time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.recent.LatestStart(now, r, left)
+}
+
+// recordDuration records how long a request took since its first send. One whose response isn't complete would have taken longer.
+// Resumed streams and responses to HEAD say nothing of whole ones.
+func (h *Handler) recordDuration(req *request, state *forwardState, complete bool) {
+	if state.firstSentAt.IsZero() || state.serverStatus >= http.StatusMultipleChoices || req.info.LastEventID != "" || req.httpRequest.Method == http.MethodHead {
 		return
 	}
 	now := h.clock.Now()
-	h.durations.mu.Lock()
-	defer h.durations.mu.Unlock()
-	h.durations.recent.Observe(now, req.route.Name, req.info.OutputTokens, now.Sub(state.firstSentAt))
+	h.durations.observe(now, shutdown.Ended{
+		Route: req.route.Name, Size: req.info.OutputTokens, Took: now.Sub(state.firstSentAt), Complete: complete, Unbuffered: state.unbuffered,
+	})
 }
 
 // latestStart returns how long the request may wait for its send, negative if it isn't to be sent any more since the host stops.
@@ -40,13 +55,34 @@
 	if !stops || p.begun {
 		return 0, false
 	}
-	now := h.clock.Now()
-	r := shutdown.Request{
-		Route: req.route.Name, Size: req.info.OutputTokens, Remaining: req.deadline.Sub(now), Repeatable: req.route.Kind == catalog.KindIdempotent,
+	r := h.shutdownRequest(req)
+	r.Repeatable, r.Sent = req.route.Kind == catalog.KindIdempotent, p.rateCounted
+	return h.durations.latestStart(h.clock.Now(), r, left), true
+}
+
+func (h *Handler) shutdownRequest(req *request) shutdown.Request {
+	return shutdown.Request{Route: req.route.Name, Size: req.info.OutputTokens, Remaining: req.deadline.Sub(h.clock.Now())}
+}
+
+// unbufferedEndsInTime reports whether a response can be expected to end before the host does that is forwarded as it arrives.
+func (h *Handler) unbufferedEndsInTime(req *request) bool {
+	left, stops := h.timeLeft()
+	return !stops || h.durations.latestStart(h.clock.Now(), h.shutdownRequest(req), left) >= 0
+}
+
+// untilLatestStart returns a context that ends when the request isn't to be sent any more, also if the host is told to stop only later.
+func (h *Handler) untilLatestStart(ctx context.Context, req *request, p sendProgress) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	detach := context.AfterFunc(h.stopCtx, func() {
+		if wait, bounded := h.latestStart(req, p); bounded {
+			clock.Sleep(ctx, wait)
+			cancel()
+		}
+	})
+	return ctx, func() {
+		detach()
+		cancel()
 	}
-	h.durations.mu.Lock()
-	defer h.durations.mu.Unlock()
-	return h.durations.recent.LatestStart(now, r, left), true
 }
 
 // endsInTime reports whether the request can be expected to end before the host does.
@@ -59,7 +95,7 @@
 // refused; its caller can repeat it at once, at another host.
 func (h *Handler) answerTooLate(req *request, state *forwardState, slot *slots.Slot) {
 	if slot != nil {
-		h.slots.Release(slot, dispatch.Outcome{Result: dispatch.Cancelled})
+		h.slots.Release(slot, dispatch.Outcome{Result: dispatch.Cancelled, NotSent: true})
 	}
 	h.dropReserved(state)
 	state.reason = reasonStopping
--- a/verbenad/internal/entry/response.go
+++ b/verbenad/internal/entry/response.go
@@ -145,8 +145,12 @@
 	ctx context.Context, req *request, state *forwardState, response *upstream.Response, buffered []byte, outcome dispatch.Outcome,
 	watch *silenceWatch,
 ) (nextStep, dispatch.Outcome) {
+	if !h.unbufferedEndsInTime(req) {
+		outcome.Result, state.reason = dispatch.Cancelled, reasonStopping
+		return stepFail, outcome
+	}
 	h.writeHead(req, response.Status, response.Header, int(response.Length))
-	state.responseStarted = true
+	state.responseStarted, state.unbuffered = true, true
 	if _, err := req.writer.Write(buffered); err != nil {
 		outcome.Result = dispatch.Cancelled
 		return stepFail, outcome
--- a/verbenad/internal/entry/silence_watch.go
+++ b/verbenad/internal/entry/silence_watch.go
@@ -111,7 +111,10 @@
 		p.exclude, p.rateCounted = exclude, true
 		return h.slotRequest(req, p, fingerprint)
 	}
-	s.mayMove = func(p sendProgress) bool { return h.endsInTime(req, p) }
+	s.mayMove = func(p sendProgress) bool {
+		p.rateCounted = true
+		return h.endsInTime(req, p)
+	}
 	s.timer = time.AfterFunc(max(minSilence, req.route.Objective), s.onSilence)
 	return s
 }
--- a/verbenad/internal/entry/slot_request.go
+++ b/verbenad/internal/entry/slot_request.go
@@ -20,6 +20,8 @@
 		state.reserved = nil
 		return slot, nil
 	}
+	ctx, cancel := h.untilLatestStart(ctx, req, state.progress())
+	defer cancel()
 	return h.slots.Acquire(ctx, h.slotRequest(req, state.progress(), fingerprint))
 }
 
@@ -76,8 +78,10 @@
 	if firstEvent := req.route.FirstEventTimeout(); firstEvent > 0 && !p.begun {
 		remaining, routeTimeout = min(remaining, firstEvent-now.Sub(req.start)), min(routeTimeout, firstEvent)
 	}
-	if wait, bounded := h.latestStart(req, p); bounded {
-		remaining, routeTimeout = min(remaining, wait), min(routeTimeout, wait+now.Sub(req.start))
+	if wait, bounded := h.latestStart(req, p); bounded && 0 < wait && wait < remaining {
+		// The share of its time that a request has left shows whether its caller was refused before.
+		routeTimeout = time.Duration(float64(routeTimeout) * float64(wait) / float64(remaining))
+		remaining = wait
 	}
 	r := dispatch.SlotRequest{
 		Service: req.service, Workspace: req.workspaceID(), Class: dispatch.Online, Priority: req.route.PriorityOf(req.workspace),
--- a/verbenad/internal/entry/stop.go
+++ b/verbenad/internal/entry/stop.go
@@ -13,6 +13,7 @@
 // Stop withdraws readiness. From now on, only requests are begun that can be expected to end by the given time.
 func (h *Handler) Stop(end time.Time) {
 	h.stop.CompareAndSwap(nil, &stopTimes{begin: h.clock.Now(), end: end})
+	h.announceEnd()
 }
 
 // EndRequests ends the requests in progress, as if their time was over: they are answered if their response has not begun.
--- a/verbenalab/internal/soak/late_streams_report.go
+++ b/verbenalab/internal/soak/late_streams_report.go
@@ -80,3 +80,14 @@
 func (r LateStreamsReport) RefusedRan() int {
 	return r.total(func(o StreamOutcomes) int { return o.RefusedRan })
 }
+
+// EarlyOnUnusedConnections returns how the streams ended that were asked for early, on connections that hadn't been used.
+func (r LateStreamsReport) EarlyOnUnusedConnections() (o StreamOutcomes) {
+	for _, k := range []connectionKind{openedBefore, openedDuring} {
+		early := r.Rows[k].Early
+		o.Whole += early.Whole
+		o.Refused += early.Refused
+		o.Unread += early.Unread
+	}
+	return o
+}
