fix: count no trials as failed that schedulers ran before they knew of each other's

Callers saw: sound requests were refused with 503 (crashing_part, Retry-After a minute) for ten minutes, or until the servers' software is replaced. Cause: three crashes block a part, and each trial that crashes afterwards counts as a failed one after 10 s, a minute or ten minutes; after three it stays blocked. A host that decides locally, the standby and the dispatcher each tried the part within a second, while its connections were reset on the way. Once they had each other's reports, those of the second one counted as failed trials. Class: an action is counted as a result of a decision of which its host didn't know. Ruled out: `crashing` as a candidate that was lost: its requests never have part-1, and in the check another part crashes; judging by the time between crashes, which also would change what later trials of the same scheduler count (one_two_five_crashes). A report now says whether its scheduler still needed the trial to block the part (Proving); beyond the third crash, such trials are no failed ones. Reports without the field count as before. A host that decides locally goes on to wait a minute for what a dispatcher has proved (crashing_part_proved_to_independent_host, which held before as well). Cost: a part that does crash servers, proved by two schedulers, is tried three times more, as one that a single one has proved. Conclusion: only trials after a pause show that a part still crashes servers.

--- a/verbena/crash/report.go
+++ b/verbena/crash/report.go
@@ -28,6 +28,8 @@
 	OtherCause bool `json:"other_cause,omitempty" cbor:"7,keyasint,omitempty"`
 	// Trial is set if the server had been reserved for a suspect request, so that the crash shows its cause.
 	Trial bool `json:"trial,omitempty" cbor:"9,keyasint,omitempty"`
+	// Proving is set if the trial was one of those that were needed to block the request, as far as its scheduler knew.
+	Proving bool `json:"proving,omitempty" cbor:"11,keyasint,omitempty"`
 	// SoundOn are other software versions that have begun to answer a request that the report incriminates.
 	SoundOn []directory.SoftwareVersion `json:"sound_on,omitempty" cbor:"10,keyasint,omitempty"`
 	// Age is how long ago the crash was, at the time of sending.
--- a/verbena/crash/reports.go
+++ b/verbena/crash/reports.go
@@ -54,12 +54,15 @@
 	Parts       []ids.PromptPartID
 	// Trial is set if the server was reserved for the request.
 	Trial bool
+	// MaxCrashes is how many crashes its scheduler needed to block the request; 0 means the constant.
+	MaxCrashes int
 }
 
 // Add records the end of a request. Those of one server within joinTime are one crash.
 func (rs *Reports) Add(now time.Time, u Unanswered) *Report {
 	rs.revision++
 	rs.removeEmpty(now)
+	proving := u.Trial && !rs.blockingEvidence(u.Service, u.Version, u.Parts, cmp.Or(u.MaxCrashes, MaxCrashes)).conclusive
 	r := rs.recent(now, u)
 	if r == nil {
 		r = &Report{ID: u.ID, Server: u.Server, Incarnation: u.Incarnation, Service: u.Service, Version: u.Version, at: now}
@@ -68,6 +71,7 @@
 	}
 	r.OtherCause = r.OtherCause || len(u.Parts) == 0
 	r.Trial = r.Trial || u.Trial
+	r.Proving = r.Proving || proving
 	for _, p := range u.Parts {
 		switch {
 		case slices.Contains(r.Candidates, p):
@@ -133,7 +137,8 @@
 type evidence struct {
 	// crashes counts those that incriminate the request.
 	crashes int
-	// conclusive is set once they suffice to block it, failedTrials counts the trials that crashed since.
+	// conclusive is set once they suffice to block it, failedTrials counts the trials that crashed since. Beyond MaxCrashes,
+	// those are no such trials that other schedulers needed to block it: they ran at the same time, not after a pause.
 	conclusive   bool
 	failedTrials int
 	last         time.Time
@@ -148,7 +153,7 @@
 		}
 		e.crashes++
 		e.last = r.at
-		if e.conclusive && r.Trial {
+		if e.conclusive && r.Trial && (!r.Proving || e.crashes <= MaxCrashes) {
 			e.failedTrials++
 		}
 		trial = trial || r.Trial
@@ -193,10 +198,7 @@
 		return j
 	}
 	j.Verdict = Suspect
-	if rs.conclusiveElsewhere(service, version, parts, maxCrashes) {
-		maxCrashes = 1 // what crashes one version needs no further proof on the next
-	}
-	e := rs.evidence(service, version, parts, maxCrashes)
+	e := rs.blockingEvidence(service, version, parts, maxCrashes)
 	j.Crashes = e.crashes
 	if !e.conclusive {
 		return j
@@ -212,6 +214,14 @@
 	return j
 }
 
+// blockingEvidence collects the evidence by which a request with these parts is judged.
+func (rs *Reports) blockingEvidence(service ids.ServiceName, version directory.SoftwareVersion, parts []ids.PromptPartID, maxCrashes int) evidence {
+	if rs.conclusiveElsewhere(service, version, parts, maxCrashes) {
+		maxCrashes = 1 // what crashes one version needs no further proof on the next
+	}
+	return rs.evidence(service, version, parts, maxCrashes)
+}
+
 // conclusiveElsewhere reports whether a request with these parts is blocked on another software version.
 func (rs *Reports) conclusiveElsewhere(service ids.ServiceName, version directory.SoftwareVersion, parts []ids.PromptPartID, maxCrashes int) bool {
 	checked := []directory.SoftwareVersion{version}
--- a/verbena/dispatch/crashes.go
+++ b/verbena/dispatch/crashes.go
@@ -79,6 +79,7 @@
 		report := sc.crashes.Add(now, crash.Unanswered{
 			ID: reportID(r.key, r.server), Server: r.server.ID, Incarnation: r.server.Incarnation, Service: r.request.Service,
 			Version: r.server.SoftwareVersion, Parts: r.request.Parts, Trial: r.trial,
+			MaxCrashes: sc.maxCrashes(),
 		})
 		sc.commands = append(sc.commands, CrashReported{
 			Key: r.key, Report: *report,
--- a/verbena/dispatch/scheduler_test.go
+++ b/verbena/dispatch/scheduler_test.go
@@ -107,12 +107,15 @@
 }
 
 // reportsReceived hands the crash reports that the script's scheduler last sent to it again, as those of another host, or
-// with after=new to a scheduler that takes its place.
+// with after=new to a scheduler that takes its place. With none, that one gets no reports.
 func (s *script) reportsReceived(o options) Event {
 	if o["after"] == "new" {
 		s.scheduler = New("")
 		s.scheduler.Step(s.now, ServersChanged{Servers: s.servers})
 	}
+	if o["none"] != "" {
+		return CrashReportsReceived{}
+	}
 	return CrashReportsReceived{Reports: s.reports, Replace: o["replace"] != ""}
 }
 
