fix: a stop accepts no connections beyond the grace period

With a grace period below 1.8 s, a host that stops may be killed before it has answered the requests in progress. Their callers get no answer, though the requests have run.

Cause: the listener closes once no connection has arrived for 20 ms, at the latest after 0.5 s. That limit didn't take account of the end of the stop. The wait before it takes half of the grace period, so that with a grace period of 1 s the host went on accepting until it was killed. Ruled out: a grace period of 3 s (passed 3 of 3 before); 8 s by the same sum. Before: TestFleetStopAnswersWithinGracePeriod (1 s, a connection each 5 ms) answered 1.003 to 1.004 s after the stop, in 3 of 3 runs. There a process would have been killed; the hosts of the test go on. TestDrainOutlastsEnd accepted for 0.50 s in place of 0.1 s, in 3 of 3. After: 4 of 4 and 5 of 5 passed. Conclusion: a limit of one step of a stop has to respect the end of the whole. Connections that wait are accepted even if that end has passed.

The call in TestDrainDropsQueueOnBusyMachine has the former limit.

--- a/verbenad/cmd/stop_test.go
+++ b/verbenad/cmd/stop_test.go
@@ -14,7 +14,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"verbenaledge.example/platform/standin"
-	"verbenaledge.example/verbenad/internal/host"
 )
 
 // connectionPause is the time between a caller's connections.
@@ -110,13 +109,7 @@
 }
 
 // startGraceful starts another entry host with a longer grace period; further requests go only to this one.
-func (f *fleet) startGraceful() (stop func()) {
-	f.grace = 4 * time.Second
-	f.startHost("front-graceful", host.RunFront)
-	f.callerAddresses = f.callerAddresses[len(f.callerAddresses)-1:]
-	f.eventually("the host serves", func() bool { return f.call("GET", "/app/x", workspaceKey, nil, nil).status == http.StatusOK })
-	return f.stopHosts[len(f.stopHosts)-1]
-}
+func (f *fleet) startGraceful() (stop func()) { return f.startWithGrace(4 * time.Second) }
 
 // requestOnNewConnection sends a request on a new connection. If twice is set and the host keeps the connection open, it
 // sends another one.
--- a/verbenad/internal/callerconn/busy_machine_test.go
+++ b/verbenad/internal/callerconn/busy_machine_test.go
@@ -77,7 +77,7 @@
 		c.Assert(err, qt.IsNil)
 		defer func() { _ = caller.Close() }()
 	}
-	l.Drain()
+	l.Drain(time.Now().Add(maxAcceptTime))
 	for n := range callers {
 		accepted, err := l.Accept()
 		c.Assert(err, qt.IsNil, qt.Commentf("%d of %d accepted", n, callers))
--- a/verbenad/internal/callerconn/listener.go
+++ b/verbenad/internal/callerconn/listener.go
@@ -33,9 +33,18 @@
 	return &Listener{Listener: ln, connections: connections{open: make(map[*Conn]bool)}}
 }
 
-// Drain makes the listener close once no connection has arrived for acceptQuietTime.
-func (l *Listener) Drain() {
-	l.closeBy.Store(time.Now().Add(maxAcceptTime).UnixNano())
+// Drain makes the listener close once no connection has arrived for acceptQuietTime, at the latest at end. It looks for connections
+// that wait even if end has passed.
+func (l *Listener) Drain(end time.Time) {
+	now := time.Now()
+	closeBy := now.Add(maxAcceptTime)
+	if end.Before(closeBy) {
+		closeBy = end
+	}
+	if earliest := now.Add(acceptQuietTime); closeBy.Before(earliest) {
+		closeBy = earliest
+	}
+	l.closeBy.Store(closeBy.UnixNano())
 	l.extendAccept()
 }
 
--- a/verbenad/internal/host/caller_server.go
+++ b/verbenad/internal/host/caller_server.go
@@ -45,7 +45,7 @@
 // stop accepts no more connections, and waits until all have ended and relaysEnded is closed, at the latest until end.
 func (s *callerServer) stop(end time.Time, relaysEnded <-chan struct{}) error {
 	s.handler.AnnounceClose()
-	s.listener.Drain()
+	s.listener.Drain(end)
 	if err := <-s.failed; !errors.Is(err, net.ErrClosed) {
 		log.WithError(err).Warn("the callers' listener failed")
 	}
