fix: a submission cut by a stop isn't refused as over the cap

Callers would see: 429, so no part of the job runs, though the host that stopped may have stored it; it runs once its shard is loaded again. Cause: the client takes the reply of the next owner as final. That one has listed the jobs before the former owner stored this one, and so tells of its own cap only. Unavailable in its place was handled already. Ruled out: the other replies that promise that nothing runs. Too large and a taken id don't depend on the owner (by reading). Before: TestSubmissionCutByStopIsNotRefusedOverCap, over_cap in 2 of 2 runs. After: unsettled in 1 of 1. That such a job runs later is by reading (acceptJob, finishLoad). Conclusion: once a reply was lost, the client asks until the job is found or its time is over, and then says that the outcome is unknown.

--- a/verbenad/internal/owners/jobs_client.go
+++ b/verbenad/internal/owners/jobs_client.go
@@ -31,8 +31,8 @@
 }
 
 // Call calls the owner of the workspace's shard. All calls may be repeated, so one that got no reply, or the reply that
-// nothing was done, is sent again. Only a submission is reported as unavailable at once, unless an earlier reply to it
-// was lost.
+// nothing was done, is sent again. Only a submission is reported as unavailable or over the cap at once, unless an earlier
+// reply to it was lost.
 func (j *JobsClient) Call(ctx context.Context, call bulk.Call) bulk.Reply {
 	shard := bulk.ShardOf(call.Workspace)
 	outcomeUnknown := false
@@ -41,7 +41,8 @@
 		address := j.view.Address(ownership.Unit(shard.Name()))
 		if address != "" {
 			r, err := j.client.Call(ctx, address, hostlink.JobsCall{Shard: shard, Call: call})
-			if err == nil && r.Code != bulk.Unavailable {
+			// Over the cap means not stored only if no earlier owner may have stored the job.
+			if err == nil && r.Code != bulk.Unavailable && (r.Code != bulk.OverCap || !outcomeUnknown) {
 				return r
 			}
 			outcomeUnknown = outcomeUnknown || errors.Is(err, hostlink.ErrNoReply)
--- a/verbenad/internal/owners/jobs_client_test.go
+++ b/verbenad/internal/owners/jobs_client_test.go
@@ -62,6 +62,12 @@
 	}
 }
 
+// TestSubmissionCutByStopIsNotRefusedOverCap guards against a refusal of a job that the host that stopped may have stored: the next
+// owner, which has listed the jobs before, finds no room for it, and runs it once it lists them again.
+func TestSubmissionCutByStopIsNotRefusedOverCap(t *testing.T) {
+	qt.Check(t, callCutByStop(t, bulk.Submit, constantOwner(bulk.OverCap)).Code, qt.Equals, bulk.OutcomeUnknown)
+}
+
 // callCutByStop returns the reply to a call whose owner stops once it has executed it; the next owner has the same address.
 func callCutByStop(t *testing.T, op bulk.Op, next hostlink.JobsOwner) bulk.Reply {
 	call := bulk.Call{Op: op, Workspace: "w", Job: "j"}
