--- a/verbenad/internal/owners/jobs_client_test.go
+++ b/verbenad/internal/owners/jobs_client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -68,6 +69,48 @@
 	qt.Check(t, callCutByStop(t, bulk.Submit, constantOwner(bulk.OverCap)).Code, qt.Equals, bulk.OutcomeUnknown)
 }
 
+// handedOverOwner replies to the first call that the outcome is unknown, as a host that hands its units over, and to later ones as
+// the next owner.
+type handedOverOwner struct {
+	asked *atomic.Bool
+	next  constantOwner
+}
+
+func (h handedOverOwner) Answer(ctx context.Context, q hostlink.JobsCall) bulk.Reply {
+	if !h.asked.Swap(true) {
+		return bulk.Reply{Code: bulk.OutcomeUnknown}
+	}
+	return h.next.Answer(ctx, q)
+}
+
+// TestUnknownOutcomeIsAskedOfNextOwner guards against callers that are told that the outcome is unknown while the next owner knows
+// it and their time isn't over.
+func TestUnknownOutcomeIsAskedOfNextOwner(t *testing.T) {
+	for _, op := range []bulk.Op{bulk.Submit, bulk.EndJob} {
+		qt.Check(t, callHandedOver(t, op, constantOwner(bulk.Done)).Code, qt.Equals, bulk.Done)
+		qt.Check(t, callHandedOver(t, op, constantOwner(bulk.Unavailable)).Code, qt.Equals, bulk.OutcomeUnknown)
+	}
+	qt.Check(t, callHandedOver(t, bulk.Submit, constantOwner(bulk.OverCap)).Code, qt.Equals, bulk.OutcomeUnknown)
+}
+
+// callHandedOver returns the reply to a call whose owner hands its units over to another one.
+func callHandedOver(t *testing.T, op bulk.Op, next constantOwner) bulk.Reply {
+	call := bulk.Call{Op: op, Workspace: "w", Job: "j"}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	address := ln.Addr().String()
+	qt.Assert(t, ln.Close(), qt.IsNil)
+	v := viewOf(t, bulk.ShardOf(call.Workspace), address)
+	listenCtx, stop := context.WithCancel(t.Context())
+	ended := listenAsOwner(listenCtx, address, v, handedOverOwner{asked: &atomic.Bool{}, next: next})
+	ctx, cancel := context.WithTimeout(t.Context(), 2*unreachableTimeout)
+	defer cancel()
+	reply := NewJobsClient(v, hostlink.NewRPCClient("h", func() []string { return nil })).Call(ctx, call)
+	stop()
+	qt.Assert(t, <-ended, qt.IsNil)
+	return reply
+}
+
 // callCutByStop returns the reply to a call whose owner stops once it has executed it; the next owner has the same address.
 func callCutByStop(t *testing.T, op bulk.Op, next hostlink.JobsOwner) bulk.Reply {
 	call := bulk.Call{Op: op, Workspace: "w", Job: "j"}
