fix: reports of progress wait for owners that learn late of their shards

Callers would see: items of batch jobs run again, whole ones too, after a planned stop of their owner. Cause: a report to the new owner was given up after 0.7 s of replies that it doesn't own the shard. Ruled out: reports to an owner that reads the shard; they wait there (earlyReports). Reports without a reply were sent again already. Before: TestResultsAreHandedOverLate failed, not met within 10 s. After: all tests of bulk pass with -race, 1 of 1. Conclusion: such a report is sent again for 5 s, by the same call, which owners of older builds answer too.

--- a/verbenad/internal/bulk/handover.go
+++ b/verbenad/internal/bulk/handover.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"verbenaledge.example/verbena/bulk"
+	"verbenaledge.example/verbena/clock"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/objects"
 	"verbenaledge.example/verbenad/internal/hostlink"
@@ -21,6 +22,11 @@
 	// progressWait is how long the items of a shard that was taken over wait for the former owner's report; that
 	// host learns of the takeover and gathers its reports within 100 ms.
 	progressWait = 250 * time.Millisecond
+	// reportTimeout is how long a report is sent again while the new owner doesn't know that it owns the shard. A host whose store was
+	// unavailable learns of changes up to 3 s after that.
+	reportTimeout = 5 * time.Second
+	// reportRetryPause is the pause before a report is sent again.
+	reportRetryPause = 100 * time.Millisecond
 	// maxEarlyReports bounds the reports that wait for a shard to be loaded; each covers one job.
 	maxEarlyReports = 1000
 )
@@ -74,7 +80,7 @@
 	}
 	o.reportsInFlight++
 	go func() {
-		reply := o.owners.Call(o.ctx, call)
+		reply := o.callNewOwner(call)
 		reportsSent.Inc()
 		log.WithFields(log.Fields{
 			"job": id, "shard": report.record.Shard, "results": len(report.progress.Results), "begun": len(report.progress.PartialAnswers),
@@ -84,6 +90,18 @@
 	}()
 }
 
+// callNewOwner sends a report. While the new owner replies that it has nothing of it, it is sent again, for reportTimeout.
+func (o *Owner) callNewOwner(report bulk.Call) (reply bulk.Reply) {
+	ctx, cancel := context.WithTimeout(o.ctx, reportTimeout)
+	defer cancel()
+	for {
+		if reply = o.owners.Call(o.ctx, report); reply.Code != bulk.Unavailable || ctx.Err() != nil {
+			return reply
+		}
+		clock.Sleep(ctx, reportRetryPause)
+	}
+}
+
 // ProgressSent reports whether all reports to new owners have been sent and answered.
 func (o *Owner) ProgressSent(ctx context.Context) bool {
 	sent, ok := query(ctx, o, func() bool { return len(o.reports)+o.reportsInFlight == 0 })
--- a/verbenad/internal/bulk/handover_test.go
+++ b/verbenad/internal/bulk/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,6 +63,43 @@
 	}
 }
 
+// lateSuccessor is a successor that learns late that it owns the shard: it replies to the first calls that it doesn't.
+type lateSuccessor struct {
+	successor
+	refusals *atomic.Int64
+}
+
+func (s lateSuccessor) Call(ctx context.Context, c bulk.Call) bulk.Reply {
+	if s.refusals.Add(-1) >= 0 {
+		return unavailable
+	}
+	return s.successor.Call(ctx, c)
+}
+
+// TestResultsAreHandedOverLate guards against results that are lost, so that their items run again, because the new owner learns of
+// its shards later than a call waits for it.
+func TestResultsAreHandedOverLate(t *testing.T) {
+	store := memory.New()
+	next := newFixtureWithoutShards(t, store, unreachableOwner{})
+	var refusals atomic.Int64
+	refusals.Store(3)
+	former := newFixtureWithoutShards(t, store, lateSuccessor{successor{next}, &refusals})
+	former.owner.SetShards(map[bulk.Shard]ids.Epoch{3: 1})
+	former.eventually(func() bool { return former.submit(job(3, 10)) == bulk.Done })
+	former.lease.lost.Store(true)
+	former.owner.post(func() {
+		r, _ := former.owner.ledger.Job("a", "w")
+		former.owner.addResult(r, bulk.Result{Item: "ab", State: bulk.Completed, Output: "once"})
+	})
+	former.owner.SetShards(nil)
+	next.owner.SetShards(map[bulk.Shard]ids.Epoch{3: 2})
+	former.eventually(func() bool { return former.owner.ProgressSent(t.Context()) })
+	next.eventually(func() bool {
+		r := next.call(bulk.Call{Op: bulk.ReadResults, Job: "a"})
+		return len(r.Results) == 1 && r.Results[0].Output == "once"
+	})
+}
+
 // TestPartialAnswersAreHandedOver: an item resumes from the longest known beginning of its answer.
 func TestPartialAnswersAreHandedOver(t *testing.T) {
 	c := qt.New(t)
