fix: a storage host that stops during an outage hands over after it

Callers would see: all items that a host had in progress, or had results of that weren't written yet, run again after its stop. Cause: a stop waited 2.5 s for others to take over, also while the store refused all calls, so that nobody could, and then ended with most of its grace period left. Ruled out: that more time alone suffices. Conclusion: while another host may take over, as far as the last listing says, a stop waits until 1.35 s of the grace period are left, and for reports until 0.4 s are. Without another host it takes as long as before (by reading).

--- a/verbenad/cmd/hand_over_test.go
+++ b/verbenad/cmd/hand_over_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,8 +15,10 @@
 
 	"verbenaledge.example/platform/standin"
 	"verbenaledge.example/verbena/bulk"
+	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/objects/memory"
 	"verbenaledge.example/verbena/ownership"
+	"verbenaledge.example/verbenad/internal/host"
 	"verbenaledge.example/verbenad/internal/owners"
 )
 
@@ -39,6 +42,59 @@
 	}
 }
 
+// TestFleetHandsOverItemsAfterStoreOutage guards against items that run again from the start because their owner stops while the
+// store refuses calls, though it could hand them over within its grace period.
+func TestFleetHandsOverItemsAfterStoreOutage(t *testing.T) {
+	const (
+		grace  = 8 * time.Second
+		outage = 3 * time.Second
+		items  = 6
+	)
+	c := qt.New(t)
+	f := newFleet(t, 1000)
+	f.grace = grace
+	first := len(f.hostNames)
+	f.startHost("storage-graceful-0", host.RunStorage)
+	f.startHost("storage-graceful-1", host.RunStorage)
+	for n := range first {
+		if strings.HasPrefix(f.hostNames[n], "storage") {
+			f.stopHosts[n]()
+			f.eventually("its units are handed over", func() bool { return !f.ownsUnits(f.hostNames[n]) })
+		}
+	}
+	f.setEventPause(250 * time.Millisecond)
+	f.submitUntilAccepted("job", items)
+	f.eventually("all items run", func() bool { return f.allStarted("job", items) })
+	time.Sleep(600 * time.Millisecond) // at least two events of each
+	owner := f.jobOwner()
+	f.store.SetFault(func(memory.Op) memory.Fault { return memory.Refuse })
+	f.stopHosts[slices.Index(f.hostNames, owner)]()
+	time.Sleep(outage)
+	f.store.SetFault(nil)
+	f.awaitResults("job", items)
+	c.Assert(f.jobOwner(), qt.Not(qt.Equals), owner)
+	for n := range items {
+		fromStart, _ := f.countRuns(fmt.Sprintf("job-%d", n))
+		c.Check(fromStart, qt.Equals, 1, qt.Commentf("item %d", n))
+	}
+}
+
+// TestFleetStopDuringOutageEndsInTime guards against a storage host that waits for others beyond its grace period.
+func TestFleetStopDuringOutageEndsInTime(t *testing.T) {
+	f := newFleet(t, 1000)
+	f.grace = 4 * time.Second
+	var stopped time.Time
+	t.Cleanup(func() {
+		took := time.Since(stopped)
+		qt.Check(t, took < f.grace, qt.IsTrue, qt.Commentf("the stop took %s", took))
+	})
+	f.startHost("storage-graceful", host.RunStorage)
+	t.Cleanup(func() { stopped = time.Now() }) // the host is stopped next
+	f.stopHosts[slices.Index(f.hostNames, f.jobOwner())]()
+	f.eventually("the new host owns units", func() bool { return f.ownsUnits("storage-graceful") })
+	f.store.SetFault(func(memory.Op) memory.Fault { return memory.Refuse })
+}
+
 // TestFleetAnswersCallsDuringHandOver guards against callers that are told that the outcome of a submission, or of a job's end, is
 // unknown because its owner hands its units over while the store executes it.
 func TestFleetAnswersCallsDuringHandOver(t *testing.T) {
@@ -111,9 +167,16 @@
 
 // jobOwner returns the host that owns the jobs of workspace w.
 func (f *fleet) jobOwner() string {
+	return string(f.currentMap().Units[ownership.Unit(bulk.ShardOf("w").Name())].Host)
+}
+
+// ownsUnits reports whether the map names a host.
+func (f *fleet) ownsUnits(name string) bool { return f.currentMap().Names(ids.HostID(name)) }
+
+// currentMap returns the owner map from the store.
+func (f *fleet) currentMap() (m ownership.Map) {
 	o, err := f.store.Get(f.t.Context(), owners.KindOwners, "map")
 	qt.Assert(f.t, err, qt.IsNil)
-	var m ownership.Map
 	qt.Assert(f.t, json.Unmarshal(o.Spec, &m), qt.IsNil)
-	return string(m.Units[ownership.Unit(bulk.ShardOf("w").Name())].Host)
+	return m
 }
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -28,7 +28,10 @@
 	ownershipPollInterval = 50 * time.Millisecond
 	// handOverTime is how long a stopping host waits for others to take over its units: two renewals of their leases.
 	handOverTime = 2500 * time.Millisecond
-	// progressTime is how long it then waits for the new owners to accept the progress of their jobs.
+	// endTime is the part of the grace period that is left to a stopping host once it has passed on its progress: it ends its
+	// requests and connections.
+	endTime = 400 * time.Millisecond
+	// progressTime is how long it then waits at least for the new owners to accept the progress of their jobs.
 	progressTime = 800 * time.Millisecond
 )
 
@@ -153,18 +156,30 @@
 // handOver hands all units over before the process ends.
 func (s *storage) handOver() {
 	log.Info("stopping: units are handed over")
+	start := time.Now()
 	s.coordinator.SetLeaving(true)
-	for end := time.Now().Add(min(handOverTime, s.env.Settings.GracePeriod/2)); time.Now().Before(end) && !s.coordinator.OwnsNothing(); {
+	for !s.coordinator.OwnsNothing() && s.waitsForSuccessor(time.Since(start)) {
 		time.Sleep(ownershipPollInterval)
 	}
 	time.Sleep(2 * ownershipPollInterval) // other hosts learn the new owners, and this one which shards it has given up
-	ctx, cancel := context.WithTimeout(context.Background(), progressTime)
+	left := s.env.Settings.GracePeriod - endTime - time.Since(start)
+	ctx, cancel := context.WithTimeout(context.Background(), max(left, progressTime))
 	defer cancel()
 	for ctx.Err() == nil && !s.jobOwner.ProgressSent(ctx) {
 		clock.Sleep(ctx, ownershipPollInterval)
 	}
 }
 
+// waitsForSuccessor reports whether this host still waits for others to take over its units. While the store is unavailable, which
+// delays all of them, it waits for as long as its grace period allows: the progress of its jobs would be lost.
+func (s *storage) waitsForSuccessor(stopping time.Duration) bool {
+	grace := s.env.Settings.GracePeriod
+	if stopping < min(handOverTime, grace/2) {
+		return true
+	}
+	return s.coordinator.AwaitsSuccessor() && stopping < grace-endTime-progressTime-3*ownershipPollInterval
+}
+
 // retirementsChanged hands this host's units over when the operator asks for it, and then reports the completion.
 func (s *storage) retirementsChanged(all map[string]objects.Object, _ objects.Revision) {
 	_, requested := all[string(s.env.Settings.Host)]
--- a/verbenad/internal/owners/coordinator.go
+++ b/verbenad/internal/owners/coordinator.go
@@ -47,6 +47,8 @@
 	leaving       atomic.Bool
 	// handingOver is set before this host writes a map that gives its units away, until the outcome is known.
 	handingOver atomic.Bool
+	// noSuccessor is set while no other host can take over this host's units, as of its last listing of the leases.
+	noSuccessor atomic.Bool
 	// leaseBroken is set when this host learns that its lease was broken, until it has a new one and has read the map.
 	leaseBroken atomic.Bool
 	wake        chan struct{}
@@ -109,6 +111,12 @@
 	return at > 0 && !m.Names(c.host)
 }
 
+// AwaitsSuccessor reports whether the map names this host, and another one can take over its units as far as is known.
+func (c *Coordinator) AwaitsSuccessor() bool {
+	m, _ := c.view.Map()
+	return m.Names(c.host) && !c.noSuccessor.Load()
+}
+
 // Run renews the lease, checks the other hosts' leases and updates the map until the context ends.
 func (c *Coordinator) Run(ctx context.Context) {
 	c.started = c.bootClock.Now()
@@ -151,6 +159,7 @@
 	if err != nil {
 		return err
 	}
+	c.noSuccessor.Store(!changed)
 	if !changed || at == 0 {
 		return c.plan(ctx)
 	}
