--- a/verbenad/cmd/grace_period_test.go
+++ b/verbenad/cmd/grace_period_test.go
@@ -20,6 +20,7 @@
 // TestFleetStopAnswersWithinGracePeriod guards against a stopping host that accepts connections beyond its grace period, and is killed
 // before it has answered the requests in progress.
 func TestFleetStopAnswersWithinGracePeriod(t *testing.T) {
+	t.Parallel()
 	const grace = time.Second
 	c := qt.New(t)
 	f := newFleet(t, 1000)
--- a/verbenad/cmd/hand_over_test.go
+++ b/verbenad/cmd/hand_over_test.go
@@ -45,6 +45,7 @@
 // TestFleetHandsOverItemsAfterStoreOutage guards against items that run again from the start because their owner stops while the
 // store refuses calls, though it could hand them over within its grace period.
 func TestFleetHandsOverItemsAfterStoreOutage(t *testing.T) {
+	t.Parallel()
 	const (
 		grace  = 8 * time.Second
 		outage = 3 * time.Second
@@ -81,6 +82,7 @@
 
 // TestFleetStopDuringOutageEndsInTime guards against a storage host that waits for others beyond its grace period.
 func TestFleetStopDuringOutageEndsInTime(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1000)
 	f.grace = 4 * time.Second
 	var stopped time.Time
@@ -88,9 +90,15 @@
 		took := time.Since(stopped)
 		qt.Check(t, took < f.grace, qt.IsTrue, qt.Commentf("the stop took %s", took))
 	})
+	former := slices.Clone(f.hostNames)
 	f.startHost("storage-graceful", host.RunStorage)
 	t.Cleanup(func() { stopped = time.Now() }) // the host is stopped next
-	f.stopHosts[slices.Index(f.hostNames, f.jobOwner())]()
+	for n, name := range former {
+		if strings.HasPrefix(name, "storage") {
+			f.stopHosts[n]()
+			f.eventually("its units are handed over", func() bool { return !f.ownsUnits(name) })
+		}
+	}
 	f.eventually("the new host owns units", func() bool { return f.ownsUnits("storage-graceful") })
 	f.store.SetFault(func(memory.Op) memory.Fault { return memory.Refuse })
 }
@@ -98,6 +106,7 @@
 // TestFleetAnswersCallsDuringHandOver guards against callers that are told that the outcome of a submission, or of a job's end, is
 // unknown because its owner hands its units over while the store executes it.
 func TestFleetAnswersCallsDuringHandOver(t *testing.T) {
+	t.Parallel()
 	for _, written := range []struct {
 		verb string
 		call func(f *fleet) result
--- a/verbenad/cmd/removed_while_running_test.go
+++ b/verbenad/cmd/removed_while_running_test.go
@@ -15,6 +15,7 @@
 // removes their key, and their servers leave the list: at a host that stops, at one that goes on, and at one whose streams go over
 // other hosts.
 func TestFleetChangesCutNoStream(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(t, 1000)
 	fronts := f.callerAddresses
--- a/verbenad/cmd/stop_test.go
+++ b/verbenad/cmd/stop_test.go
@@ -22,6 +22,7 @@
 // TestFleetPlannedStopCutsNoRequest guards against a stopping host that drops requests: callers open new connections and
 // reuse kept ones until the host stops listening. Each request on an accepted connection must be answered.
 func TestFleetPlannedStopCutsNoRequest(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(t, 100_000)
 	stop := f.startGraceful()
@@ -56,6 +57,7 @@
 // TestFleetPlannedStopAnswersTheLastConnection checks that a request is answered whose connection is accepted just before
 // the host stops listening, and which arrives just after.
 func TestFleetPlannedStopAnswersTheLastConnection(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(t, 1000)
 	f.startGraceful()()
@@ -81,6 +83,7 @@
 // TestFleetPlannedStopClosesIdleConnections checks that a stopping host closes idle connections at once, although a
 // stream is still running.
 func TestFleetPlannedStopClosesIdleConnections(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(t, 1000)
 	stop := f.startGraceful()
@@ -141,6 +144,7 @@
 // TestFleetPlannedStopCompletesStreams checks that running streams are completed when their host gets the stop signal
 // twice.
 func TestFleetPlannedStopCompletesStreams(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(t, 1000)
 	stop := f.startGraceful()
@@ -172,6 +176,7 @@
 // TestFleetGraceEndsWithoutAnswer guards against a stop that closes the connections of requests that still run at the end of
 // the grace period, in place of an answer that says so, and against one that ends them while much of the period is left.
 func TestFleetGraceEndsWithoutAnswer(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newFleet(t, 1000)
 	stop := f.startGraceful()
