--- a/verbenad/cmd/hand_over_test.go
+++ b/verbenad/cmd/hand_over_test.go
@@ -103,7 +103,7 @@
 	f.store.SetFault(func(memory.Op) memory.Fault { return memory.Refuse })
 }
 
-// TestFleetAnswersCallsDuringHandOver guards against callers that are told that the outcome of a submission, or of a job's end, is
+// TestFleetAnswersCallsDuringHandOver guards against 504 for a submission, or for a job's end, whose outcome is
 // unknown because its owner hands its units over while the store executes it.
 func TestFleetAnswersCallsDuringHandOver(t *testing.T) {
 	t.Parallel()
--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -68,8 +68,8 @@
 	// stop is nil before Stop was called.
 	stop atomic.Pointer[stopTimes]
 	// stopCtx ends once stop is set.
-	stopCtx     context.Context
-	announceEnd context.CancelFunc
+	stopCtx      context.Context
+	announceStop context.CancelFunc
 	// runCtx ends when EndRequests is called.
 	runCtx      context.Context
 	endRequests context.CancelFunc
@@ -85,9 +85,9 @@
 	p exchange.Protocol, jobProtocol JobProtocol, jobOwners JobOwners, s SlotSource, u *upstream.Client, c clock.Clock, memoryMB int,
 ) *Handler {
 	runCtx, endRequests := context.WithCancel(context.Background())
-	stopCtx, announceEnd := context.WithCancel(context.Background())
+	stopCtx, announceStop := context.WithCancel(context.Background())
 	return &Handler{
-		stopCtx: stopCtx, announceEnd: announceEnd,
+		stopCtx: stopCtx, announceStop: announceStop,
 		runCtx: runCtx, endRequests: endRequests,
 		protocol: p, jobProtocol: jobProtocol, jobOwners: jobOwners, slots: s, client: u, clock: c, retryBudget: newRetryBudget(),
 		durations:    newDurations(),
--- a/verbenad/internal/entry/late_requests.go
+++ b/verbenad/internal/entry/late_requests.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"verbenaledge.example/verbena/catalog"
@@ -16,26 +15,6 @@
 // reasonStopping is the reason of a request that isn't sent since the host stops, probably before the request would have ended.
 const reasonStopping = "host_stopping"
 
-// durations are the durations of requests, from the first send on.
-type durations struct {
-	mu     sync.Mutex
-	recent *shutdown.Durations
-}
-
-func newDurations() *durations { return &durations{recent: shutdown.NewDurations()} }
-
-func (d *durations) observe(now time.Time, e shutdown.Ended) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.recent.Observe(now, e)
-}
-
-func (d *durations) latestStart(now time.Time, r shutdown.Request, left time.Duration) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.recent.LatestStart(now, r, left)
-}
-
 // recordDuration records how long a request took since its first send. One whose response isn't complete would have taken longer.
 // Resumed streams and responses to HEAD say nothing of whole ones.
 func (h *Handler) recordDuration(req *request, state *forwardState, complete bool) {
@@ -70,7 +49,8 @@
 	return !stops || h.durations.latestStart(h.clock.Now(), h.shutdownRequest(req), left) >= 0
 }
 
-// untilLatestStart returns a context that ends when the request isn't to be sent any more, also if the host is told to stop only later.
+// untilLatestStart returns a context that ends when the request isn't to be sent any more, also if the host is stopped
+// only later.
 func (h *Handler) untilLatestStart(ctx context.Context, req *request, p sendProgress) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	detach := context.AfterFunc(h.stopCtx, func() {
--- a/verbenad/internal/entry/stop.go
+++ b/verbenad/internal/entry/stop.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// stopTimes are when the host was told to stop and when it ends the requests in progress.
+// stopTimes are when Stop was called and when the requests in progress end.
 type stopTimes struct{ begin, end time.Time }
 
 // Ready reports whether requests can be served.
@@ -13,7 +13,7 @@
 // Stop withdraws readiness. From now on, only requests are begun that can be expected to end by the given time.
 func (h *Handler) Stop(end time.Time) {
 	h.stop.CompareAndSwap(nil, &stopTimes{begin: h.clock.Now(), end: end})
-	h.announceEnd()
+	h.announceStop()
 }
 
 // EndRequests ends the requests in progress, as if their time was over: they are answered if their response has not begun.
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -28,11 +28,11 @@
 	ownershipPollInterval = 50 * time.Millisecond
 	// handOverTime is how long a stopping host waits for others to take over its units: two renewals of their leases.
 	handOverTime = 2500 * time.Millisecond
+	// progressTime is how long it then waits at least for the new owners to accept the progress of their jobs.
+	progressTime = 800 * time.Millisecond
 	// endTime is the part of the grace period that is left to a stopping host once it has passed on its progress: it ends its
 	// requests and connections.
 	endTime = 400 * time.Millisecond
-	// progressTime is how long it then waits at least for the new owners to accept the progress of their jobs.
-	progressTime = 800 * time.Millisecond
 )
 
 // storage is a host that owns shared state.
--- a/verbenad/internal/owners/jobs_client_test.go
+++ b/verbenad/internal/owners/jobs_client_test.go
@@ -83,7 +83,7 @@
 	return h.next.Answer(ctx, q)
 }
 
-// TestUnknownOutcomeIsAskedOfNextOwner guards against callers that are told that the outcome is unknown while the next owner knows
+// TestUnknownOutcomeIsAskedOfNextOwner guards against the reply that the outcome is unknown while the next owner knows
 // it and their time isn't over.
 func TestUnknownOutcomeIsAskedOfNextOwner(t *testing.T) {
 	for _, op := range []bulk.Op{bulk.Submit, bulk.EndJob} {
