--- a/verbenad/cmd/late_requests_history_test.go
+++ b/verbenad/cmd/late_requests_history_test.go
@@ -19,6 +19,13 @@
 	return time.Now().Add(f.grace - margin - left)
 }
 
+// resumedAfter returns the headers of a request for a stream of which the caller has events.
+func resumedAfter(event string) map[string]string {
+	h := standin.StreamHeaders()
+	h[standin.HeaderLastEvent] = event
+	return h
+}
+
 // TestFleetStopEstimatesStreamsByPartsOfThem guards against a stopping host that takes the time of resumed streams, or of responses
 // to HEAD, for that of whole ones, begins a stream and cuts it.
 func TestFleetStopEstimatesStreamsByPartsOfThem(t *testing.T) {
@@ -28,7 +35,7 @@
 		path, method string
 		header       map[string]string
 	}{
-		"resumed streams": {"/resume/x", http.MethodPost, map[string]string{"X-Verbenaledge-Token-Usage": "10,12", standin.HeaderLastEvent: "11"}},
+		"resumed streams": {"/resume/x", http.MethodPost, resumedAfter("11")},
 		"HEAD":            {"/stream/x", http.MethodHead, streamHeaders},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -69,7 +76,7 @@
 				s.ServeHTTP(w, r)
 				return
 			}
-			w.Header().Set("X-Verbenaledge-Instance-Id", s.CurrentID())
+			w.Header().Set(standin.HeaderInstanceID, s.CurrentID())
 			w.Header().Set(standin.HeaderRequestID, r.Header.Get(standin.HeaderRequestID))
 			w.Header().Set(standin.HeaderSignature, "signed")
 			_, _ = io.WriteString(w, strings.Repeat("x", 600<<10))
