feat: lines and metrics tell which answer failed an item, and why it ended

The lines of a failed item didn't tell whether its answer could be one to an earlier send, nor by whose clock or by which configuration an item ended without a server's answer.

Added: the connection to the server and its use, the time from the send to the answer's head, the number of sends, the ages of the job by the entry host's clock and by the owner's, the owner's configuration; verbenad_items_errored_total{reason}, verbenad_server_late_answers_total{at}. No decision changes.

--- a/verbena/bulk/ledger.go
+++ b/verbena/bulk/ledger.go
@@ -30,6 +30,8 @@
 	Ended   bool
 	// AwaitingProgress keeps items from starting while a former owner may still report their progress.
 	AwaitingProgress bool
+	// KnownSince is when this host accepted the job or loaded it from the store, by the host's own clock.
+	KnownSince time.Time
 
 	items   map[ItemID]*itemRecord
 	changed chan struct{}
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -80,8 +80,10 @@
 
 	lost     lostServer
 	failures int
-	yields   int
-	cancel   context.CancelFunc
+	// sends counts the sends by this owner.
+	sends  int
+	yields int
+	cancel context.CancelFunc
 	// wait is used by the owner's goroutine only. It is nil while the item doesn't wait for a slot.
 	wait *slotWait
 	// displaced is used by the owner's goroutine only. It is set once the item makes room for others.
@@ -105,7 +107,7 @@
 	start := i.owner.clock.Now()
 	if err := upstream.CheckTarget(i.item.Path); err != nil {
 		// Stored by a release that accepted it; it must not reach a server.
-		log.WithError(err).WithFields(log.Fields{"job": i.record.Job.ID, "item": i.item.ID, "reason": "unsafe_path", "outcome": "errored"}).Warn("item ended")
+		i.owner.logErrored(i.record, i.item.ID, reasonUnsafePath, log.Fields{"path_error": err.Error()})
 		return bulk.Result{Item: i.item.ID, State: bulk.Errored}, true
 	}
 	for ctx.Err() == nil {
@@ -114,7 +116,7 @@
 			return result, false
 		}
 		if !ok {
-			log.WithFields(log.Fields{"job": i.record.Job.ID, "item": i.item.ID, "reason": "route_gone", "outcome": "errored"}).Warn("item ended")
+			i.owner.logErrored(i.record, i.item.ID, reasonRouteGone, i.progressFields())
 			return bulk.Result{Item: i.item.ID, State: bulk.Errored}, true
 		}
 		if slot == nil {
@@ -131,6 +133,7 @@
 			i.logEnd("completed", slot)
 			return bulk.Result{Item: i.item.ID, State: bulk.Completed, Output: bulk.ListedOutput(i.output)}, true
 		case itemErrored:
+			itemsErrored(i.reason).Inc()
 			i.logEnd("errored", slot)
 			return bulk.Result{Item: i.item.ID, State: bulk.Errored}, true
 		case itemYielded:
@@ -193,6 +196,7 @@
 	defer stall.Stop()
 	id, header := i.owner.protocol.ItemRequest(i.item)
 	i.logPlaced(slot)
+	i.sends++
 	answer, err := i.owner.client.Send(ctx, i.owner.protocol, upstream.Request{
 		ID: id, Method: http.MethodPost, Target: i.item.Path, Host: i.record.Job.Host, Body: i.item.Body, Server: slot.Server,
 		OnLimit: func(s limit.Statement) { i.owner.slots.ReportLimit(slot, s) },
@@ -211,10 +215,7 @@
 	o.TimeToFirstByte, i.framing = answer.TimeToHeaders, answer.Framing()
 	if answer.Status != http.StatusOK || !answer.Info.Signed || !answer.MayBeStream() {
 		o.Result, result = i.classifyRefusal(runCtx, slot, route, answer)
-		log.WithFields(log.Fields{
-			"job": i.record.Job.ID, "item": i.item.ID, "server": slot.Server.ID, "status": answer.Status, "not_executed": answer.Info.NotExecuted,
-			"server_running": answer.Info.Load.Running, "server_waiting": answer.Info.Load.Waiting, "failures": i.failures, "outcome": "not_served",
-		}).Info("server turned an item away")
+		i.logTurnedAway(slot, answer)
 		return result
 	}
 	progress := func() {
--- a/verbenad/internal/bulk/item_refusal.go
+++ b/verbenad/internal/bulk/item_refusal.go
@@ -42,12 +42,12 @@
 		return result, itemRetry
 	}
 	if a.Status == statusCannotBeDone {
-		i.reason = "cannot_be_done"
+		i.reason = reasonCannotBeDone
 		return dispatch.Served, itemErrored
 	}
 	if a.Status == http.StatusInternalServerError {
 		i.failures++
-		i.reason = "failed_too_often"
+		i.reason = reasonFailedTooOften
 		if i.failures >= route.MaxAttempts {
 			return dispatch.Failed, itemErrored
 		}
--- a/verbenad/internal/bulk/load.go
+++ b/verbenad/internal/bulk/load.go
@@ -179,8 +179,17 @@
 	o.start()
 }
 
+// addRecord adds an accepted job to the ledger, or returns the record that exists already.
+func (o *Owner) addRecord(j bulk.Job, s bulk.Shard, reserved bool) *bulk.Record {
+	r := o.ledger.Add(j, s, reserved)
+	if r.KnownSince.IsZero() {
+		r.KnownSince = o.clock.Now()
+	}
+	return r
+}
+
 func (o *Owner) addLoaded(s bulk.Shard, j storedJob, results []bulk.Segment) {
-	r := o.ledger.Add(j.job, s, false)
+	r := o.addRecord(j.job, s, false)
 	for _, sg := range results {
 		o.ledger.Commit(r, sg)
 	}
--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -48,8 +48,10 @@
 	estimator  eventEstimator
 	// servers are those listed last.
 	servers atomic.Pointer[listedServers]
-	tasks   chan func()
-	ctx     context.Context
+	// configuration is the catalog's version, for log lines of items.
+	configuration atomic.Uint64
+	tasks         chan func()
+	ctx           context.Context
 
 	// The fields below are used by the goroutine of Run only, except for owners and orphanAge, which don't change.
 	ledger          *bulk.Ledger
@@ -140,6 +142,7 @@
 func (o *Owner) SetCatalog(c *catalog.Catalog) {
 	o.post(func() {
 		o.catalog = c
+		o.configuration.Store(uint64(c.Version))
 		for _, run := range o.runs {
 			if run.wait == nil {
 				continue
@@ -196,7 +199,7 @@
 		}
 		for _, r := range o.ledger.Records(s) {
 			for _, id := range r.Expired(now) {
-				log.WithFields(log.Fields{"job": r.Job.ID, "item": id, "reason": "given_up", "outcome": "errored"}).Warn("item ended")
+				o.logErrored(r, id, reasonGivenUp, nil)
 				o.addResult(r, bulk.Result{Item: id, State: bulk.Errored})
 				o.cancelRun(runKey{r.Job.ID, id})
 			}
@@ -218,7 +221,7 @@
 		sh := o.shards[r.Record.Shard]
 		route, ok := o.catalog.Route(r.Record.Job.Route)
 		if !ok {
-			log.WithFields(log.Fields{"job": r.Record.Job.ID, "item": r.Item.ID, "reason": "route_gone", "outcome": "errored"}).Warn("item ended")
+			o.logErrored(r.Record, r.Item.ID, reasonRouteGone, nil)
 			o.addResult(r.Record, bulk.Result{Item: r.Item.ID, State: bulk.Errored})
 			continue
 		}
--- a/verbenad/internal/bulk/submit.go
+++ b/verbenad/internal/bulk/submit.go
@@ -100,17 +100,18 @@
 			o.ledger.ReleaseTokens(&job)
 		case stored.job.ID == job.ID && len(stored.job.Items) > 0:
 			o.ledger.ReleaseTokens(&job) // another host accepted it first; its stored times apply
-			r := o.ledger.Add(stored.job, s, false)
+			r := o.addRecord(stored.job, s, false)
 			if stored.ended {
 				o.ledger.EndJob(r)
 			}
 		default:
 			job.Parts = stored.job.Parts
-			o.ledger.Add(job, s, true)
+			o.addRecord(job, s, true)
 		}
 		log.WithFields(log.Fields{
 			"job": job.ID, "workspace": job.Workspace, "items": len(job.Items), "tokens": job.Tokens(),
-			"waiting_tokens": o.ledger.WaitingTokens(job.Workspace, job.Route), "owns_shard": o.lease.Owns(s), "outcome": code.String(),
+			"submitted_ago_ms": o.clock.Now().Sub(job.Submitted).Milliseconds(), // the entry host's clock against this one's
+			"waiting_tokens":   o.ledger.WaitingTokens(job.Workspace, job.Route), "owns_shard": o.lease.Owns(s), "outcome": code.String(),
 		}).Info("job submitted")
 		sub.code = code
 		close(sub.done)
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -79,6 +79,8 @@
 	// serverStatus and framing are those of the last response of a server.
 	serverStatus int
 	framing      upstream.Framing
+	// connection is how the connection of the last response had been used.
+	connection upstream.ConnectionUse
 	// brokenBy is what broke off the last send, nil if nothing did; relayed is set if it went over another host.
 	brokenBy error
 	relayed  bool
@@ -203,6 +205,7 @@
 	defer response.Close()
 	watch.stall.Progress()
 	state.serverStatus, state.framing, state.relayed = response.Status, response.Framing(), response.Relayed
+	state.connection = response.Connection
 	outcome.TimeToFirstByte = response.TimeToHeaders
 	outcome.LoadReported, outcome.Running, outcome.Waiting = response.Info.Load.Known, response.Info.Load.Running, response.Info.Load.Waiting
 	switch {
@@ -376,7 +379,8 @@
 		"objective_ms": req.route.Objective.Milliseconds(), "took_ms": h.clock.Now().Sub(req.start).Milliseconds(),
 		"patience_ms": req.deadline.Sub(req.start).Milliseconds(), "prompt_parts": req.promptPartsText(), "send_result": state.result.String(),
 		"server_status": state.serverStatus, "relayed": state.relayed, "framing": state.framing.String(), "unconfirmed_reason": state.unconfirmedReason,
-		"stopping_ms": h.stoppingFor().Milliseconds(),
+		"stopping_ms": h.stoppingFor().Milliseconds(), "server_connection": state.connection.Number,
+		"server_connection_requests": state.connection.Requests, "server_connection_repeated": state.connection.Repeated,
 	}
 	for _, f := range req.connectionFields() {
 		fields[f.name] = f.value
--- a/verbenad/internal/upstream/conn.go
+++ b/verbenad/internal/upstream/conn.go
@@ -6,9 +6,12 @@
 	"bufio"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbenad/internal/serverrelay"
 )
@@ -24,14 +27,27 @@
 	// carried is set once the connection has carried a response, reused if it carries a further request.
 	carried, reused bool
 	server          directory.Server
+	// number is unique among the connections of this process.
+	number uint64
+	// requests are those that were written to the connection.
+	requests requestHistory
 	// relayed is set if the connection goes over another host.
 	relayed bool
 }
 
+// Answers that came late, on connections that no request was using, or in place of another request's answer.
+var (
+	lateOnIdleConnection = metrics.NewCounter(`verbenad_server_late_answers_total{at="idle_connection"}`)
+	lateAtOtherRequest   = metrics.NewCounter(`verbenad_server_late_answers_total{at="other_request"}`)
+)
+
+// lastConnection is the number of the last connection.
+var lastConnection atomic.Uint64
+
 // newConn returns a connection that has carried nothing yet.
 func newConn(n net.Conn) *conn {
 	limit := &headLimitReader{source: n}
-	return &conn{Conn: n, headLimit: limit, reader: bufio.NewReaderSize(limit, readBufferSize)}
+	return &conn{Conn: n, headLimit: limit, reader: bufio.NewReaderSize(limit, readBufferSize), number: lastConnection.Add(1)}
 }
 
 // newConn returns a connection to a server that has carried nothing yet.
@@ -71,7 +87,11 @@
 // reusable reports whether the connection may carry another request: its idle time is not over, the server hasn't
 // closed it, and no unexpected bytes have arrived.
 func (c *conn) reusable(now time.Time) bool {
-	if now.Sub(c.idleSince) >= c.maxIdleTime || c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 {
+		lateOnIdleConnection.Inc()
+		return false
+	}
+	if now.Sub(c.idleSince) >= c.maxIdleTime {
 		return false
 	}
 	if r, ok := c.Conn.(*serverrelay.Conn); ok && !r.Reusable() {
@@ -88,8 +108,11 @@
 	noData := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		noData = err == syscall.EAGAIN
+		if n > 0 {
+			lateOnIdleConnection.Inc()
+		}
 		return true
 	})
 	return err == nil && noData
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -78,6 +78,8 @@
 	TimeToHeaders time.Duration
 	// Relayed is set if the response came over another host.
 	Relayed bool
+	// Connection is how the connection had been used when the response arrived.
+	Connection ConnectionUse
 
 	client       *Client
 	conn         *conn
@@ -146,6 +148,8 @@
 		return &Error{Execution: MaybeExecuted, Connected: true, Relayed: conn.relayed, Err: err}
 	}
 	defer c.watchPath(conn, r.Server)()
+	repeated := conn.requests.holds(r.ID)
+	conn.requests.add(r.ID)
 	bodyWritten, err := conn.writeRequest(r)
 	if err != nil {
 		return nil, failed(fmt.Errorf("send to %s: %w", r.Server.Address, err))
@@ -165,11 +169,14 @@
 	}
 	info := p.ParseResponse(httpResponse.StatusCode, httpResponse.Header)
 	if !conn.matches(info, r.ID) {
+		lateAtOtherRequest.Inc()
 		return nil, failed(fmt.Errorf("%s: %w", r.Server.Address, ErrRequestIDMismatch))
 	}
 	return &Response{
 		Status: httpResponse.StatusCode, Header: httpResponse.Header, Length: httpResponse.ContentLength, Info: info,
-		TimeToHeaders: c.clock.Now().Sub(start), Relayed: conn.relayed, client: c, conn: conn, httpResponse: httpResponse, server: r.Server, protocol: p,
+		TimeToHeaders: c.clock.Now().Sub(start), Relayed: conn.relayed,
+		Connection: ConnectionUse{Number: conn.number, Requests: conn.requests.count(), Repeated: repeated},
+		client:     c, conn: conn, httpResponse: httpResponse, server: r.Server, protocol: p,
 		bodyWritten: bodyWritten, detachContext: detachContext,
 	}, nil
 }
