fix: a connection to a server carries each request once

Cause: an answer is matched to its request by the request's id alone, and a request keeps its id from one send to the next. After an answer was read to its end, the connection went back to the pool, and the next send of the same request could take it. A server's late copy of the first answer was then read as the second answer.

Fix: a connection remembers the requests that it has carried, and isn't used for one of them again. Other requests still use it. A copy meets another request, whose id doesn't match, or none, and the connection is closed, as before. How late it comes doesn't matter.

A connection is closed after 512 requests, which bounds its history (TestConnectionHistoryIsBounded).

TestUsedConnectionsArentClosedAsUnused, TestFrozenRelayLosesFewRequests and TestReusedRelayedConnectionsDontHideHealedPath sent all their requests under one id, which no longer share connections; each request has an id of its own now, checks and bounds are unchanged.

--- a/verbenad/internal/upstream/client.go
+++ b/verbenad/internal/upstream/client.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"verbenaledge.example/verbena/clock"
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/ids"
@@ -18,8 +21,13 @@
 	dialTimeout = 300 * time.Millisecond
 	// maxIdlePerServer limits the idle connections to one server, which runs about as many requests at once.
 	maxIdlePerServer = 12
+	// maxRequestsPerConnection limits the memory for the history of a connection. One that has carried as many is closed.
+	maxRequestsPerConnection = 512
 )
 
+// passedOver counts idle connections that were not used for a request because they had carried it before.
+var passedOver = metrics.NewCounter("verbenad_server_connections_passed_over_total")
+
 // keepAlive detects a server that is gone without having closed its connection.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
@@ -67,20 +75,15 @@
 	return client
 }
 
-// takeIdle returns an idle connection that can be reused, or nil.
-func (c *Client) takeIdle(id ids.BackendID) *conn {
+// takeIdle returns an idle connection that can carry the request, or nil.
+func (c *Client) takeIdle(id ids.BackendID, request ids.RequestID) *conn {
 	now := c.clock.Now()
 	bypassed := c.Bypassed(id)
 	for {
-		c.mu.Lock()
-		list := c.idle[id]
-		if len(list) == 0 {
-			c.mu.Unlock()
+		conn := c.removeIdle(id, request)
+		if conn == nil {
 			return nil
 		}
-		conn := list[len(list)-1]
-		c.idle[id] = list[:len(list)-1]
-		c.mu.Unlock()
 		if conn.reusable(now) && (bypassed || !conn.relayed) {
 			conn.reused = conn.carried
 			return conn
@@ -89,6 +92,22 @@
 	}
 }
 
+// removeIdle removes the idle connection that was used last, among those that haven't carried the request. On such a connection the
+// answer to an earlier send may arrive late, and nothing would tell it from the answer to this one.
+func (c *Client) removeIdle(id ids.BackendID, request ids.RequestID) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[id]
+	for n, cn := range slices.Backward(list) {
+		if !cn.requests.holds(request) {
+			c.idle[id] = slices.Delete(list, n, n+1)
+			return cn
+		}
+		passedOver.Inc()
+	}
+	return nil
+}
+
 // putIdle keeps a connection for the next request. statedTime is how long the server says that it keeps an idle
 // connection, 0 if it says nothing.
 func (c *Client) putIdle(id ids.BackendID, conn *conn, statedTime time.Duration) {
@@ -99,7 +118,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[id]) >= maxIdlePerServer || conn.maxIdleTime <= 0 {
+	if len(c.idle[id]) >= maxIdlePerServer || conn.maxIdleTime <= 0 || conn.requests.count() >= maxRequestsPerConnection {
 		_ = conn.Close() // idle, so nothing is lost
 		return
 	}
--- a/verbenad/internal/upstream/client_test.go
+++ b/verbenad/internal/upstream/client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,6 +53,15 @@
 	return Request{ID: ids.RequestID(id), Method: "POST", Target: "/p?q=%2F", Host: "h", Header: http.Header{}, Body: body, Server: s}
 }
 
+// lastRequest is the number of the last request of nextRequest.
+var lastRequest atomic.Int64
+
+// nextRequest returns a request with an id that no other has, as a connection carries each request once.
+func nextRequest(s directory.Server) Request {
+	id := fmt.Sprintf("request-%d", lastRequest.Add(1))
+	return request(s, id, []byte(id))
+}
+
 func responseText(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
--- a/verbenad/internal/upstream/frozen_relay_test.go
+++ b/verbenad/internal/upstream/frozen_relay_test.go
@@ -48,7 +48,7 @@
 	for range calls {
 		ended.Go(func() {
 			for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-				if _, err := send(t, client, request(s, "a", []byte("a"))); err == nil {
+				if _, err := send(t, client, nextRequest(s)); err == nil {
 					return
 				}
 			}
@@ -63,7 +63,7 @@
 	lost := 0
 	for range calls {
 		ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
-		response, err := client.Send(ctx, testProtocol{}, request(s, "a", []byte("a")))
+		response, err := client.Send(ctx, testProtocol{}, nextRequest(s))
 		if err != nil {
 			lost++
 		} else {
--- a/verbenad/internal/upstream/late_answers_test.go
+++ b/verbenad/internal/upstream/late_answers_test.go
@@ -108,3 +108,18 @@
 	t.Fatal("not reached over the relay within 5 s")
 	return nil
 }
+
+// TestConnectionHistoryIsBounded guards against a connection whose history of requests grows for as long as it is in use.
+func TestConnectionHistoryIsBounded(t *testing.T) {
+	c := qt.New(t)
+	s, connections := repeatingServer(t, "")
+	client := NewClient(clock.System{})
+	for range maxRequestsPerConnection {
+		_, err := send(t, client, nextRequest(s))
+		c.Assert(err, qt.IsNil)
+	}
+	c.Check(connections.Load(), qt.Equals, int64(1))
+	_, err := send(t, client, nextRequest(s))
+	c.Assert(err, qt.IsNil)
+	c.Check(connections.Load(), qt.Equals, int64(2))
+}
--- a/verbenad/internal/upstream/pool_race_test.go
+++ b/verbenad/internal/upstream/pool_race_test.go
@@ -42,7 +42,7 @@
 			for time.Now().Before(end) {
 				ctx, cancel := context.WithCancel(t.Context())
 				sent.Add(1)
-				response, err := client.Send(ctx, testProtocol{}, request(s, "a", []byte("a")))
+				response, err := client.Send(ctx, testProtocol{}, nextRequest(s))
 				if err == nil {
 					if response.conn.reused {
 						reused.Add(1)
--- a/verbenad/internal/upstream/relayed_test.go
+++ b/verbenad/internal/upstream/relayed_test.go
@@ -107,7 +107,7 @@
 	relays, _ := startRelay(t, s)
 	client := NewClient(clock.System{}, WithDialer(d), WithRelays(relays), OnCutOff(func(is bool) { cutOff.Store(is) }))
 	relayed := func() bool {
-		response, err := client.Send(t.Context(), testProtocol{}, request(s, "a", []byte("a")))
+		response, err := client.Send(t.Context(), testProtocol{}, nextRequest(s))
 		c.Assert(err, qt.IsNil)
 		defer response.Close()
 		_, err = readBody(response)
@@ -115,7 +115,7 @@
 		return response.Relayed
 	}
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end) && !cutOff.Load(); time.Sleep(20 * time.Millisecond) {
-		_, _ = send(t, client, request(s, "a", []byte("a"))) // fails until the relay listens
+		_, _ = send(t, client, nextRequest(s)) // fails until the relay listens
 	}
 	c.Assert(relayed(), qt.IsTrue)
 	for end := time.Now().Add(1200 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -116,7 +116,7 @@
 		return nil, &Error{Execution: NotSent, Err: ErrUnsafeRequest}
 	}
 	for {
-		conn := c.takeIdle(r.Server.ID)
+		conn := c.takeIdle(r.Server.ID, r.ID)
 		if conn != nil && conn.relayed && c.paths.recheckDue(r.Server.ID) {
 			go c.recheckPath(r.Server) // requests that reuse connections attempt no new ones
 		}
