--- a/verbenad/internal/backend/client.go
+++ b/verbenad/internal/backend/client.go
@@ -159,8 +159,11 @@
 }
 
 // validate returns an error for a response of a busy, leaving or failed server, and for one without the request's
-// ID.
+// ID. Only a refusal or an error may lack an ID.
 func (r *Response) validate(req Request) *CallError {
+	if id := r.Header.Get(HeaderRequestID); id != string(req.ID) && (id != "" || r.Status < http.StatusBadRequest) {
+		return &CallError{Kind: WrongRequestID, Status: r.Status, Reason: "the answer bears another request's id"}
+	}
 	if r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests {
 		if r.Header.Get(HeaderState) == stateLeaving {
 			return &CallError{Kind: Leaving, Status: r.Status, Reason: "the server is leaving"}
@@ -171,9 +174,6 @@
 		text, _ := io.ReadAll(io.LimitReader(r.body, maxErrorTextBytes)) // the status suffices if the text can't be read
 		return &CallError{Kind: ServerError, Status: r.Status, Reason: strings.TrimSpace(string(text))}
 	}
-	if r.Status < http.StatusBadRequest && r.Header.Get(HeaderRequestID) != string(req.ID) {
-		return &CallError{Kind: WrongRequestID, Status: r.Status, Reason: "the answer bears another request's id"}
-	}
 	return nil
 }
 
