fix: a host that starts again doesn't take its former renewal for its own

Cause: a renewal without an answer counts if the store's lease equals the one written (Coordinator.resolveRenewal). A lease is told apart by the count of renewals, and each process counted from 0. A host that was started again while its lease from a short former run was still stored, and whose write was lost, took the former process's renewal with the same count for its own: it held the lease from now on (ValidFor 2.5 s), while the others broke it 3 s after the former renewal. If its next renewals were lost too, two hosts owned its units.

Ruled out: renewals of one process (each try has a count of its own), late renewals (TestLateRenewal), the lease of another process at the same name (the address differs).

Fix: a process counts from a random number. Nothing compares the counts by size.

Not seen in a fleet.

--- a/verbenad/internal/owners/coordinator.go
+++ b/verbenad/internal/owners/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -61,6 +62,7 @@
 	return &Coordinator{
 		host: host, zone: zone, address: address, store: store, bootClock: clock.Boot{}, view: view,
 		watcher: ownership.NewWatcher(host, AllUnits()), wake: make(chan struct{}, 1),
+		renewal: uint64(rand.Uint32()), // a former process of this host has counted, too
 	}
 }
 
