fix: the time after which items are given up doesn't depend on two hosts' clocks agreeing

What callers would see: items of batch jobs listed as errored before their route's time is over (MIXED), by as much as the time of day of the job's owner is ahead of that of the entry host that took the submission. One whose time of day is behind gives them up as much later.

Cause: the entry host writes GiveUpAt by its own time of day, and the owner compares it with its own. The same comparison gave slot requests too little time.

Fix: a host that accepts a job waits for GiveUpAt minus Submitted, both of one clock, from its receipt on, by the clock that counts the time since boot.

TestExpiredItems sets the record's GiveUpAt, which the ledger now goes by; what it checks is unchanged.

--- a/verbena/bulk/job.go
+++ b/verbena/bulk/job.go
@@ -50,7 +50,7 @@
 	Route     string          `json:"route" cbor:"3,keyasint"`
 	// Host is the Host header of the submission; the items' requests carry it too.
 	Host string `json:"host" cbor:"4,keyasint"`
-	// Submitted is the wall-clock time of the submission.
+	// Submitted, Due and GiveUpAt are by the time of day of the host that took the submission. Other hosts' differ from it.
 	Submitted time.Time `json:"submitted" cbor:"5,keyasint"`
 	Due       time.Time `json:"due" cbor:"6,keyasint"`
 	GiveUpAt  time.Time `json:"give_up" cbor:"7,keyasint"`
--- a/verbena/bulk/ledger.go
+++ b/verbena/bulk/ledger.go
@@ -30,8 +30,10 @@
 	Ended   bool
 	// AwaitingProgress keeps items from starting while a former owner may still report their progress.
 	AwaitingProgress bool
-	// KnownSince is when this host accepted the job or loaded it from the store, by the host's own clock.
+	// KnownSince is when this host received the job or loaded it from the store, GiveUpAt when its unfinished items are given up. Both
+	// are by the owner's clock of elapsed time, which doesn't change when the time of day is set.
 	KnownSince time.Time
+	GiveUpAt   time.Time
 
 	items   map[ItemID]*itemRecord
 	changed chan struct{}
@@ -229,9 +231,9 @@
 	return p.item, true
 }
 
-// Expired returns the unfinished items of a job once its GiveUpAt has passed.
+// Expired returns the unfinished items of a job once its GiveUpAt has passed by the owner's clock of elapsed time.
 func (r *Record) Expired(now time.Time) (list []ItemID) {
-	if !r.Open() || now.Before(r.Job.GiveUpAt) {
+	if !r.Open() || now.Before(r.GiveUpAt) {
 		return nil
 	}
 	for _, i := range r.Job.Items {
--- a/verbena/bulk/ledger_test.go
+++ b/verbena/bulk/ledger_test.go
@@ -93,6 +93,7 @@
 	l := NewLedger()
 	r := l.Add(newJob("a", 2), 1, false)
 	l.AddResult(r, Result{Item: "a-0", State: Completed})
+	r.GiveUpAt = noon.Add(time.Minute)
 	c.Assert(r.Expired(noon.Add(59*time.Second)), qt.HasLen, 0)
 	c.Assert(r.Expired(noon.Add(time.Minute)), qt.DeepEquals, []ItemID{"a-1"})
 }
--- a/verbena/node/settings.go
+++ b/verbena/node/settings.go
@@ -11,6 +11,9 @@
 	"verbenaledge.example/verbena/ids"
 )
 
+// DefaultMaxClockSkew is MaxClockSkew where the settings don't state it.
+const DefaultMaxClockSkew = 5 * time.Second
+
 // Settings describe one host and its limits.
 type Settings struct {
 	Host ids.HostID
@@ -34,6 +37,8 @@
 	GracePeriod time.Duration
 	// ResultRetention is how long after its submission a batch job's results stay readable.
 	ResultRetention time.Duration
+	// MaxClockSkew is by how much the times of day of two hosts may differ.
+	MaxClockSkew    time.Duration
 	StoreAddress    string
 	StoreValueBytes int
 }
@@ -66,5 +71,8 @@
 	if s.GracePeriod <= 0 {
 		errs = append(errs, errors.New("the grace period must be above 0"))
 	}
+	if s.MaxClockSkew < 0 {
+		errs = append(errs, errors.New("the difference of two hosts' clocks must not be below 0"))
+	}
 	return errors.Join(errs...)
 }
--- a/verbenad/internal/bulk/give_up_clocks_test.go
+++ b/verbenad/internal/bulk/give_up_clocks_test.go
@@ -93,3 +93,15 @@
 		})
 	}
 }
+
+// TestSlotRequestStatesTimeLeft guards against a request for a slot that states too little time, since the owner's time of day is ahead
+// of that of the entry host.
+func TestSlotRequestStatesTimeLeft(t *testing.T) {
+	t.Parallel()
+	f, s := newScriptedFixture(t, false)
+	f.do(func() { f.owner.clock = newWallClock(2 * time.Hour) })
+	j := jobGivenUpAfter(time.Hour)
+	f.Assert(f.submit(j), qt.Equals, bulk.Done)
+	left := (<-s.requests).Remaining
+	f.Assert(left > 59*time.Minute && left <= time.Hour, qt.IsTrue, qt.Commentf("%v", left))
+}
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -166,7 +166,7 @@
 	_, header := i.owner.protocol.ItemRequest(i.item)
 	return dispatch.SlotRequest{
 		Service: service, Workspace: i.record.Job.Workspace, Class: dispatch.Batch, Objective: i.record.Job.Due.Sub(now),
-		Remaining: i.record.Job.GiveUpAt.Sub(now), StreamEvents: i.owner.estimator.remaining(i.item.Tokens, i.events), Exclude: i.exclude,
+		Remaining: i.record.GiveUpAt.Sub(i.owner.elapsed.Now()), StreamEvents: i.owner.estimator.remaining(i.item.Tokens, i.events), Exclude: i.exclude,
 		Parts: i.owner.protocol.ParseRequest(header).SharedParts, Resumption: i.resumption(),
 	}
 }
--- a/verbenad/internal/bulk/item_log.go
+++ b/verbenad/internal/bulk/item_log.go
@@ -35,11 +35,11 @@
 // the clock of the entry host that accepted it, and since this host has known it.
 func (o *Owner) logErrored(r *bulk.Record, item bulk.ItemID, reason string, more log.Fields) {
 	itemsErrored(reason).Inc()
-	now := o.clock.Now()
+	now, elapsed := o.clock.Now(), o.elapsed.Now()
 	fields := log.Fields{
 		"job": r.Job.ID, "item": item, "workspace": r.Job.Workspace, "route": r.Job.Route, "configuration": o.configuration.Load(),
-		"submitted_ago_ms": now.Sub(r.Job.Submitted).Milliseconds(), "known_ms": now.Sub(r.KnownSince).Milliseconds(),
-		"give_up_in_ms": r.Job.GiveUpAt.Sub(now).Milliseconds(), "reason": reason, "outcome": "errored",
+		"submitted_ago_ms": now.Sub(r.Job.Submitted).Milliseconds(), "known_ms": elapsed.Sub(r.KnownSince).Milliseconds(),
+		"give_up_in_ms": r.GiveUpAt.Sub(elapsed).Milliseconds(), "reason": reason, "outcome": "errored",
 	}
 	for k, v := range more {
 		fields[k] = v
@@ -80,7 +80,7 @@
 	log.WithFields(log.Fields{
 		"job": i.record.Job.ID, "item": i.item.ID, "server": slot.Server.ID, "workspace": i.record.Job.Workspace,
 		"events": i.events, "failures": i.failures, "sends": i.sends, "due_in_ms": i.record.Job.Due.Sub(now).Milliseconds(),
-		"submitted_ago_ms": now.Sub(i.record.Job.Submitted).Milliseconds(), "known_ms": now.Sub(i.record.KnownSince).Milliseconds(),
+		"submitted_ago_ms": now.Sub(i.record.Job.Submitted).Milliseconds(), "known_ms": i.owner.elapsed.Now().Sub(i.record.KnownSince).Milliseconds(),
 		"yields": i.yields, "slot_wait_ms": slot.Waited.Milliseconds(), "free_slots": slot.Inputs.Free, "slots": slot.Inputs.Slots,
 		"reason": i.reason, "framing": i.framing.String(), "outcome": outcome,
 	}).Info("item ended")
--- a/verbenad/internal/bulk/load.go
+++ b/verbenad/internal/bulk/load.go
@@ -179,17 +179,26 @@
 	o.start()
 }
 
-// addRecord adds an accepted job to the ledger, or returns the record that exists already.
-func (o *Owner) addRecord(j bulk.Job, s bulk.Shard, reserved bool) *bulk.Record {
-	r := o.ledger.Add(j, s, reserved)
+// addAccepted adds a job to the ledger that this host received and wrote to the store, or returns the record that exists already.
+func (o *Owner) addAccepted(j bulk.Job, s bulk.Shard, received time.Time) *bulk.Record {
+	r := o.ledger.Add(j, s, true)
 	if r.KnownSince.IsZero() {
-		r.KnownSince = o.clock.Now()
+		r.KnownSince, r.GiveUpAt = received, received.Add(j.GiveUpAfter())
+	}
+	return r
+}
+
+// addStored adds a job to the ledger that was read from the store, or returns the record that exists already.
+func (o *Owner) addStored(j bulk.Job, s bulk.Shard, knownSince time.Time) *bulk.Record {
+	r := o.ledger.Add(j, s, false)
+	if r.KnownSince.IsZero() {
+		r.KnownSince, r.GiveUpAt = knownSince, j.GiveUpTime(knownSince, o.elapsed.Now(), o.clock.Now(), o.maxClockSkew)
 	}
 	return r
 }
 
 func (o *Owner) addLoaded(s bulk.Shard, j storedJob, results []bulk.Segment) {
-	r := o.addRecord(j.job, s, false)
+	r := o.addStored(j.job, s, o.elapsed.Now())
 	for _, sg := range results {
 		o.ledger.Commit(r, sg)
 	}
--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -15,6 +15,7 @@
 	"verbenaledge.example/verbena/clock"
 	"verbenaledge.example/verbena/exchange"
 	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/node"
 	"verbenaledge.example/verbena/objects"
 	"verbenaledge.example/verbenad/internal/upstream"
 )
@@ -45,7 +46,11 @@
 	slots      SlotSource
 	client     *upstream.Client
 	clock      clock.Clock
-	estimator  eventEstimator
+	// elapsed measures time that passes, whatever the time of day.
+	elapsed clock.Clock
+	// maxClockSkew is by how much the time of day of the host that took a submission may differ from this host's.
+	maxClockSkew time.Duration
+	estimator    eventEstimator
 	// servers are those listed last.
 	servers atomic.Pointer[listedServers]
 	// configuration is the catalog's version, for log lines of items.
@@ -99,18 +104,31 @@
 	earlyReports []bulk.Call
 }
 
+// Option changes an owner.
+type Option func(*Owner)
+
+// WithMaxClockSkew sets by how much the times of day of two hosts may differ.
+func WithMaxClockSkew(d time.Duration) Option {
+	return func(o *Owner) { o.maxClockSkew = d }
+}
+
 // New returns an owner without shards that works until the context ends.
 func New(
 	ctx context.Context, host ids.HostID, store objects.Client, valueBytes int, l Lease, p Protocol, s SlotSource, u *upstream.Client,
-	c clock.Clock, retention time.Duration, others OwnerClient,
+	c clock.Clock, retention time.Duration, others OwnerClient, options ...Option,
 ) *Owner {
-	return &Owner{
+	o := &Owner{
 		ctx: ctx, host: host, store: store, valueBytes: valueBytes, lease: l, protocol: p, slots: s, client: u, clock: c, retention: retention,
+		elapsed: clock.Boot{}, maxClockSkew: node.DefaultMaxClockSkew,
 		tasks: make(chan func(), 256), ledger: bulk.NewLedger(), shards: make(map[bulk.Shard]*shard),
 		owners: others, runs: make(map[runKey]*itemRun), reports: make(map[ids.JobID]*progressReport),
 		commits: make(map[ids.JobID]*commit), submissions: make(map[ids.JobID]*submission),
 		deletions: make(map[ids.JobID]int), orphanAge: minOrphanAge,
 	}
+	for _, option := range options {
+		option(o)
+	}
+	return o
 }
 
 // Run processes calls and runs periodic checks until the context of New ends.
@@ -192,13 +210,13 @@
 
 // check gives up expired items, writes due results, removes old jobs and starts waiting items.
 func (o *Owner) check() {
-	now := o.clock.Now()
+	now, elapsed := o.clock.Now(), o.elapsed.Now()
 	for s, sh := range o.shards {
 		if !sh.ready {
 			continue
 		}
 		for _, r := range o.ledger.Records(s) {
-			for _, id := range r.Expired(now) {
+			for _, id := range r.Expired(elapsed) {
 				o.logErrored(r, id, reasonGivenUp, nil)
 				o.addResult(r, bulk.Result{Item: id, State: bulk.Errored})
 				o.cancelRun(runKey{r.Job.ID, id})
--- a/verbenad/internal/bulk/submit.go
+++ b/verbenad/internal/bulk/submit.go
@@ -82,6 +82,7 @@
 func (o *Owner) acceptJob(job bulk.Job, s bulk.Shard, sub *submission) {
 	ctx, cancel := context.WithTimeout(o.ctx, resolveTimeout)
 	defer cancel()
+	received := o.elapsed.Now()
 	stored, code := o.writeJob(ctx, job, s)
 	if code == bulk.Done {
 		o.awaitLease(ctx, s)
@@ -100,13 +101,13 @@
 			o.ledger.ReleaseTokens(&job)
 		case stored.job.ID == job.ID && len(stored.job.Items) > 0:
 			o.ledger.ReleaseTokens(&job) // another host accepted it first; its stored times apply
-			r := o.addRecord(stored.job, s, false)
+			r := o.addStored(stored.job, s, received)
 			if stored.ended {
 				o.ledger.EndJob(r)
 			}
 		default:
 			job.Parts = stored.job.Parts
-			o.addRecord(job, s, true)
+			o.addAccepted(job, s, received)
 		}
 		log.WithFields(log.Fields{
 			"job": job.ID, "workspace": job.Workspace, "items": len(job.Items), "tokens": job.Tokens(),
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -78,9 +78,9 @@
 	notices.apply, notices.notifyDispatcher, notices.notifyHosts = s.dispatcher.SetServers, s.slotClient.ReportDrainNotices, s.dispatcher.BroadcastDrainNotices
 	client := env.newServerClient(systemClock, notices, s.slotClient)
 	s.jobOwner = bulk.New(
-		workCtx, env.Settings.Host, env.Store, env.Settings.StoreValueBytes, s.coordinator, env.Protocol,
-		s.slotClient, client, systemClock, env.Settings.ResultRetention,
-		owners.NewJobsClient(&s.ownerMap, hostlink.NewRPCClient(env.Settings.Host, s.slotClient.Relays)),
+		workCtx, env.Settings.Host, env.Store, env.Settings.StoreValueBytes, s.coordinator, env.Protocol, s.slotClient, client, systemClock,
+		env.Settings.ResultRetention, owners.NewJobsClient(&s.ownerMap, hostlink.NewRPCClient(env.Settings.Host, s.slotClient.Relays)),
+		bulk.WithMaxClockSkew(env.Settings.MaxClockSkew),
 	)
 	var listed atomic.Pointer[map[ids.BackendID]directory.Server]
 	// Hosts are accepted once configuration and servers are known: a dispatcher without them would refuse all requests.
