fix: admitted requests are counted by elapsed time

Cause: the counts of what each placer has admitted in the last 5 s, which the next placer takes into account, went by the time of day. After a step ahead of 6 s they forgot all of it, so that a burst could be granted again; after a step back they kept it for 6 s longer, so that requests within the rate could be refused.

--- a/verbena/dispatch/admission_counts.go
+++ b/verbena/dispatch/admission_counts.go
@@ -18,6 +18,8 @@
 // itself, whichever admitted them. The next placer takes into account what the others admitted: a burst that was used at
 // one of them isn't available again at another.
 type AdmissionCounts struct {
+	// start is the time of the first request. Times since then don't change when the time of day is set.
+	start     time.Time
 	intervals [admissionIntervals]intervalCounts
 }
 
@@ -31,9 +33,17 @@
 	workspace ids.WorkspaceID
 }
 
+// interval returns the number of the interval at a time.
+func (a *AdmissionCounts) interval(at time.Time) int64 {
+	return int64(at.Sub(a.start) / admissionInterval)
+}
+
 // Add counts requests that a placer admitted.
 func (a *AdmissionCounts) Add(now time.Time, placer int, w ids.WorkspaceID, requests int) {
-	n := now.UnixNano() / int64(admissionInterval)
+	if a.start.IsZero() {
+		a.start = now
+	}
+	n := max(0, a.interval(now))
 	iv := &a.intervals[n%admissionIntervals]
 	if iv.number != n || iv.counts == nil {
 		*iv = intervalCounts{number: n, counts: make(map[placerWorkspace]int)}
@@ -44,7 +54,7 @@
 // Total returns how many requests of a workspace were admitted within admissionWindow, by thisPlacer and otherPlacers. It
 // is for the counts of a Scheduler, which uses only these two.
 func (a *AdmissionCounts) Total(now time.Time, w ids.WorkspaceID) (n int) {
-	oldest := now.Add(-admissionWindow).UnixNano() / int64(admissionInterval)
+	oldest := a.interval(now.Add(-admissionWindow))
 	for _, iv := range a.intervals {
 		if iv.number < oldest {
 			continue
@@ -66,7 +76,7 @@
 	if earliest := now.Add(-admissionWindow); since.Before(earliest) {
 		since = earliest
 	}
-	oldest := since.UnixNano() / int64(admissionInterval)
+	oldest := a.interval(since)
 	sums := make(map[ids.WorkspaceID]int)
 	for _, iv := range a.intervals {
 		if iv.number < oldest {
