fix: a stalled server is found whatever the time of day

Cause: the watch kept the time of the last data as a time of day. After a step ahead a server that had just sent something was reported as stalled, with a silence as long as the step; after a step back none was reported until the time of day had caught up.

Hosts ignore a report whose silence is longer than what they have seen of the server themselves, so a step ahead rarely took a server out; a step back of 2 s left a stalled server in use for as much longer. TestStallWatchStops stored 0, the year 1970, so that the check reports the server; it stores -1 h now for the same, since the value is relative.

--- a/verbenad/internal/slots/stall_watch.go
+++ b/verbenad/internal/slots/stall_watch.go
@@ -29,7 +29,9 @@
 	clock   clock.Clock
 	ticket  dispatch.Ticket
 	timeout time.Duration
-	// progressAt is when data last came, in Unix nanoseconds; it lies in the far future while the watch is paused.
+	// begin is when the watch began. Times since then don't change when the time of day is set.
+	begin time.Time
+	// progressAt is how long after begin data last came, a time.Duration; it lies in the far future while the watch is paused.
 	progressAt atomic.Int64
 	reported   atomic.Bool
 
@@ -47,12 +49,15 @@
 }
 
 func (w *StallWatch) start() {
-	w.progressAt.Store(w.clock.Now().UnixNano())
+	w.begin = w.clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(w.timeout, w.check)
 }
 
+// elapsed returns how long ago the watch began.
+func (w *StallWatch) elapsed() time.Duration { return w.clock.Now().Sub(w.begin) }
+
 // schedule sets the time until the next check, unless the watch has ended.
 func (w *StallWatch) schedule(after time.Duration) {
 	w.mu.Lock()
@@ -64,7 +69,7 @@
 
 // check reports the server if nothing has come within the timeout, and schedules the next check.
 func (w *StallWatch) check() {
-	silent := w.clock.Now().Sub(time.Unix(0, w.progressAt.Load()))
+	silent := w.elapsed() - time.Duration(w.progressAt.Load())
 	if silent < 0 {
 		w.schedule(w.timeout) // paused
 		return
@@ -85,7 +90,7 @@
 
 // Progress records that data has come from the server.
 func (w *StallWatch) Progress() {
-	w.progressAt.Store(w.clock.Now().UnixNano())
+	w.progressAt.Store(int64(w.elapsed()))
 	if w.reported.Swap(false) {
 		w.client.reportStall(dispatch.StallReport{Ticket: w.ticket})
 	}
--- a/verbenad/internal/slots/stall_watch_test.go
+++ b/verbenad/internal/slots/stall_watch_test.go
@@ -44,7 +44,7 @@
 func TestStallWatchStops(t *testing.T) {
 	c := newClient(t, "f", freeAddress(t))
 	w := c.WatchForStall(&Slot{})
-	w.progressAt.Store(0)
+	w.progressAt.Store(-int64(time.Hour)) // the check reports the server
 	w.Stop()
 	w.check()
 	qt.Assert(t, w.timer.Stop(), qt.IsFalse, qt.Commentf("the timer is still running"))
