fix: how old a host's objects are doesn't change with the time of day

Cause: a follower kept the time of the store's last answer as a time of day. After a step ahead of more than 1.8 s other hosts that are fed by it took all objects for too old and read the store themselves; after a step back the age was negative and nothing was confirmed until the store answered again.

Before: TestAgeAfterClockStep fails, 1 of 1, for both steps; after: passes. The next answer of the store ended it; that callers saw it isn't shown.

--- a/verbenad/internal/view/follower.go
+++ b/verbenad/internal/view/follower.go
@@ -59,7 +59,7 @@
 	// keepLapsed keeps entries that are missing after an outage for returnPeriod.
 	keepLapsed bool
 
-	answeredAt   atomic.Int64
+	answeredAt   atomic.Pointer[time.Time]
 	confirmed    confirmation
 	all          map[string]objects.Object
 	revision     objects.Revision
@@ -113,10 +113,10 @@
 // Age returns how long ago the store last answered. It is negative before the first answer.
 func (f *Follower) Age() time.Duration {
 	at := f.answeredAt.Load()
-	if at == 0 {
+	if at == nil {
 		return -1
 	}
-	return f.clock.Now().Sub(time.Unix(0, at))
+	return f.clock.Now().Sub(*at)
 }
 
 // ListState returns how current the objects are, as confirmed by the store or by another host for it.
@@ -217,7 +217,7 @@
 func (f *Follower) recordAnswer() {
 	now := f.clock.Now()
 	f.confirmed.add(now)
-	f.answeredAt.Store(now.UnixNano())
+	f.answeredAt.Store(&now)
 	if f.failingSince.IsZero() {
 		return
 	}
