fix: stored versions aren't taken for older than they may be

Cause: the history of software versions is stored with the time of day of the host that wrote it, and a host that starts after the loss of all hosts compares that with its own. If that is ahead, versions that have left are forgotten too early, and the history counts as complete too early, so that a stream could be joined from two versions.

A history that is younger than it is keeps versions up to twice that longer, which costs nothing but a later moment at which all versions count as known, where the history was shorter than that when it was stored.

--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -64,7 +64,7 @@
 	follower := newStoreFollower(env, feed, s.readsStore)
 	notices := newDrainNotices(systemClock)
 	crashReports := newStoredCrashReports(env.Store, systemClock)
-	versions := newStoredVersions(env.Store, systemClock, func() bool { return s.role() == slots.RoleDispatcher })
+	versions := newStoredVersions(env.Store, systemClock, func() bool { return s.role() == slots.RoleDispatcher }, env.Settings.MaxClockSkew)
 	s.dispatcher = slots.NewDispatcher(
 		systemClock, follower.publisher, s.role, s.ownerMap.AsUpdate, slots.WithDrainNotices(notices), slots.WithDisabledMechanisms(env.DisabledMechanisms),
 		slots.WithCrashReportsSaved(crashReports.save), slots.WithStandby(s.ownerMap.Standby), slots.WithListState(follower.serversState),
--- a/verbenad/internal/host/stored_versions.go
+++ b/verbenad/internal/host/stored_versions.go
@@ -25,6 +25,8 @@
 	clock  clock.Clock
 	// mayWrite reports whether this host dispatches.
 	mayWrite func() bool
+	// maxClockSkew is by how much the clock of the host that wrote the history may be behind this host's.
+	maxClockSkew time.Duration
 	// stored is what the store holds, nil if that isn't known.
 	stored *versionsObject
 }
@@ -36,8 +38,8 @@
 	History origin.History `json:"history"`
 }
 
-func newStoredVersions(store objects.Client, c clock.Clock, mayWrite func() bool) *storedVersions {
-	return &storedVersions{object: newStoredObject[versionsObject](store, kindVersions, nameVersions), clock: c, mayWrite: mayWrite}
+func newStoredVersions(store objects.Client, c clock.Clock, mayWrite func() bool, maxClockSkew time.Duration) *storedVersions {
+	return &storedVersions{object: newStoredObject[versionsObject](store, kindVersions, nameVersions), clock: c, mayWrite: mayWrite, maxClockSkew: maxClockSkew}
 }
 
 // save queues a history for the next write.
@@ -67,7 +69,7 @@
 		age := s.clock.Now().Sub(stored.At)
 		log.WithFields(log.Fields{"versions": len(stored.History.Versions), "age_ms": age.Milliseconds()}).Info("stored software versions loaded")
 		s.stored = &stored
-		loaded(stored.History.After(age))
+		loaded(stored.History.After(age - s.maxClockSkew))
 	}
 	return true
 }
--- a/verbenad/internal/host/stored_versions_test.go
+++ b/verbenad/internal/host/stored_versions_test.go
@@ -13,6 +13,7 @@
 	"verbenaledge.example/verbena/clock"
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/node"
 	"verbenaledge.example/verbena/objects"
 	"verbenaledge.example/verbena/objects/memory"
 	"verbenaledge.example/verbena/origin"
@@ -26,8 +27,13 @@
 }
 
 func startVersionsHost(t *testing.T, store *memory.Store) *versionsHost {
+	return startVersionsHostWithSkew(t, store, 0)
+}
+
+// startVersionsHostWithSkew starts a host whose clock may differ from others'.
+func startVersionsHostWithSkew(t *testing.T, store *memory.Store, maxClockSkew time.Duration) *versionsHost {
 	h := &versionsHost{loaded: make(chan origin.History, 1)}
-	h.storedVersions = newStoredVersions(store, clock.System{}, h.dispatches.Load)
+	h.storedVersions = newStoredVersions(store, clock.System{}, h.dispatches.Load, maxClockSkew)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -51,6 +57,22 @@
 	}
 }
 
+// TestVersionsOfHostWithOtherClock guards against versions that are forgotten too early, and streams joined from two, because the clock of
+// the host that stored them is behind that of the host that loads them.
+func TestVersionsOfHostWithOtherClock(t *testing.T) {
+	c := qt.New(t)
+	store := memory.New()
+	left := origin.Sighting{Service: "llm", Version: "1", Age: time.Second}
+	_, err := store.Create(c.Context(), kindVersions, nameVersions, versionsObject{
+		At: time.Now().Add(-node.DefaultMaxClockSkew), History: origin.History{ObservedFor: time.Second, Versions: []origin.Sighting{left}},
+	})
+	c.Assert(err, qt.IsNil)
+	loaded := startVersionsHostWithSkew(t, store, node.DefaultMaxClockSkew).awaitLoaded(c)
+	c.Assert(loaded.Versions, qt.HasLen, 1)
+	c.Check(loaded.Versions[0].Age < 3*time.Second, qt.IsTrue, qt.Commentf("%s", loaded.Versions[0].Age))
+	c.Check(loaded.ObservedFor < 3*time.Second, qt.IsTrue, qt.Commentf("%s", loaded.ObservedFor))
+}
+
 // history returns a complete history in which versions are listed.
 func history(versions ...directory.SoftwareVersion) (h origin.History) {
 	h.ObservedFor = time.Minute
