fix: when results are due doesn't depend on two hosts' clocks agreeing

Cause: as with the give-up time, the owner compared Due, by the entry host's time of day, with its own. An owner that is 5 s ahead took items for late 5 s too soon, which the dispatcher defers in favour of others, and wrote results early; one that is behind let them wait.

The record has the due time by the clock of elapsed time, as it has the give-up time. A job that is read from the store is due by the difference of the clocks sooner or later, as before.

Before: TestSlotRequestStatesTimeLeft, which checks the objective, too, fails, 1 of 1 (due since 1 h 59 min with an owner that is 2 h ahead); after: passes. The order among jobs still goes by the entry hosts' times, which the difference of their clocks shifts.

--- a/verbena/bulk/ledger.go
+++ b/verbena/bulk/ledger.go
@@ -30,9 +30,10 @@
 	Ended   bool
 	// AwaitingProgress keeps items from starting while a former owner may still report their progress.
 	AwaitingProgress bool
-	// KnownSince is when this host received the job or loaded it from the store, GiveUpAt when its unfinished items are given up. Both
-	// are by the owner's clock of elapsed time, which doesn't change when the time of day is set.
+	// KnownSince is when this host received the job or loaded it from the store, DueAt when its results are due, and GiveUpAt when its
+	// unfinished items are given up. They are by the owner's clock of elapsed time, which doesn't change when the time of day is set.
 	KnownSince time.Time
+	DueAt      time.Time
 	GiveUpAt   time.Time
 
 	items   map[ItemID]*itemRecord
--- a/verbenad/internal/bulk/commit.go
+++ b/verbenad/internal/bulk/commit.go
@@ -65,7 +65,7 @@
 	if !o.ownsShard(r.Shard) {
 		return // the results wait until the lease is renewed or the shard is given up
 	}
-	if !r.AllDone() && now.Sub(c.since) < commitAfter && r.Job.Due.Sub(now) > commitBeforeDue {
+	if !r.AllDone() && now.Sub(c.since) < commitAfter && r.DueAt.Sub(o.elapsed.Now()) > commitBeforeDue {
 		return
 	}
 	c.writing = true
--- a/verbenad/internal/bulk/give_up_clocks_test.go
+++ b/verbenad/internal/bulk/give_up_clocks_test.go
@@ -94,14 +94,16 @@
 	}
 }
 
-// TestSlotRequestStatesTimeLeft guards against a request for a slot that states too little time, since the owner's time of day is ahead
-// of that of the entry host.
+// TestSlotRequestStatesTimeLeft guards against a request for a slot that states too little time until the item is due or given up, since
+// the owner's time of day is ahead of that of the entry host.
 func TestSlotRequestStatesTimeLeft(t *testing.T) {
 	t.Parallel()
 	f, s := newScriptedFixture(t, false)
 	f.do(func() { f.owner.clock = newWallClock(2 * time.Hour) })
 	j := jobGivenUpAfter(time.Hour)
 	f.Assert(f.submit(j), qt.Equals, bulk.Done)
-	left := (<-s.requests).Remaining
-	f.Assert(left > 59*time.Minute && left <= time.Hour, qt.IsTrue, qt.Commentf("%v", left))
+	request := <-s.requests
+	left, untilDue := request.Remaining, request.Objective
+	f.Check(left > 59*time.Minute && left <= time.Hour, qt.IsTrue, qt.Commentf("%v", left))
+	f.Check(untilDue > 30*time.Second && untilDue <= time.Minute, qt.IsTrue, qt.Commentf("%v", untilDue))
 }
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -162,11 +162,11 @@
 )
 
 func (i *itemRun) slotRequest(service ids.ServiceName) dispatch.SlotRequest {
-	now := i.owner.clock.Now()
+	elapsed := i.owner.elapsed.Now()
 	_, header := i.owner.protocol.ItemRequest(i.item)
 	return dispatch.SlotRequest{
-		Service: service, Workspace: i.record.Job.Workspace, Class: dispatch.Batch, Objective: i.record.Job.Due.Sub(now),
-		Remaining: i.record.GiveUpAt.Sub(i.owner.elapsed.Now()), StreamEvents: i.owner.estimator.remaining(i.item.Tokens, i.events), Exclude: i.exclude,
+		Service: service, Workspace: i.record.Job.Workspace, Class: dispatch.Batch, Objective: i.record.DueAt.Sub(elapsed),
+		Remaining: i.record.GiveUpAt.Sub(elapsed), StreamEvents: i.owner.estimator.remaining(i.item.Tokens, i.events), Exclude: i.exclude,
 		Parts: i.owner.protocol.ParseRequest(header).SharedParts, Resumption: i.resumption(),
 	}
 }
--- a/verbenad/internal/bulk/item_log.go
+++ b/verbenad/internal/bulk/item_log.go
@@ -76,11 +76,11 @@
 
 // logEnd logs how a run of the item ended that a server's answer decided.
 func (i *itemRun) logEnd(outcome string, slot *slots.Slot) {
-	now := i.owner.clock.Now()
+	now, elapsed := i.owner.clock.Now(), i.owner.elapsed.Now()
 	log.WithFields(log.Fields{
 		"job": i.record.Job.ID, "item": i.item.ID, "server": slot.Server.ID, "workspace": i.record.Job.Workspace,
-		"events": i.events, "failures": i.failures, "sends": i.sends, "due_in_ms": i.record.Job.Due.Sub(now).Milliseconds(),
-		"submitted_ago_ms": now.Sub(i.record.Job.Submitted).Milliseconds(), "known_ms": i.owner.elapsed.Now().Sub(i.record.KnownSince).Milliseconds(),
+		"events": i.events, "failures": i.failures, "sends": i.sends, "due_in_ms": i.record.DueAt.Sub(elapsed).Milliseconds(),
+		"submitted_ago_ms": now.Sub(i.record.Job.Submitted).Milliseconds(), "known_ms": elapsed.Sub(i.record.KnownSince).Milliseconds(),
 		"yields": i.yields, "slot_wait_ms": slot.Waited.Milliseconds(), "free_slots": slot.Inputs.Free, "slots": slot.Inputs.Slots,
 		"reason": i.reason, "framing": i.framing.String(), "outcome": outcome,
 	}).Info("item ended")
--- a/verbenad/internal/bulk/load.go
+++ b/verbenad/internal/bulk/load.go
@@ -183,7 +183,7 @@
 func (o *Owner) addAccepted(j bulk.Job, s bulk.Shard, received time.Time) *bulk.Record {
 	r := o.ledger.Add(j, s, true)
 	if r.KnownSince.IsZero() {
-		r.KnownSince, r.GiveUpAt = received, received.Add(j.GiveUpAfter())
+		r.KnownSince, r.DueAt, r.GiveUpAt = received, received.Add(j.DueAfter()), received.Add(j.GiveUpAfter())
 	}
 	return r
 }
@@ -192,7 +192,8 @@
 func (o *Owner) addStored(j bulk.Job, s bulk.Shard, knownSince time.Time) *bulk.Record {
 	r := o.ledger.Add(j, s, false)
 	if r.KnownSince.IsZero() {
-		r.KnownSince, r.GiveUpAt = knownSince, j.GiveUpTime(knownSince, o.elapsed.Now(), o.clock.Now(), o.maxClockSkew)
+		elapsed, now := o.elapsed.Now(), o.clock.Now()
+		r.KnownSince, r.DueAt, r.GiveUpAt = knownSince, elapsed.Add(j.Due.Sub(now)), j.GiveUpTime(knownSince, elapsed, now, o.maxClockSkew)
 	}
 	return r
 }
