--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -138,7 +138,7 @@
 }
 
 // SetCatalog applies a configuration. An item that waits for a slot of a service that its route no longer leads to waits for one
-// of the present service instead.
+// of the present service instead, or until there is one.
 func (o *Owner) SetCatalog(c *catalog.Catalog) {
 	o.post(func() {
 		o.catalog = c
@@ -147,26 +147,13 @@
 			if run.wait == nil {
 				continue
 			}
-			if target, ok := o.targetOf(run.route); !ok || target.service != run.wait.service {
+			if target, ok := o.targetOf(&run.record.Job); !ok || target.service != run.wait.service {
 				run.wait.cancel()
 			}
 		}
 	})
 }
 
-// targetOf returns where a route leads. Items of one job are sent to one service, also if the route splits its traffic.
-func (o *Owner) targetOf(route string) (target routeTarget, ok bool) {
-	r, ok := o.catalog.Route(route)
-	if !ok {
-		return routeTarget{}, false
-	}
-	service, ok := r.PickService(0)
-	if !ok {
-		return routeTarget{}, false
-	}
-	return routeTarget{route: r, service: service}, true
-}
-
 // SetShards sets the shards that this host owns and their epochs. A shard with a new epoch is loaded again.
 func (o *Owner) SetShards(owned map[bulk.Shard]ids.Epoch) {
 	o.post(func() {
@@ -219,15 +206,14 @@
 	}
 	for _, r := range o.ledger.StartItems(maxRunning-o.running, o.shares()) {
 		sh := o.shards[r.Record.Shard]
-		route, ok := o.catalog.Route(r.Record.Job.Route)
-		if !ok {
+		if _, ok := o.targetOf(&r.Record.Job); !ok {
 			o.logErrored(r.Record, r.Item.ID, reasonRouteGone, nil)
 			o.addResult(r.Record, bulk.Result{Item: r.Item.ID, State: bulk.Errored})
 			continue
 		}
 		o.running++
 		ctx, cancel := context.WithCancel(sh.ctx)
-		run := &itemRun{owner: o, record: r.Record, item: r.Item, route: route.Name, cancel: cancel}
+		run := &itemRun{owner: o, record: r.Record, item: r.Item, route: r.Record.Job.Route, cancel: cancel}
 		run.partial.Store(r.PartialAnswer)
 		o.runs[runKey{r.Record.Job.ID, r.Item.ID}] = run
 		go func() {
--- a/verbenad/internal/bulk/shares.go
+++ b/verbenad/internal/bulk/shares.go
@@ -48,12 +48,6 @@
 
 func (o *Owner) shares() bulk.Shares { return bulk.Shares{Limit: maxRunning, ServiceOf: o.serviceOf} }
 
-// serviceOf returns the service that a route leads to, or none.
-func (o *Owner) serviceOf(route string) ids.ServiceName {
-	target, _ := o.targetOf(route)
-	return target.service
-}
-
 // displaceable returns the runs that wait for a slot and have nothing to keep, those of the jobs that are due last first.
 func (o *Owner) displaceable() (list []*itemRun) {
 	for _, run := range o.runs {
