fix: an owner with an older configuration takes no new route for gone

What callers would see: all items of a job on a new batch route listed as errored (route_gone) at once, if the owner of the job learns of the configuration later than the entry host that accepted the job, or takes the job over with an older one.

Cause: the owner judged by its own configuration, without knowing under which one the job was accepted. Fix: the job carries that version (stored, and sent with the job); the owner takes the route for gone only under a configuration at least as new, and the items wait until then. Hosts of former releases ignore the field; a job without it is treated as before. Ruled out: see docs/design/batch.md (a waiting time, refusing such submissions, reading the store, sending the route along).

--- a/verbena/bulk/job.go
+++ b/verbena/bulk/job.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"verbenaledge.example/verbena/catalog"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/objects"
 )
@@ -57,6 +58,8 @@
 	Items     []Item    `json:"items" cbor:"8,keyasint"`
 	// Parts counts the additional stored objects that hold items beyond those in the job's own object.
 	Parts int `json:"parts,omitempty" cbor:"9,keyasint,omitempty"`
+	// Configuration is the version under which the job was accepted, 0 in jobs from hosts of releases that didn't record it.
+	Configuration catalog.Version `json:"configuration,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // Tokens returns the sum of all items' tokens.
--- a/verbenad/internal/bulk/item_log.go
+++ b/verbenad/internal/bulk/item_log.go
@@ -38,7 +38,8 @@
 	now := o.clock.Now()
 	fields := log.Fields{
 		"job": r.Job.ID, "item": item, "workspace": r.Job.Workspace, "route": r.Job.Route, "configuration": o.configuration.Load(),
-		"submitted_ago_ms": now.Sub(r.Job.Submitted).Milliseconds(), "known_ms": now.Sub(r.KnownSince).Milliseconds(),
+		"job_configuration": r.Job.Configuration,
+		"submitted_ago_ms":  now.Sub(r.Job.Submitted).Milliseconds(), "known_ms": now.Sub(r.KnownSince).Milliseconds(),
 		"give_up_in_ms": r.Job.GiveUpAt.Sub(now).Milliseconds(), "reason": reason, "outcome": "errored",
 	}
 	for k, v := range more {
--- a/verbenad/internal/bulk/route_target.go
+++ b/verbenad/internal/bulk/route_target.go
@@ -6,18 +6,19 @@
 	"verbenaledge.example/verbena/ids"
 )
 
-// routeTarget is a job's route and the service that it leads to.
+// routeTarget is a job's route and the service that it leads to. Items without a service wait for a configuration that names one.
 type routeTarget struct {
+	// route is nil if the configuration is older than the job's and lacks it.
 	route *catalog.Route
-	// service is empty while the route leads to none. Items wait then: their route exists.
+	// service is empty while the route leads to none.
 	service ids.ServiceName
 }
 
-// targetOf returns where a job's items are sent. ok is false if its route is gone. Items of one job are sent to one service, also if
-// the route splits its traffic.
+// targetOf returns where a job's items are sent. ok is false if its route is gone: a configuration at least as new as the one under
+// which the job was accepted lacks it. Items of one job are sent to one service, also if the route splits its traffic.
 func (o *Owner) targetOf(j *bulk.Job) (target routeTarget, ok bool) {
 	if target.route, ok = o.catalog.Route(j.Route); !ok {
-		return target, false
+		return routeTarget{}, o.catalog.Version < j.Configuration
 	}
 	target.service, _ = target.route.PickService(0)
 	return target, true
--- a/verbenad/internal/bulk/slot_wait.go
+++ b/verbenad/internal/bulk/slot_wait.go
@@ -16,7 +16,7 @@
 	itemsWithoutService = metrics.NewCounter("verbenad_items_without_service_total")
 )
 
-// slotWait is an item's wait for a slot of a service, or for a service while the item's route leads to none.
+// slotWait is an item's wait for a slot of a service, or for a service while none is known.
 type slotWait struct {
 	// service is empty while there is none.
 	service ids.ServiceName
@@ -90,6 +90,7 @@
 	itemsWithoutService.Inc()
 	log.WithFields(log.Fields{
 		"job": i.record.Job.ID, "item": i.item.ID, "route": i.route, "configuration": i.owner.configuration.Load(),
+		"job_configuration": i.record.Job.Configuration,
 	}).Info("item waits for a service")
 	<-waitCtx.Done()
 }
