fix: a lowered number of attempts ends no running item too early

What callers would see: an item listed as errored (failed_too_often) at its next answer of 500 after a configuration has lowered maxAttempts, with fewer than were allowed when its job was accepted; the same at an owner with an older configuration that allows fewer.

Cause: failures were counted against the owner's configuration alone. Fix: the job carries the number under which it was accepted. Ruled out: see docs/design/batch.md. Before: TestLoweredAttemptsEndRunningItem failed, errored at its first 500 of 3 allowed. After: it and TestLoweredAttemptsEndItems pass. Open: a number that is raised and lowered again while an item runs.

--- a/verbena/bulk/job.go
+++ b/verbena/bulk/job.go
@@ -60,6 +60,8 @@
 	Parts int `json:"parts,omitempty" cbor:"9,keyasint,omitempty"`
 	// Configuration is the version under which the job was accepted, 0 in jobs from hosts of releases that didn't record it.
 	Configuration catalog.Version `json:"configuration,omitempty" cbor:"10,keyasint,omitempty"`
+	// MaxAttempts is the number of attempts that the route allowed then, 0 if it wasn't recorded.
+	MaxAttempts int `json:"max_attempts,omitempty" cbor:"11,keyasint,omitempty"`
 }
 
 // Tokens returns the sum of all items' tokens.
--- a/verbenad/internal/bulk/item_refusal.go
+++ b/verbenad/internal/bulk/item_refusal.go
@@ -48,7 +48,7 @@
 	if a.Status == http.StatusInternalServerError {
 		i.failures++
 		i.reason = reasonFailedTooOften
-		if i.failures >= route.MaxAttempts {
+		if i.failures >= i.record.Job.EndingFailures(route.MaxAttempts, catalog.Version(i.owner.configuration.Load())) {
 			return dispatch.Failed, itemErrored
 		}
 	}
--- a/verbenad/internal/entry/job_configuration_test.go
+++ b/verbenad/internal/entry/job_configuration_test.go
@@ -57,5 +57,7 @@
 // TestJobNamesItsConfiguration guards against an owner with an older configuration that can't tell a new route from one that is gone.
 func TestJobNamesItsConfiguration(t *testing.T) {
 	c := qt.New(t)
-	c.Assert(submitUnder(c, 9, catalog.Route{}).Configuration, qt.Equals, catalog.Version(9))
+	j := submitUnder(c, 9, catalog.Route{MaxAttempts: 4})
+	c.Assert(j.Configuration, qt.Equals, catalog.Version(9))
+	c.Assert(j.MaxAttempts, qt.Equals, 4)
 }
--- a/verbenad/internal/entry/jobs.go
+++ b/verbenad/internal/entry/jobs.go
@@ -68,7 +68,7 @@
 	}
 	now := h.clock.Now()
 	job.Workspace, job.Route, job.Host = req.workspaceID(), req.route.Name, req.httpRequest.Host
-	job.Configuration = req.configVersion
+	job.Configuration, job.MaxAttempts = req.configVersion, req.route.MaxAttempts
 	job.Submitted, job.Due, job.GiveUpAt = now, now.Add(req.route.ResultsDueAfter), now.Add(req.route.GiveUpAfter)
 	h.callJobOwner(req, bulk.Call{
 		Op: bulk.Submit, Job: job.ID, Workspace: job.Workspace, New: job, TokenCap: req.route.TokenCap,
