fix: a change of owner hands over the failures of items

Cause: the report to the new owner has results and partial answers, not failures; a run without events was not reported at all. Fix: the report has the counts, also of items that wait. The larger one is kept: a report may come twice and two owners may run an item at once, and a sum would error items too early. Ruled out: an item errored with fewer answers of 500 than allowed by a change of owner: no count exceeds the answers that its owners got. Before: TestHandOverForgetsFailures failed (0 of 2 failures at the next owner). After: 2 at the second and the third owner; TestRepeatedReportCountsFailuresTwice, TestFailuresAtFormerRelease pass. Open: counts are lost with a host that ends without handing over.

--- a/verbena/bulk/ledger.go
+++ b/verbena/bulk/ledger.go
@@ -45,6 +45,8 @@
 	countedWaiting bool
 	// partial is the beginning of the answer that a former owner reported, or nil.
 	partial *PartialAnswer
+	// failures counts the answers of 500 that are known from earlier runs.
+	failures int
 }
 
 type itemState int
@@ -171,6 +173,23 @@
 	}
 }
 
+// AddFailures keeps the number of an item's failures for its next run. The same report may come twice, so the largest number counts.
+func (r *Record) AddFailures(f ItemFailures) {
+	if p, ok := r.items[f.Item]; ok {
+		p.failures = max(p.failures, f.Count)
+	}
+}
+
+// Failures returns the failures of earlier runs of the items that have no result.
+func (r *Record) Failures() (list []ItemFailures) {
+	for _, i := range r.Job.Items {
+		if p := r.items[i.ID]; p.state != itemDone && p.failures > 0 {
+			list = append(list, ItemFailures{Item: i.ID, Count: p.failures})
+		}
+	}
+	return list
+}
+
 // Requeue makes an item waiting again whose run ended without a result.
 func (l *Ledger) Requeue(r *Record, id ItemID) {
 	if p, ok := r.items[id]; ok && p.state == itemRunning {
--- a/verbena/bulk/progress.go
+++ b/verbena/bulk/progress.go
@@ -8,12 +8,23 @@
 	// Results are complete but not visible yet.
 	Results        []Result        `cbor:"1,keyasint,omitempty"`
 	PartialAnswers []PartialAnswer `cbor:"2,keyasint,omitempty"`
+	Failures       []ItemFailures  `cbor:"3,keyasint,omitempty"`
 }
 
 // Add appends the results and partial answers of another report on the same job.
 func (p *Progress) Add(other Progress) {
 	p.Results = append(p.Results, other.Results...)
 	p.PartialAnswers = append(p.PartialAnswers, other.PartialAnswers...)
+	p.Failures = append(p.Failures, other.Failures...)
+}
+
+// Empty reports whether there is nothing to report.
+func (p *Progress) Empty() bool { return len(p.Results)+len(p.PartialAnswers)+len(p.Failures) == 0 }
+
+// ItemFailures is how many answers of 500 an item has had, those that the reporting owner learned from a former one included.
+type ItemFailures struct {
+	Item  ItemID `cbor:"1,keyasint"`
+	Count int    `cbor:"2,keyasint"`
 }
 
 // PartialAnswer is the beginning of an item's answer.
--- a/verbena/bulk/shares.go
+++ b/verbena/bulk/shares.go
@@ -24,6 +24,8 @@
 	Item   Item
 	// PartialAnswer is the beginning of its answer that a former owner reported, or nil.
 	PartialAnswer *PartialAnswer
+	// Failures counts the answers of 500 that it has had in earlier runs.
+	Failures int
 }
 
 // StartItems marks up to n waiting items as running and returns them in the order of their jobs' due times, first those of services
@@ -73,7 +75,7 @@
 			continue
 		}
 		p.state = itemRunning
-		list = append(list, StartedItem{Record: r, Item: p.item, PartialAnswer: p.partial})
+		list = append(list, StartedItem{Record: r, Item: p.item, PartialAnswer: p.partial, Failures: p.failures})
 		p.partial = nil
 	}
 	return list
--- a/verbenad/internal/bulk/handover.go
+++ b/verbenad/internal/bulk/handover.go
@@ -108,32 +108,42 @@
 	return ok && sent
 }
 
-// dropShard removes a shard's jobs and reports their pending results to the new owner. Running items are
-// reported as their runs end.
+// dropShard removes a shard's jobs and reports their pending results and the failures of earlier runs to the new owner. Running items
+// are reported as their runs end.
 func (o *Owner) dropShard(s bulk.Shard) {
 	for _, r := range o.ledger.Records(s) {
 		delete(o.commits, r.Job.ID)
-		if len(r.Pending) > 0 && !r.Ended {
-			o.queueReport(r, bulk.Progress{Results: append([]bulk.Result(nil), r.Pending...)})
+		p := bulk.Progress{Results: append([]bulk.Result(nil), r.Pending...), Failures: r.Failures()}
+		if !p.Empty() && !r.Ended {
+			o.queueReport(r, p)
 		}
 	}
 	o.ledger.DropShard(s)
 }
 
-// reportRun reports the result or partial answer of a run whose shard was given up.
+// reportRun reports the result, or the partial answer and failures, of a run whose shard was given up.
 func (o *Owner) reportRun(run *itemRun, result bulk.Result, done bool) {
+	if run.record.Ended {
+		return
+	}
+	var p bulk.Progress
 	switch {
-	case run.record.Ended:
 	case done:
-		o.queueReport(run.record, bulk.Progress{Results: []bulk.Result{result}})
+		p.Results = []bulk.Result{result}
 	case !utf8.ValidString(run.lastEventID):
 		// Text in the report, which hosts of former releases can't read; another id would be resumed elsewhere.
 		log.WithFields(log.Fields{"job": run.record.Job.ID, "item": run.item.ID, "events_dropped": run.events}).
 			Warn("partial answer not handed over: its last event id is no UTF-8")
 	case run.events > 0 && !run.originUncertain:
-		o.queueReport(run.record, bulk.Progress{PartialAnswers: []bulk.PartialAnswer{
+		p.PartialAnswers = []bulk.PartialAnswer{
 			{Item: run.item.ID, Text: run.output, Events: run.events, LastEventID: run.lastEventID, Origin: &run.origin},
-		}})
+		}
+	}
+	if f := run.knownFailures(); !done && f.Count > 0 {
+		p.Failures = []bulk.ItemFailures{f}
+	}
+	if !p.Empty() {
+		o.queueReport(run.record, p)
 	}
 }
 
@@ -186,7 +196,18 @@
 		}
 		r.AddPartial(p)
 	}
+	o.applyFailures(r, c.Progress.Failures)
 	log.WithFields(log.Fields{
 		"job": c.Job, "results": len(c.Progress.Results), "begun": len(c.Progress.PartialAnswers), "outcome": "carried",
 	}).Info("progress of a former owner")
 }
+
+// applyFailures adds a former owner's counts to items that wait or run.
+func (o *Owner) applyFailures(r *bulk.Record, list []bulk.ItemFailures) {
+	for _, f := range list {
+		r.AddFailures(f)
+		if run := o.runs[runKey{r.Job.ID, f.Item}]; run != nil {
+			run.reportedFailures.Store(max(run.reportedFailures.Load(), int64(f.Count)))
+		}
+	}
+}
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -78,8 +78,10 @@
 	// begunAt is when the output was begun.
 	begunAt time.Time
 
-	lost     lostServer
-	failures int
+	lost lostServer
+	// failures counts the answers of 500, those of earlier runs included; reportedFailures is what a former owner reported meanwhile.
+	failures         int
+	reportedFailures atomic.Int64
 	// sends counts the sends by this owner.
 	sends  int
 	yields int
--- a/verbenad/internal/bulk/item_failures.go
+++ b/verbenad/internal/bulk/item_failures.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"verbenaledge.example/verbena/bulk"
 	"verbenaledge.example/verbena/dispatch"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbenad/internal/slots"
@@ -59,3 +60,9 @@
 	}
 	return dispatch.Unreachable
 }
+
+// knownFailures returns how many answers of 500 the item has had as far as this owner knows. If two owners have run it at once, the
+// larger number counts, so that none counts twice.
+func (i *itemRun) knownFailures() bulk.ItemFailures {
+	return bulk.ItemFailures{Item: i.item.ID, Count: max(i.failures, int(i.reportedFailures.Load()))}
+}
--- a/verbenad/internal/bulk/item_refusal.go
+++ b/verbenad/internal/bulk/item_refusal.go
@@ -46,7 +46,7 @@
 		return dispatch.Served, itemErrored
 	}
 	if a.Status == http.StatusInternalServerError {
-		i.failures++
+		i.failures = i.knownFailures().Count + 1
 		i.reason = reasonFailedTooOften
 		if i.failures >= i.record.Job.EndingFailures(route.MaxAttempts, catalog.Version(i.owner.configuration.Load())) {
 			return dispatch.Failed, itemErrored
--- a/verbenad/internal/bulk/owner.go
+++ b/verbenad/internal/bulk/owner.go
@@ -215,6 +215,7 @@
 		ctx, cancel := context.WithCancel(sh.ctx)
 		run := &itemRun{owner: o, record: r.Record, item: r.Item, route: r.Record.Job.Route, cancel: cancel}
 		run.partial.Store(r.PartialAnswer)
+		run.failures = r.Failures
 		o.runs[runKey{r.Record.Job.ID, r.Item.ID}] = run
 		go func() {
 			defer cancel()
@@ -258,6 +259,7 @@
 		if partial := run.partial.Load(); partial != nil {
 			r.AddPartial(*partial)
 		}
+		r.AddFailures(run.knownFailures())
 		return
 	}
 	o.addResult(r, result)
