--- a/verbenad/internal/bulk/item_log.go
+++ b/verbenad/internal/bulk/item_log.go
@@ -38,7 +38,8 @@
 	now, elapsed := o.clock.Now(), o.elapsed.Now()
 	fields := log.Fields{
 		"job": r.Job.ID, "item": item, "workspace": r.Job.Workspace, "route": r.Job.Route, "configuration": o.configuration.Load(),
-		"submitted_ago_ms": now.Sub(r.Job.Submitted).Milliseconds(), "known_ms": elapsed.Sub(r.KnownSince).Milliseconds(),
+		"job_configuration": r.Job.Configuration,
+		"submitted_ago_ms":  now.Sub(r.Job.Submitted).Milliseconds(), "known_ms": elapsed.Sub(r.KnownSince).Milliseconds(),
 		"give_up_in_ms": r.GiveUpAt.Sub(elapsed).Milliseconds(), "reason": reason, "outcome": "errored",
 	}
 	for k, v := range more {
--- a/verbenad/internal/bulk/item_refusal.go
+++ b/verbenad/internal/bulk/item_refusal.go
@@ -46,9 +46,9 @@
 		return dispatch.Served, itemErrored
 	}
 	if a.Status == http.StatusInternalServerError {
-		i.failures++
+		i.failures = i.knownFailures().Count + 1
 		i.reason = reasonFailedTooOften
-		if i.failures >= route.MaxAttempts {
+		if i.failures >= i.record.Job.EndingFailures(route.MaxAttempts, catalog.Version(i.owner.configuration.Load())) {
 			return dispatch.Failed, itemErrored
 		}
 	}
