fix: a late answer to an earlier request doesn't raise a server's limit

Cause: what the head of an answer says of the server's limit was placed among other answers by the time at which the present request was granted, also if the answer belonged to another request. A server's late copy of an earlier answer so counted as the newest: it raised a limit that the server had lowered since, until the next answer. docs/design/limits.md says that an older answer can't.

Ruled out: a late answer that ends a limit (limitStatement needs the request's id); drain notices (they hold for a start of the server, and a server doesn't take one back).

Fix: upstream says whether a head carries another request's id; the place of such a statement counts as unknown, so that it can lower a limit and not raise it. Frames and other releases are unchanged: the report names no ticket.

Calls in server_limits_test.go name the new argument; their checks are unchanged.

--- a/verbena/dispatch/limits.go
+++ b/verbena/dispatch/limits.go
@@ -16,7 +16,7 @@
 
 // LimitReport is a host's report of what an answer says of its server's limit.
 type LimitReport struct {
-	// Ticket is that of the slot that the answer's request holds.
+	// Ticket is that of the slot that the answer's request holds, 0 for an answer to an earlier request.
 	Ticket    Ticket          `cbor:"1,keyasint"`
 	Server    ids.BackendID   `cbor:"2,keyasint"`
 	Statement limit.Statement `cbor:"3,keyasint"`
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -199,7 +199,7 @@
 	i.sends++
 	answer, err := i.owner.client.Send(ctx, i.owner.protocol, upstream.Request{
 		ID: id, Method: http.MethodPost, Target: i.item.Path, Host: i.record.Job.Host, Body: i.item.Body, Server: slot.Server,
-		OnLimit: func(s limit.Statement) { i.owner.slots.ReportLimit(slot, s) },
+		OnLimit: func(s limit.Statement, late bool) { i.owner.slots.ReportLimit(slot, s, late) },
 		Header:  i.owner.protocol.Forward(header, exchange.ForwardInfo{Server: slot.Server.ID, Workspace: i.record.Job.Workspace, LastEventID: i.lastEventID}),
 	})
 	if err != nil {
--- a/verbenad/internal/bulk/slot_source.go
+++ b/verbenad/internal/bulk/slot_source.go
@@ -18,6 +18,6 @@
 	// WatchForStall watches the server of a slot until the watch is stopped.
 	WatchForStall(s *slots.Slot) *slots.StallWatch
 	// ReportLimit reports what the server of a slot says of its limit, KnownLimit returns what is known of that of a server.
-	ReportLimit(s *slots.Slot, l limit.Statement)
+	ReportLimit(s *slots.Slot, l limit.Statement, late bool)
 	KnownLimit(id ids.BackendID) limit.Statement
 }
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -194,7 +194,7 @@
 	start := h.clock.Now()
 	response, err := h.client.Send(sendCtx, h.protocol, upstream.Request{
 		ID: req.info.ID, Method: req.httpRequest.Method, Target: req.httpRequest.RequestURI, Host: req.httpRequest.Host, Body: req.body, Server: slot.Server,
-		OnLimit: func(s limit.Statement) { h.slots.ReportLimit(slot, s) },
+		OnLimit: func(s limit.Statement, late bool) { h.slots.ReportLimit(slot, s, late) },
 		Header: h.protocol.Forward(req.httpRequest.Header, exchange.ForwardInfo{
 			Server: slot.Server.ID, Workspace: req.workspaceID(), Remaining: req.deadline.Sub(start), LastEventID: state.lastEventID,
 		}),
--- a/verbenad/internal/entry/slot_source.go
+++ b/verbenad/internal/entry/slot_source.go
@@ -23,6 +23,6 @@
 	// ReportStreamBegan reports where a stream runs.
 	ReportStreamBegan(r origin.Record)
 	// ReportLimit reports what the server of a slot says of its limit, KnownLimit returns what is known of that of a server.
-	ReportLimit(s *slots.Slot, l limit.Statement)
+	ReportLimit(s *slots.Slot, l limit.Statement, late bool)
 	KnownLimit(id ids.BackendID) limit.Statement
 }
--- a/verbenad/internal/slots/server_limits.go
+++ b/verbenad/internal/slots/server_limits.go
@@ -1,6 +1,8 @@
 package slots
 
 import (
+	"time"
+
 	"github.com/apex/log"
 
 	"verbenaledge.example/verbena/directory"
@@ -11,15 +13,19 @@
 )
 
 // ReportLimit applies what an answer says of its server's limit, and reports it to the placers if they have other
-// information. It is called as soon as the head of the answer is read, since a stream may last long.
-func (c *Client) ReportLimit(slot *Slot, s limit.Statement) {
+// information. It is called as soon as the head of the answer is read, since a stream may last long. A late answer is one to an
+// earlier request, whose place among other answers isn't known.
+func (c *Client) ReportLimit(slot *Slot, s limit.Statement, late bool) {
 	c.mu.Lock()
 	defer c.unlockAndEnqueue()
 	now, id := c.clock.Now(), slot.Server.ID
-	report := dispatch.LimitReport{Ticket: slot.ticket, Server: id, Statement: s}
+	report, heldSince := dispatch.LimitReport{Ticket: slot.ticket, Server: id, Statement: s}, slot.heldSince
+	if late {
+		report.Ticket, heldSince = 0, time.Time{}
+	}
 	before := c.limits.of(id)
-	if c.limits.observe(now, slot.heldSince, id, s) {
-		c.localEvents = append(c.localEvents, dispatch.LimitStated{Host: c.host, Report: report, HeldSince: slot.heldSince})
+	if c.limits.observe(now, heldSince, id, s) {
+		c.localEvents = append(c.localEvents, dispatch.LimitStated{Host: c.host, Report: report, HeldSince: heldSince})
 	}
 	c.limitLog.record(limitChange{server: id, service: slot.Server.Service, stated: s, before: before, now: c.limits.of(id)})
 	if s.Kind == limit.Unreadable || s == slot.limit {
--- a/verbenad/internal/slots/server_limits_test.go
+++ b/verbenad/internal/slots/server_limits_test.go
@@ -47,7 +47,7 @@
 	waitConnected(t, one)
 	waitConnected(t, two)
 	slot := acquireLimited(t, one)
-	one.ReportLimit(slot, named(3))
+	one.ReportLimit(slot, named(3), false)
 	one.Release(slot, dispatch.Outcome{Result: dispatch.Served})
 	c.Assert(knows(two, named(3)), qt.IsTrue)
 	three := newClient(t, "three", d.address)
@@ -64,16 +64,34 @@
 	waitConnected(t, one)
 	waitConnected(t, two)
 	older, slot := acquireLimited(t, two), acquireLimited(t, one)
-	one.ReportLimit(slot, named(50))
+	one.ReportLimit(slot, named(50), false)
 	c.Assert(knows(two, named(50)), qt.IsTrue)
-	two.ReportLimit(older, limit.Statement{})
+	two.ReportLimit(older, limit.Statement{}, false)
 	c.Assert(two.KnownLimit(limitedServer), qt.Equals, named(50))
 	later := acquireLimited(t, two)
 	c.Assert(later.limit, qt.Equals, named(50))
-	two.ReportLimit(later, limit.Statement{})
+	two.ReportLimit(later, limit.Statement{}, false)
 	c.Assert(knows(one, limit.Statement{}), qt.IsTrue)
 }
 
+// TestLateAnswerDoesNotRaiseLimit guards against a server's late answer to an earlier request that is taken for the newest one.
+func TestLateAnswerDoesNotRaiseLimit(t *testing.T) {
+	c := qt.New(t)
+	d := startDispatcher(t)
+	d.dispatcher.SetServers(moreSlots)
+	one, two := newClient(t, "one", d.address), newClient(t, "two", d.address)
+	waitConnected(t, one)
+	waitConnected(t, two)
+	one.ReportLimit(acquireLimited(t, one), named(50), false)
+	c.Assert(knows(two, named(50)), qt.IsTrue)
+	later := acquireLimited(t, two)
+	two.ReportLimit(later, named(60), true)
+	c.Check(two.KnownLimit(limitedServer), qt.Equals, named(50))
+	two.ReportLimit(later, named(40), true) // the dispatcher has handled the former one by the time that this one is known
+	c.Assert(knows(one, named(40)), qt.IsTrue)
+	c.Check(one.KnownLimit(limitedServer), qt.Equals, named(40))
+}
+
 // TestKnownLimitIsNotReportedAgain guards against a message for each answer of a server that names the same limit.
 func TestKnownLimitIsNotReportedAgain(t *testing.T) {
 	c := qt.New(t)
@@ -82,12 +100,12 @@
 	client := newClient(t, "one", d.address)
 	waitConnected(t, client)
 	first := acquireLimited(t, client)
-	client.ReportLimit(first, named(50))
+	client.ReportLimit(first, named(50), false)
 	c.Assert(waitUntil(func() bool { return acquireLimited(t, client).limit == named(50) }), qt.IsTrue)
 	slot := acquireLimited(t, client)
 	before := d.limitReports.Load()
-	client.ReportLimit(slot, named(50))
-	client.ReportLimit(slot, named(40))
+	client.ReportLimit(slot, named(50), false)
+	client.ReportLimit(slot, named(40), false)
 	c.Assert(waitUntil(func() bool { return d.limitReports.Load() > before }), qt.IsTrue)
 	c.Assert(d.limitReports.Load(), qt.Equals, before+1, qt.Commentf("frames arrive in order"))
 }
@@ -103,7 +121,7 @@
 	waitForPlacer(t, client, PlacerDispatcher)
 	for range 5 {
 		slot := acquireLimited(t, client)
-		client.ReportLimit(slot, named(1))
+		client.ReportLimit(slot, named(1), false)
 		client.Release(slot, dispatch.Outcome{Result: dispatch.Served})
 	}
 	client.mu.Lock()
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -64,8 +64,9 @@
 	Header http.Header
 	Body   []byte
 	Server directory.Server
-	// OnLimit is called with what each head of a response says of the server's limit; nil ignores it.
-	OnLimit func(limit.Statement)
+	// OnLimit is called with what each head of a response says of the server's limit; nil ignores it. late is set for a response to
+	// another request, which may be older than this one.
+	OnLimit func(s limit.Statement, late bool)
 }
 
 // Response is a server's response. It must be closed.
@@ -160,7 +161,7 @@
 			c.onDraining(r.Server)
 		}
 		if statement, ok := limitStatement(head.StatusCode, info, r.ID); ok && r.OnLimit != nil {
-			r.OnLimit(statement)
+			r.OnLimit(statement, info.ID != "" && info.ID != r.ID)
 		}
 	}
 	httpResponse, err := conn.readResponse(r.Method, onHead) //nolint:bodyclose // that would read the rest; Response.Close closes the connection
