--- a/verbenad/internal/bulk/route_changed_test.go
+++ b/verbenad/internal/bulk/route_changed_test.go
@@ -45,7 +45,7 @@
 	for v := catalog.Version(2); v < versions; v++ {
 		f.setRoutes(v, batchRoute("r", ids.ServiceName([]string{"llm", "other", "third"}[v%3]), int(v%2)))
 		j := jobOn("r", ids.JobID(rune('a'+v)), 2)
-		j.Configuration = v + catalog.Version(v%4)
+		j.Configuration = v + v%4
 		f.Assert(f.submit(j), qt.Equals, bulk.Done)
 	}
 	f.setRoutes(versions+4, batchRoute("r", "last", 1))
