feat: lines tell which configuration ended an item, and whose answer came

Found missing by the review: with which number of attempts an item was errored, and whether an answer with another id is late or from a server that mixes up connections.

--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -80,7 +80,9 @@
 
 	lost lostServer
 	// failures counts the answers of 500, those of earlier runs included; reportedFailures is what a former owner reported meanwhile.
-	failures         int
+	failures int
+	// endingFailures is how many failures end the item, as of the last one.
+	endingFailures   int
 	reportedFailures atomic.Int64
 	// sends counts the sends by this owner.
 	sends  int
--- a/verbenad/internal/bulk/item_log.go
+++ b/verbenad/internal/bulk/item_log.go
@@ -83,6 +83,7 @@
 		"events": i.events, "failures": i.failures, "sends": i.sends, "due_in_ms": i.record.DueAt.Sub(elapsed).Milliseconds(),
 		"submitted_ago_ms": now.Sub(i.record.Job.Submitted).Milliseconds(), "known_ms": elapsed.Sub(i.record.KnownSince).Milliseconds(),
 		"yields": i.yields, "slot_wait_ms": slot.Waited.Milliseconds(), "free_slots": slot.Inputs.Free, "slots": slot.Inputs.Slots,
+		"ending_failures": i.endingFailures, "configuration": i.owner.configuration.Load(), "job_configuration": i.record.Job.Configuration,
 		"reason": i.reason, "framing": i.framing.String(), "outcome": outcome,
 	}).Info("item ended")
 }
--- a/verbenad/internal/bulk/item_refusal.go
+++ b/verbenad/internal/bulk/item_refusal.go
@@ -48,7 +48,8 @@
 	if a.Status == http.StatusInternalServerError {
 		i.failures = i.knownFailures().Count + 1
 		i.reason = reasonFailedTooOften
-		if i.failures >= i.record.Job.EndingFailures(route.MaxAttempts, catalog.Version(i.owner.configuration.Load())) {
+		i.endingFailures = i.record.Job.EndingFailures(route.MaxAttempts, catalog.Version(i.owner.configuration.Load()))
+		if i.failures >= i.endingFailures {
 			return dispatch.Failed, itemErrored
 		}
 	}
--- a/verbenad/internal/upstream/late_answers_test.go
+++ b/verbenad/internal/upstream/late_answers_test.go
@@ -123,3 +123,22 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(connections.Load(), qt.Equals, int64(2))
 }
+
+// TestMismatchTellsWhoseAnswerCame checks that the error for another request's answer tells a late one from one of a server that mixes
+// up connections.
+func TestMismatchTellsWhoseAnswerCame(t *testing.T) {
+	for answered, origin := range map[string]string{"x": "sent on this connection before", "foreign": "not sent on this connection"} {
+		s := server(t, func(_ int, r *bufio.Reader, c net.Conn) {
+			_, _ = readRequest(r)
+			_, _ = io.WriteString(c, responseText("x", "")) // a failed one is seen by the sender
+			_, _ = readRequest(r)
+			_, _ = io.WriteString(c, responseText(answered, ""))
+		})
+		client := NewClient(clock.System{})
+		_, err := send(t, client, request(s, "x", nil))
+		qt.Assert(t, err, qt.IsNil)
+		_, err = send(t, client, request(s, "y", nil))
+		qt.Check(t, err, qt.ErrorIs, ErrRequestIDMismatch)
+		qt.Check(t, err, qt.ErrorMatches, ".*"+answered+".*, "+origin)
+	}
+}
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -171,7 +171,7 @@
 	info := p.ParseResponse(httpResponse.StatusCode, httpResponse.Header)
 	if !conn.matches(info, r.ID) {
 		lateAtOtherRequest.Inc()
-		return nil, failed(fmt.Errorf("%s: %w", r.Server.Address, ErrRequestIDMismatch))
+		return nil, failed(fmt.Errorf("%s: %w", r.Server.Address, conn.mismatch(info)))
 	}
 	return &Response{
 		Status: httpResponse.StatusCode, Header: httpResponse.Header, Length: httpResponse.ContentLength, Info: info,
@@ -188,6 +188,18 @@
 	return info.ID == id || info.ID == "" && info.NotExecuted && !c.reused
 }
 
+// maxLoggedIDBytes limits what an error shows of an id that a server chose.
+const maxLoggedIDBytes = 48
+
+// mismatch returns the error for a response to another request, and whether the connection has carried that request.
+func (c *conn) mismatch(info exchange.ResponseInfo) error {
+	origin := "not sent on this connection"
+	if c.requests.holds(info.ID) {
+		origin = "sent on this connection before"
+	}
+	return fmt.Errorf("%w: %q, %s", ErrRequestIDMismatch, info.ID[:min(len(info.ID), maxLoggedIDBytes)], origin)
+}
+
 // maxInlineBody is the largest body, in bytes, that is sent with the headers in one write. A larger one is written while
 // the response is read, as a server may respond early.
 const maxInlineBody = 16 << 10
