test: a simulated crash ends idle connections, too

A simulated crash ended the requests in progress and left open the connections that no request was using. A host that kept one used it again 300 ms later, as if the server had gone on, which no server does that crashes. The soak and the fleet tests play crashes with it.

--- a/verbenad/cmd/fleet_test.go
+++ b/verbenad/cmd/fleet_test.go
@@ -113,7 +113,9 @@
 }
 
 func (f *fleet) addServer(s *standin.Server) {
-	web := httptest.NewServer(s)
+	web := httptest.NewUnstartedServer(s)
+	s.Attach(web.Config)
+	web.Start()
 	f.t.Cleanup(web.Close)
 	f.servers[s.ID], f.serverAddresses[s.ID] = s, strings.TrimPrefix(web.URL, "http://")
 	f.register(s)
--- a/verbenalab/internal/soak/environment.go
+++ b/verbenalab/internal/soak/environment.go
@@ -154,12 +154,15 @@
 // headerTimeout bounds the time that stand-ins take to read the headers of a request.
 const headerTimeout = 10 * time.Second
 
-func startHTTPServer(address string, h http.Handler) (s *http.Server, err error) {
+func startHTTPServer(address string, h http.Handler, options ...func(*http.Server)) (s *http.Server, err error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	s = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	for _, o := range options {
+		o(s)
+	}
 	go func() { _ = s.Serve(l) }() // returns after Close
 	return s, nil
 }
@@ -192,7 +195,7 @@
 	b := &backendServer{server: s}
 	e.servers = append(e.servers, b)
 	at := address(e.hostIP(50+n), serverPort)
-	if b.httpServer, err = startHTTPServer(at, s); err != nil {
+	if b.httpServer, err = startHTTPServer(at, s, s.Attach); err != nil {
 		return err
 	}
 	if b.relay, err = relay.NewTCP(e.serverAddress(n), at); err != nil {
