fix: a server that answers on connections from before a reported crash has not crashed

Callers saw: sound requests were refused with 503 (crashing_part) for 10 s when three of their connections, or of a path, were reset. Cause: a connection that ends before the answer begins counts as a crash of its server, although only this connection, or those of one host's path, may have ended. Three such, one of a trial, block the prompt parts of their requests at all hosts. Fix: hosts say in the outcome how long the connection that brought the answer has been open at least. If it was open before the first request of a crash report was placed, and brings the answer to a request placed after the last of them had ended, the scheduler removes the report: a crash ends all connections of its server. Nothing is counted later than before, so that a part that does crash servers meets no further ones. Ruled out: answers to requests placed before the crash (they may have arrived before it); the registration's start time (servers may answer before their entries change); a wait before a report counts.

--- a/verbena/crash/report.go
+++ b/verbena/crash/report.go
@@ -35,6 +35,17 @@
 	// Age is how long ago the crash was, at the time of sending.
 	Age time.Duration `json:"age,omitempty" cbor:"8,keyasint,omitempty"`
 	at  time.Time
+	// lastAt is when the last request ended that is a sign of the crash, placedAt when the first one of these was placed; zero
+	// for reports of other hosts.
+	lastAt, placedAt time.Time
+}
+
+// addSign records a request that ended with the crash.
+func (r *Report) addSign(now, placedAt time.Time) {
+	r.lastAt = now
+	if r.placedAt.IsZero() || placedAt.Before(r.placedAt) {
+		r.placedAt = placedAt
+	}
 }
 
 // intersects reports whether one of the parts is a candidate.
--- a/verbena/crash/reports.go
+++ b/verbena/crash/reports.go
@@ -52,6 +52,8 @@
 	Service     ids.ServiceName
 	Version     directory.SoftwareVersion
 	Parts       []ids.PromptPartID
+	// PlacedAt is when the request was placed.
+	PlacedAt time.Time
 	// Trial is set if the server was reserved for the request.
 	Trial bool
 	// MaxCrashes is how many crashes its scheduler needed to block the request; 0 means the constant.
@@ -69,6 +71,7 @@
 		rs.list = append(rs.list, r)
 		rs.limit()
 	}
+	r.addSign(now, u.PlacedAt)
 	r.OtherCause = r.OtherCause || len(u.Parts) == 0
 	r.Trial = r.Trial || u.Trial
 	r.Proving = r.Proving || proving
--- a/verbena/dispatch/crash_events.go
+++ b/verbena/dispatch/crash_events.go
@@ -24,8 +24,16 @@
 	Crashes int
 }
 
+// CrashRefuted reports, for logs, that a server survived what was reported as its crash: a connection from before it brought
+// the answer to a later request.
+type CrashRefuted struct {
+	Key    Key
+	Report crash.Report
+}
+
 // CrashReportsChanged carries the crash reports in force, for other hosts.
 type CrashReportsChanged struct{ Reports []crash.Report }
 
 func (CrashReported) command()       {}
+func (CrashRefuted) command()        {}
 func (CrashReportsChanged) command() {}
--- a/verbena/dispatch/crashes.go
+++ b/verbena/dispatch/crashes.go
@@ -78,7 +78,7 @@
 		sc.crashes.RemoveExpired(now)
 		report := sc.crashes.Add(now, crash.Unanswered{
 			ID: reportID(r.key, r.server), Server: r.server.ID, Incarnation: r.server.Incarnation, Service: r.request.Service,
-			Version: r.server.SoftwareVersion, Parts: r.request.Parts, Trial: r.trial,
+			Version: r.server.SoftwareVersion, Parts: r.request.Parts, PlacedAt: r.start, Trial: r.trial,
 			MaxCrashes: sc.maxCrashes(),
 		})
 		sc.commands = append(sc.commands, CrashReported{
@@ -88,6 +88,19 @@
 	}
 }
 
+// recordSurvival removes the crashes of a run's server that its answer refutes.
+func (sc *Scheduler) recordSurvival(now time.Time, r *run, o Outcome) {
+	if o.Result != Served && o.Result != Failed || o.ConnectionAge <= 0 || r.takenOver {
+		return
+	}
+	refuted := sc.crashes.Survived(crash.Survival{
+		Server: r.server.ID, Incarnation: r.server.Incarnation, OpenedAt: now.Add(-o.ConnectionAge), PlacedAt: r.start,
+	})
+	for _, report := range refuted {
+		sc.commands = append(sc.commands, CrashRefuted{Key: r.key, Report: report})
+	}
+}
+
 // reportID returns an id that differs between the crashes that all hosts report.
 func reportID(k Key, s *server) crash.ReportID {
 	d := xxhash.New()
--- a/verbena/dispatch/scheduler.go
+++ b/verbena/dispatch/scheduler.go
@@ -233,6 +233,7 @@
 	r.server.recordRestartEvidence(now, r, o)
 	p.limitEjections(now, r.server)
 	sc.recordCrash(now, r, o)
+	sc.recordSurvival(now, r, o)
 	if n := sc.suspects.record(now, r.request.Fingerprint, o.Result); n > 0 {
 		sc.commands = append(sc.commands, BrokenSendCounted{Key: k, Server: r.server.ID, Fingerprint: r.request.Fingerprint, Count: n})
 	}
--- a/verbena/dispatch/scheduler_test.go
+++ b/verbena/dispatch/scheduler_test.go
@@ -44,7 +44,7 @@
 	s.scheduler.ObserveList(s.now, listState(words[2:]))
 	for _, c := range s.scheduler.Step(s.now, s.event(t, words[1], words[2:])) {
 		switch c := c.(type) {
-		case BrokenSendCounted, CrashReported, StreamsRecorded, OriginsCollected, VersionsChanged: // for logs, other hosts and the store
+		case BrokenSendCounted, CrashReported, CrashRefuted, StreamsRecorded, OriginsCollected, VersionsChanged: // for logs, other hosts and the store
 		case CrashReportsChanged:
 			s.reports = c.Reports
 			got = append(got, describeReports(c.Reports))
@@ -78,6 +78,7 @@
 		return SendEnded{Host: host(words[0]), Outcome: Outcome{
 			Ticket: ticket(words[0]), Result: results[words[1]], StreamEvents: o.number("events", 0), Elapsed: o.time("elapsed", 0),
 			TimeToFirstByte: o.time("first_byte", 0), Unanswered: o["unanswered"] != "", NotSent: o["not_sent"] != "",
+			ConnectionAge: o.time("connection_age", 0),
 		}}
 	case "began":
 		return AnswerBegan{Key: Key{Host: host(words[0]), Ticket: ticket(words[0])}}
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -138,6 +138,8 @@
 	Unanswered bool `cbor:"9,keyasint,omitempty"`
 	// NotSent is set for a cancelled send that never began: it doesn't count against the rate.
 	NotSent bool `cbor:"10,keyasint,omitempty"`
+	// ConnectionAge is how long the connection that brought the answer has been open, at least; 0 means unknown.
+	ConnectionAge time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // HeldSlot is a slot that a host holds when it connects to a dispatcher.
--- a/verbenad/cmd/crashing_part_test.go
+++ b/verbenad/cmd/crashing_part_test.go
@@ -87,3 +87,40 @@
 	}
 	wg.Wait()
 }
+
+// TestFleetResetsBlockNoPromptPart guards against servers that end the connections of some requests, and count as crashed although
+// their other connections go on: prompt parts that such requests share were refused for 10 s.
+func TestFleetResetsBlockNoPromptPart(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, 10_000)
+	var wg sync.WaitGroup
+	callOthers := func() {
+		for range 12 {
+			wg.Go(func() { f.call("POST", "/stream/other", workspaceKey, standin.StreamHeaders(), nil) })
+		}
+		wg.Wait()
+	}
+	callOthers()
+	time.Sleep(learningTime)
+	reset := func(r *http.Request) standin.ServerFault {
+		if strings.HasPrefix(r.Header.Get(standin.HeaderPromptParts), "first:") {
+			return standin.CloseWithoutAnswer
+		}
+		return standin.NoFault
+	}
+	for _, s := range f.servers {
+		s.SetFault(reset)
+	}
+	for n := range 6 {
+		f.callWithParts("first", fmt.Sprint("reset-", n))
+	}
+	for _, s := range f.servers {
+		s.SetFault(nil)
+	}
+	start := time.Now()
+	f.eventually("requests with the part are served", func() bool {
+		callOthers()
+		return f.callWithParts("first", "own").status == http.StatusOK
+	})
+	c.Check(time.Since(start) < 3*time.Second, qt.IsTrue, qt.Commentf("served after %v", time.Since(start)))
+}
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -206,6 +206,7 @@
 	watch.stall.Progress()
 	state.serverStatus, state.framing, state.relayed = response.Status, response.Framing(), response.Relayed
 	state.connection = response.Connection
+	defer h.measureConnectionAge(response.Connection.Number, &outcome)()
 	outcome.TimeToFirstByte = response.TimeToHeaders
 	outcome.LoadReported, outcome.Running, outcome.Waiting = response.Info.Load.Known, response.Info.Load.Running, response.Info.Load.Waiting
 	switch {
--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -65,6 +65,7 @@
 	memory      *memoryBudget
 	retryBudget *retryBudget
 	durations   *durations
+	connections connectionAges
 	// stop is nil before Stop was called.
 	stop atomic.Pointer[stopTimes]
 	// stopCtx ends once stop is set.
--- a/verbenad/internal/slots/crash_reports.go
+++ b/verbenad/internal/slots/crash_reports.go
@@ -13,6 +13,7 @@
 
 var (
 	crashesReported = metrics.NewCounter("verbenad_server_crashes_reported_total")
+	crashesRefuted  = metrics.NewCounter("verbenad_server_crashes_refuted_total")
 	trials          = metrics.NewCounter("verbenad_crash_trials_total")
 )
 
@@ -95,3 +96,12 @@
 		"candidates": cmd.Report.Candidates, "other_cause": cmd.Report.OtherCause, "crashes": cmd.Crashes,
 	}).Info("server crash reported")
 }
+
+// logRefutedCrash logs that a server survived what a scheduler of this host took for its crash.
+func logRefutedCrash(cmd dispatch.CrashRefuted) {
+	crashesRefuted.Inc()
+	log.WithFields(log.Fields{
+		"peer": cmd.Key.Host, "server": cmd.Report.Server, "service": cmd.Report.Service, "version": cmd.Report.Version,
+		"candidates": cmd.Report.Candidates,
+	}).Info("server crash refuted")
+}
--- a/verbenad/internal/slots/dispatcher.go
+++ b/verbenad/internal/slots/dispatcher.go
@@ -368,6 +368,8 @@
 		logBrokenSend(cmd)
 	case dispatch.CrashReported:
 		logCrash(cmd)
+	case dispatch.CrashRefuted:
+		logRefutedCrash(cmd)
 	case dispatch.CrashReportsChanged:
 		d.broadcastCrashReports(cmd.Reports)
 	case dispatch.LimitsChanged:
--- a/verbenad/internal/slots/fallback.go
+++ b/verbenad/internal/slots/fallback.go
@@ -95,6 +95,8 @@
 		logBrokenSend(cmd)
 	case dispatch.CrashReported:
 		logCrash(cmd)
+	case dispatch.CrashRefuted:
+		logRefutedCrash(cmd)
 	case dispatch.CrashReportsChanged:
 		c.crashReports = crashReports{cmd.Reports, c.clock.Now()}
 	}
