fix: try a part at another host before one host's crash reports block it everywhere

Callers saw: sound requests were refused with 503 (crashing_part) for 10 s at all hosts, while only the path of one host was reset and the servers went on to answer the others. Cause: three crashes block a part although a single host reported all of them. A path whose connections are accepted and then reset looks like crashes of all servers, and where no other host has an older connection to these servers, no answer refutes that. Fix: while three or four crashes of one host block a request and no trial after a pause has failed, a request of another host is tried at once. If it crashes its server, too, the part is blocked for all. That trial counts as one that was needed (Proving), so the pauses are 10 s, a minute and ten minutes as before. It is at most the fifth crash: three requests at most follow it, as before. Hosts that decide locally don't try. Ruled out: requiring reports of two hosts (all requests with a part may arrive at one); shorter pauses for other hosts (more than three could follow). Before: resets_of_one_hosts_path_end_at_other_host and crashing_part_confirmed_by_other_host failed (refused). After: they hold, with crashing_part_needs_no_confirmation and crashing_part_of_one_host_at_independent_host; each part of the condition left out makes one of these fail. Conclusion: what one host's path does is no longer taken for a crash unless another host shows the same.

--- a/verbena/crash/report.go
+++ b/verbena/crash/report.go
@@ -30,6 +30,8 @@
 	Trial bool `json:"trial,omitempty" cbor:"9,keyasint,omitempty"`
 	// Proving is set if the trial was one of those that were needed to block the request, as far as its scheduler knew.
 	Proving bool `json:"proving,omitempty" cbor:"11,keyasint,omitempty"`
+	// Host is the one that reported the crash; empty if several did, or if it isn't known.
+	Host ids.HostID `json:"host,omitempty" cbor:"12,keyasint,omitempty"`
 	// SoundOn are other software versions that have begun to answer a request that the report incriminates.
 	SoundOn []directory.SoftwareVersion `json:"sound_on,omitempty" cbor:"10,keyasint,omitempty"`
 	// Age is how long ago the crash was, at the time of sending.
@@ -41,10 +43,13 @@
 }
 
 // addSign records a request that ended with the crash.
-func (r *Report) addSign(now, placedAt time.Time) {
+func (r *Report) addSign(now time.Time, u Unanswered) {
+	if r.Host != u.Host {
+		r.Host = ""
+	}
 	r.lastAt = now
-	if r.placedAt.IsZero() || placedAt.Before(r.placedAt) {
-		r.placedAt = placedAt
+	if r.placedAt.IsZero() || u.PlacedAt.Before(r.placedAt) {
+		r.placedAt = u.PlacedAt
 	}
 }
 
--- a/verbena/crash/reports.go
+++ b/verbena/crash/reports.go
@@ -14,6 +14,9 @@
 	// One of them must be of a trial: when many servers crash at once for reasons of their own, all of them may have been
 	// running requests with the same parts.
 	MaxCrashes = 3
+	// maxUnconfirmed is how many crashes that one host reported may be confirmed by a trial of another host. A further one is then
+	// at most the fifth.
+	maxUnconfirmed = MaxCrashes + 1
 	// joinTime is how long after the first sign of a server's crash the ends of its other requests belong to it.
 	joinTime = 500 * time.Millisecond
 	// runTime is how long before a crash a run may have been placed whose answer clears parts: a run that began much
@@ -47,6 +50,7 @@
 type Unanswered struct {
 	// ID becomes the report's id if the request is the first sign of the crash.
 	ID          ReportID
+	Host        ids.HostID
 	Server      ids.BackendID
 	Incarnation directory.Incarnation
 	Service     ids.ServiceName
@@ -64,14 +68,15 @@
 func (rs *Reports) Add(now time.Time, u Unanswered) *Report {
 	rs.revision++
 	rs.removeEmpty(now)
-	proving := u.Trial && !rs.blockingEvidence(u.Service, u.Version, u.Parts, cmp.Or(u.MaxCrashes, MaxCrashes)).conclusive
+	e := rs.blockingEvidence(u.Service, u.Version, u.Parts, cmp.Or(u.MaxCrashes, MaxCrashes))
+	proving := u.Trial && (!e.conclusive || e.unconfirmed() && e.host != u.Host)
 	r := rs.recent(now, u)
 	if r == nil {
-		r = &Report{ID: u.ID, Server: u.Server, Incarnation: u.Incarnation, Service: u.Service, Version: u.Version, at: now}
+		r = &Report{ID: u.ID, Host: u.Host, Server: u.Server, Incarnation: u.Incarnation, Service: u.Service, Version: u.Version, at: now}
 		rs.list = append(rs.list, r)
 		rs.limit()
 	}
-	r.addSign(now, u.PlacedAt)
+	r.addSign(now, u)
 	r.OtherCause = r.OtherCause || len(u.Parts) == 0
 	r.Trial = r.Trial || u.Trial
 	r.Proving = r.Proving || proving
@@ -145,6 +150,13 @@
 	conclusive   bool
 	failedTrials int
 	last         time.Time
+	// host is the one that reported all of the crashes, or empty.
+	host ids.HostID
+}
+
+// unconfirmed reports whether only one host reported the crashes, and no later trial has shown whether its path is the cause.
+func (e evidence) unconfirmed() bool {
+	return e.conclusive && e.host != "" && e.failedTrials == 0 && e.crashes >= MaxCrashes && e.crashes <= maxUnconfirmed
 }
 
 // evidence collects what the crashes of a software version say of a request with these parts.
@@ -155,6 +167,11 @@
 			continue
 		}
 		e.crashes++
+		if e.crashes == 1 {
+			e.host = r.Host
+		} else if e.host != r.Host {
+			e.host = ""
+		}
 		e.last = r.at
 		if e.conclusive && r.Trial && (!r.Proving || e.crashes <= MaxCrashes) {
 			e.failedTrials++
@@ -214,6 +231,9 @@
 		}
 	}
 	j.Verdict = Blocked
+	if e.unconfirmed() {
+		j.ReportedBy = e.host
+	}
 	return j
 }
 
--- a/verbena/crash/verdict.go
+++ b/verbena/crash/verdict.go
@@ -41,4 +41,15 @@
 	Parts []ids.PromptPartID
 	// NextTrial is the time until a blocked request may run again as a suspect; 0 if none is planned.
 	NextTrial time.Duration
+	// ReportedBy is the host that reported all crashes because of which the request is blocked, if those of other hosts may be
+	// tried at once: its path to the servers may be the cause.
+	ReportedBy ids.HostID
+}
+
+// For returns the judgement on a request of a host.
+func (j Judgement) For(host ids.HostID) Judgement {
+	if j.Verdict == Blocked && j.ReportedBy != "" && j.ReportedBy != host {
+		j.Verdict, j.NextTrial = Suspect, 0
+	}
+	return j
 }
--- a/verbena/dispatch/crashes.go
+++ b/verbena/dispatch/crashes.go
@@ -77,7 +77,7 @@
 	case o.Result == Broken && o.Unanswered && r.request.Class == Online && !sc.disabled[CrashingParts]:
 		sc.crashes.RemoveExpired(now)
 		report := sc.crashes.Add(now, crash.Unanswered{
-			ID: reportID(r.key, r.server), Server: r.server.ID, Incarnation: r.server.Incarnation, Service: r.request.Service,
+			ID: reportID(r.key, r.server), Host: r.key.Host, Server: r.server.ID, Incarnation: r.server.Incarnation, Service: r.request.Service,
 			Version: r.server.SoftwareVersion, Parts: r.request.Parts, PlacedAt: r.start, Trial: r.trial,
 			MaxCrashes: sc.maxCrashes(),
 		})
--- a/verbena/dispatch/publish_reports.go
+++ b/verbena/dispatch/publish_reports.go
@@ -52,6 +52,7 @@
 	d := xxhash.New()
 	for _, r := range list {
 		_, _ = d.Write(binary.BigEndian.AppendUint64(nil, uint64(r.ID))) // a hash never fails
+		_, _ = d.WriteString(string(r.Host) + "@")
 		for _, c := range r.Candidates {
 			_, _ = d.WriteString(string(c) + ",")
 		}
--- a/verbena/dispatch/verdicts.go
+++ b/verbena/dispatch/verdicts.go
@@ -42,6 +42,9 @@
 			continue
 		}
 		j := sc.crashes.Judge(now, w.request.Service, s.SoftwareVersion, w.request.Parts, sc.maxCrashes())
+		if !sc.independent {
+			j = j.For(w.key.Host) // others that decide locally would try it at the same time
+		}
 		if len(v.byVersion) == 0 || j.Verdict < v.best.Verdict || j.Verdict == v.best.Verdict && j.NextTrial < v.best.NextTrial && j.NextTrial > 0 {
 			v.best = j
 		}
