fix: count no trial as failed after a pause that was placed before the part was blocked

Callers saw: sound requests were refused with 503 (crashing_part) for a minute in place of 10 s. Cause: once crashes block a part, each trial that fails counts as one that failed after a pause. A trial may have been placed before the crash that blocks it, and fail later, as its server was silent or its path slow. Fix: a trial that was placed before the last crash that incriminates its request counts as one that was needed to block it (Proving). Before: crashing_part_tried_before_it_was_blocked failed (59990 ms in place of 9990 ms). After: it holds, as do all other scripts of crash and dispatch. Three trials at most follow such a block, as any other.

--- a/verbena/crash/reports.go
+++ b/verbena/crash/reports.go
@@ -69,7 +69,7 @@
 	rs.revision++
 	rs.removeEmpty(now)
 	e := rs.blockingEvidence(u.Service, u.Version, u.Parts, cmp.Or(u.MaxCrashes, MaxCrashes))
-	proving := u.Trial && (!e.conclusive || e.unconfirmed() && e.host != u.Host)
+	proving := u.Trial && (!e.conclusive || e.unconfirmed() && e.host != u.Host || !u.PlacedAt.After(e.last))
 	r := rs.recent(now, u)
 	if r == nil {
 		r = &Report{ID: u.ID, Host: u.Host, Server: u.Server, Incarnation: u.Incarnation, Service: u.Service, Version: u.Version, at: now}
--- a/verbena/crash/reports_test.go
+++ b/verbena/crash/reports_test.go
@@ -38,6 +38,7 @@
 		s.lastID++
 		s.reports.Add(now, Unanswered{
 			ID: s.lastID, Server: ids.BackendID(words.At(3)), Service: testService, Version: version, Parts: parts, Trial: words.At(1) == "trial",
+			PlacedAt: now,
 		})
 	case "answered":
 		s.reports.Answered(testService, version, parts, now.Add(-time.Duration(words.Number(3))*time.Millisecond))
