--- a/verbenad/internal/entry/connection_ages.go
+++ b/verbenad/internal/entry/connection_ages.go
@@ -11,7 +11,7 @@
 const (
 	// connectionAgeResolution is the time between two entries of connectionAges, which bounds their number.
 	connectionAgeResolution = 100 * time.Millisecond
-	// maxConnectionAge is the greatest age that is told apart.
+	// maxConnectionAge is the greatest age that is distinguished.
 	maxConnectionAge = time.Minute
 )
 
--- a/verbenad/internal/entry/connection_ages_test.go
+++ b/verbenad/internal/entry/connection_ages_test.go
@@ -27,7 +27,7 @@
 	c.Check(openAt(5*time.Second, 6), qt.Equals, 5*time.Second)
 	c.Check(openAt(5*time.Second+connectionAgeResolution/2, 7), qt.Equals, 5*time.Second+connectionAgeResolution/2)
 	c.Check(openAt(6*time.Second, 6), qt.Equals, 5*time.Second+connectionAgeResolution/2)
-	// Greater ages are not told apart.
+	// Greater ages are not distinguished.
 	c.Check(openAt(5*time.Second+maxConnectionAge, 2), qt.Equals, 2*time.Second)
 }
 
--- a/verbenad/internal/upstream/late_answers_test.go
+++ b/verbenad/internal/upstream/late_answers_test.go
@@ -150,7 +150,7 @@
 				c.Check(got, qt.Equals, "answer to y")
 				got, err = send(t, client, request(s, "z", nil))
 				c.Assert(err, qt.IsNil)
-				c.Check(got, qt.Equals, "answer to y")
+				c.Check(got, qt.Equals, "answer to z")
 				c.Check(connections.Load()-before <= 1, qt.IsTrue)
 			}
 		}
@@ -176,14 +176,14 @@
 				reply = late + responseText("y", "answer to y")
 				continue
 			}
-			reply = responseText("z", "answer to y")
+			reply = responseText("z", "answer to z")
 		}
 	})
 	return s, connections
 }
 
-// TestBrokenLateAnswerIsTakenApart guards against an answer that is found within or after another one whose end isn't certain.
-func TestBrokenLateAnswerIsTakenApart(t *testing.T) {
+// TestAnswerWithinBrokenLateAnswerIsTaken guards against an answer that is found within or after another one whose end isn't certain.
+func TestAnswerWithinBrokenLateAnswerIsTaken(t *testing.T) {
 	own := responseText("y", "answer to y")
 	for name, late := range map[string]string{
 		"another request's":       responseText("foreign", ""),
