--- a/verbenalab/internal/lateanswers/late_answers_test.go
+++ b/verbenalab/internal/soak/lateanswers/late_answers_test.go
@@ -11,11 +11,11 @@
 	qt "github.com/frankban/quicktest"
 
 	"verbenaledge.example/platform/standin"
-	"verbenaledge.example/verbenalab/internal/lateanswers"
+	"verbenaledge.example/verbenalab/internal/soak/lateanswers"
 )
 
 // programsDir is the folder that `make build` writes the programs to.
-const programsDir = "../../../bin"
+const programsDir = "../../../../bin"
 
 // The delays of late answers. A failed request is sent again after some hundred milliseconds at most, and answered 100 to 350 ms later.
 var (
