fix: how old a host's objects are counts the time for which it was suspended

A host that woke after some seconds told the hosts that it feeds that its objects were as recent as before. The time of day had counted it.

Found on reading the diff. Fix: the age goes by the clock since boot, as leases do. Not seen in a fleet.

--- a/verbenad/internal/view/follower.go
+++ b/verbenad/internal/view/follower.go
@@ -44,6 +44,8 @@
 	kind   objects.Kind
 	client objects.Client
 	clock  clock.Clock
+	// elapsed measures Age, by which other hosts go: the time during which this host was suspended counts, too.
+	elapsed clock.Clock
 	// onChange is called in the goroutine of Run with all objects after each change.
 	onChange func(all map[string]objects.Object, at objects.Revision)
 	gate     *Gate
@@ -101,7 +103,7 @@
 	onChange func(all map[string]objects.Object, at objects.Revision), options ...Option,
 ) *Follower {
 	f := &Follower{
-		kind: kind, client: client, clock: c, gate: gate, onChange: onChange,
+		kind: kind, client: client, clock: c, elapsed: clock.Boot{}, gate: gate, onChange: onChange,
 		all: make(map[string]objects.Object), missing: make(map[string]bool),
 	}
 	for _, o := range options {
@@ -116,7 +118,7 @@
 	if at == nil {
 		return -1
 	}
-	return f.clock.Now().Sub(*at)
+	return f.elapsed.Now().Sub(*at)
 }
 
 // ListState returns how current the objects are, as confirmed by the store or by another host for it.
@@ -217,7 +219,8 @@
 func (f *Follower) recordAnswer() {
 	now := f.clock.Now()
 	f.confirmed.add(now)
-	f.answeredAt.Store(&now)
+	answeredAt := f.elapsed.Now()
+	f.answeredAt.Store(&answeredAt)
 	if f.failingSince.IsZero() {
 		return
 	}
