--- a/verbena/catalog/route.go
+++ b/verbena/catalog/route.go
@@ -100,6 +100,12 @@
 	MaxConnections int
 	// GeneratesTokens is true for model services, whose requests are counted in tokens.
 	GeneratesTokens bool
+	// ColdPerSecond is how many requests a second a cold server tolerates; 0 means no limit.
+	ColdPerSecond float64
+	// ColdTime is how long a server is cold after its start.
+	ColdTime time.Duration
+	// MemoryTokens is the memory of a server in tokens; 0 means unknown.
+	MemoryTokens int
 }
 
 // Workspace is a customer with its API keys, priority and rate limit.
--- a/verbena/directory/server.go
+++ b/verbena/directory/server.go
@@ -23,6 +23,10 @@
 	Incarnation Incarnation `cbor:"8,keyasint,omitempty"`
 	// SoftwareVersion is the version of the server's software; empty means unknown.
 	SoftwareVersion SoftwareVersion `cbor:"9,keyasint,omitempty"`
+	// Evacuated is set while the operator asks that nothing new is sent to the server's availability zone.
+	Evacuated bool `cbor:"10,keyasint,omitempty"`
+	// Revision is that of the entry. Hosts don't send it to each other.
+	Revision uint64 `cbor:"-"`
 }
 
 // SoftwareVersion names a version of a server's software.
--- a/verbena/dispatch/scheduler.go
+++ b/verbena/dispatch/scheduler.go
@@ -39,6 +39,7 @@
 	runs    map[Key]*run
 	waiting map[Key]*waiter
 	rates   map[ids.WorkspaceID]Rate
+	traits  map[ids.ServiceName]ServiceTraits
 	buckets map[ids.WorkspaceID]*bucket
 	// heldByDisconnected holds the time until which the slots of a disconnected host count as used.
 	heldByDisconnected map[ids.HostID]time.Time
@@ -108,6 +109,8 @@
 		sc.setServers(now, e)
 	case RatesChanged:
 		sc.setRates(now, e)
+	case ServicesChanged:
+		sc.traits = e.Services
 	case IndependentHosts:
 		sc.setSlotShare(1 / float64(max(1, e.Count)))
 		sc.independent = e.Count > 1
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -63,6 +63,11 @@
 	Parts []ids.PromptPartID `cbor:"15,keyasint,omitempty"`
 	// Resumption is set if the caller or the batch item has events of the stream already.
 	Resumption *Resumption `cbor:"16,keyasint,omitempty"`
+	// PromptTokens and OutputTokens are the size of the prompt and the maximum size of the output, 0 if unknown.
+	PromptTokens int `cbor:"17,keyasint,omitempty"`
+	OutputTokens int `cbor:"18,keyasint,omitempty"`
+	// PartTokens are the sizes of Parts, 0 if unknown.
+	PartTokens []int `cbor:"19,keyasint,omitempty"`
 	// ListOutdated is set by the scheduler for a resumed stream if its list of servers is outdated, ListConfirmedAt is when
 	// the store last confirmed it. Hosts don't send them.
 	ListOutdated    bool      `cbor:"-"`
@@ -140,6 +145,9 @@
 	NotSent bool `cbor:"10,keyasint,omitempty"`
 	// ConnectionAge is how long the connection that brought the answer has been open, at least; 0 means unknown.
 	ConnectionAge time.Duration `cbor:"11,keyasint,omitempty"`
+	// Pace is how long work took on the server's machine, in percent of the usual time, PaceAge ago; 0 means unknown.
+	Pace    int           `cbor:"12,keyasint,omitempty"`
+	PaceAge time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
 // HeldSlot is a slot that a host holds when it connects to a dispatcher.
@@ -158,6 +166,21 @@
 	Servers map[ids.BackendID]directory.Server
 }
 
+// ServiceTraits are the properties of a service's servers that the configuration states.
+type ServiceTraits struct {
+	// ColdPerSecond is how many requests a second a cold server tolerates; 0 means no limit.
+	ColdPerSecond float64
+	// ColdTime is how long a server is cold after its start.
+	ColdTime time.Duration
+	// MemoryTokens is the memory of a server in tokens; 0 means unknown.
+	MemoryTokens int
+}
+
+// ServicesChanged carries the current traits of all services.
+type ServicesChanged struct {
+	Services map[ids.ServiceName]ServiceTraits
+}
+
 // Rate limits the requests of one workspace over all hosts.
 type Rate struct {
 	PerSecond float64
@@ -239,6 +262,7 @@
 
 func (ServersChanged) event()   {}
 func (RatesChanged) event()     {}
+func (ServicesChanged) event()  {}
 func (IndependentHosts) event() {}
 func (SlotRequested) event()    {}
 func (SendEnded) event()        {}
--- a/verbena/exchange/exchange.go
+++ b/verbena/exchange/exchange.go
@@ -23,6 +23,8 @@
 	OutputHint int
 	// SharedParts are the parts of the prompt that other requests may have too, in order: all but the last one.
 	SharedParts []ids.PromptPartID
+	// SharedPartTokens are the sizes of SharedParts in tokens, 0 if unknown.
+	SharedPartTokens []int
 	// LastEventID is the id of the last event that the caller has; if empty, the stream starts from the beginning.
 	LastEventID string
 	// Resumes is the request that brought the first event of the stream that the caller takes up; empty if it starts a new one.
@@ -63,6 +65,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes on the server's machine at that moment, in percent of the usual time; 0 means unknown.
+	Pace int
 }
 
 // Protocol translates between this package's types and a deployment's headers.
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -168,10 +168,12 @@
 func (i *itemRun) slotRequest(service ids.ServiceName) dispatch.SlotRequest {
 	elapsed := i.owner.elapsed.Now()
 	_, header := i.owner.protocol.ItemRequest(i.item)
+	info := i.owner.protocol.ParseRequest(header)
 	return dispatch.SlotRequest{
 		Service: service, Workspace: i.record.Job.Workspace, Class: dispatch.Batch, Objective: i.record.DueAt.Sub(elapsed),
 		Remaining: i.record.GiveUpAt.Sub(elapsed), StreamEvents: i.owner.estimator.remaining(i.item.Tokens, i.events), Exclude: i.exclude,
-		Parts: i.owner.protocol.ParseRequest(header).SharedParts, Resumption: i.resumption(),
+		Parts: info.SharedParts, PartTokens: info.SharedPartTokens, PromptTokens: info.PromptTokens, OutputTokens: info.OutputTokens,
+		Resumption: i.resumption(),
 	}
 }
 
--- a/verbenad/internal/entry/slot_request.go
+++ b/verbenad/internal/entry/slot_request.go
@@ -87,7 +87,7 @@
 		Service: req.service, Workspace: req.workspaceID(), Class: dispatch.Online, Priority: req.route.PriorityOf(req.workspace),
 		Objective: req.route.Objective - callerNetworkTime - now.Sub(req.start), Remaining: remaining, FirstAttemptTime: routeTimeout,
 		StreamEvents: nonStreamEvents, Metered: !p.rateCounted, Retry: p.rateCounted, Exclude: p.exclude, Fingerprint: fingerprint,
-		Parts: req.info.SharedParts,
+		Parts: req.info.SharedParts, PartTokens: req.info.SharedPartTokens, PromptTokens: req.info.PromptTokens, OutputTokens: req.info.OutputTokens,
 	}
 	if req.route.Kind == catalog.KindStream {
 		r.StreamEvents = max(1, req.info.OutputTokens)
--- a/verbenad/internal/host/environment.go
+++ b/verbenad/internal/host/environment.go
@@ -179,6 +179,15 @@
 	return rates
 }
 
+// serviceTraits returns the traits of all services.
+func serviceTraits(c *catalog.Catalog) map[ids.ServiceName]dispatch.ServiceTraits {
+	traits := make(map[ids.ServiceName]dispatch.ServiceTraits, len(c.Services))
+	for _, s := range c.Services {
+		traits[s.Name] = dispatch.ServiceTraits{ColdPerSecond: s.ColdPerSecond, ColdTime: s.ColdTime, MemoryTokens: s.MemoryTokens}
+	}
+	return traits
+}
+
 // serveMetrics serves the metrics until the context ends.
 func serveMetrics(ctx context.Context, address string) {
 	mux := http.NewServeMux()
--- a/verbenad/internal/host/front.go
+++ b/verbenad/internal/host/front.go
@@ -56,6 +56,7 @@
 	follower.followAll(&ownerMap, func(c *catalog.Catalog) {
 		handler.SetCatalog(c)
 		slotClient.SetRates(workspaceRates(c))
+		slotClient.SetServices(serviceTraits(c))
 	}, func(s map[ids.BackendID]directory.Server) {
 		listed.Store(&s)
 		notices.setServers(s)
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -93,6 +93,7 @@
 	go closeUnusedConnections(workCtx, client, &listed)
 	follower.followAll(&s.ownerMap, func(c *catalog.Catalog) {
 		s.dispatcher.SetRates(workspaceRates(c))
+		s.dispatcher.SetServices(serviceTraits(c))
 		s.jobOwner.SetCatalog(c)
 		initial.catalogReceived()
 	}, func(servers map[ids.BackendID]directory.Server) {
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -128,6 +128,13 @@
 	c.localEvents = append(c.localEvents, c.localLimits())
 }
 
+// SetServices sets the traits of the services, which count while this host decides locally.
+func (c *Client) SetServices(traits map[ids.ServiceName]dispatch.ServiceTraits) {
+	c.mu.Lock()
+	defer c.unlockAndEnqueue()
+	c.localEvents = append(c.localEvents, dispatch.ServicesChanged{Services: traits})
+}
+
 // localLimits returns this host's part of the rates.
 func (c *Client) localLimits() dispatch.RatesChanged {
 	return dispatch.RatesChanged{Rates: c.localRates.Limits(c.clock.Now(), c.rates, c.hostCount)}
--- a/verbenad/internal/slots/dispatcher.go
+++ b/verbenad/internal/slots/dispatcher.go
@@ -119,6 +119,11 @@
 	d.runner.Enqueue(dispatch.RatesChanged{Rates: rates})
 }
 
+// SetServices sets the traits of the services.
+func (d *Dispatcher) SetServices(traits map[ids.ServiceName]dispatch.ServiceTraits) {
+	d.runner.Enqueue(dispatch.ServicesChanged{Services: traits})
+}
+
 // SetStandby sets whether this host decides only for hosts that can't reach the dispatcher, and how many hosts accept
 // callers, as last received from the dispatcher.
 func (d *Dispatcher) SetStandby(on bool, entryHosts int) {
