feat: evacuate availability zones at the operator's request

Nothing read evacuations/ZONE, so requests went on to the zone's servers. Each host now follows the objects like servers and configuration and marks the servers of evacuated zones before anything decides by the list; a host that is granted a slot there returns it. Ruled out: notices between hosts, and treating the servers as draining (docs/design/evacuation.md).

--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -111,10 +111,10 @@
 	return int(reserveFactor * math.Sqrt(float64(p.onlineRuns)))
 }
 
-// presentServers counts the servers that are neither gone nor draining, ejected ones included.
+// presentServers counts the servers that are neither gone nor draining nor evacuated, ejected ones included.
 func (p *pool) presentServers() (n int) {
 	for _, s := range p.servers {
-		if !s.gone && !s.Draining {
+		if s.present() {
 			n++
 		}
 	}
@@ -133,7 +133,7 @@
 func (p *pool) mayEject(now time.Time, s *server) bool {
 	ejected := 1
 	for _, o := range p.servers {
-		if o != s && !o.gone && !o.Draining && o.ejectedOrStalled(now) {
+		if o != s && o.present() && o.ejectedOrStalled(now) {
 			ejected++
 		}
 	}
@@ -251,7 +251,7 @@
 // hasOther reports whether there is a server that the request doesn't exclude.
 func (p *pool) hasOther(now time.Time, req SlotRequest) bool {
 	for _, s := range p.servers {
-		if !s.gone && !s.Draining && req.mayRunOn(now, s) {
+		if s.present() && req.mayRunOn(now, s) {
 			return true
 		}
 	}
--- a/verbena/dispatch/resumption.go
+++ b/verbena/dispatch/resumption.go
@@ -247,7 +247,7 @@
 func (p *pool) addVersions(in *ResumptionInputs) {
 	seen := make(map[directory.SoftwareVersion]bool)
 	for _, s := range p.servers {
-		if !s.gone && !s.Draining && !seen[s.SoftwareVersion] && len(in.Versions) < maxLoggedVersions {
+		if s.present() && !seen[s.SoftwareVersion] && len(in.Versions) < maxLoggedVersions {
 			seen[s.SoftwareVersion] = true
 			in.Versions = append(in.Versions, s.SoftwareVersion)
 		}
@@ -257,7 +257,7 @@
 // presentServersFor counts the servers that are neither gone nor draining and of the version that the request needs.
 func (p *pool) presentServersFor(r SlotRequest) (n int) {
 	for _, s := range p.servers {
-		if !s.gone && !s.Draining && (r.Resumption == nil || r.Resumption.Origin == s.origin()) {
+		if s.present() && (r.Resumption == nil || r.Resumption.Origin == s.origin()) {
 			n++
 		}
 	}
--- a/verbena/dispatch/scheduler_test.go
+++ b/verbena/dispatch/scheduler_test.go
@@ -64,6 +64,7 @@
 		s.servers[id] = directory.Server{
 			ID: id, Service: ids.ServiceName(words[1]), Slots: o.number("slots", 1), Zone: ids.ZoneID(o["zone"]), Draining: o["draining"] != "",
 			Incarnation: directory.Incarnation(o.number("incarnation", 0)), SoftwareVersion: directory.SoftwareVersion(o["version"]),
+			Evacuated: o["evacuated"] != "",
 		}
 		return ServersChanged{Servers: s.servers}
 	case "remove":
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -82,8 +82,11 @@
 	return s.ID < o.ID
 }
 
+// present reports whether the server takes new requests by its entry and the operator's word.
+func (s *server) present() bool { return !s.gone && !s.Draining && !s.Evacuated }
+
 func (s *server) usable(now time.Time) bool {
-	return !s.gone && !s.Draining && !s.ejectedOrStalled(now)
+	return s.present() && !s.ejectedOrStalled(now)
 }
 
 // ejectedOrStalled reports whether the server gets no new requests for a while.
--- a/verbena/dispatch/usage.go
+++ b/verbena/dispatch/usage.go
@@ -13,7 +13,7 @@
 	Slots, Used, Batch int
 	// Waiting counts callers' requests that wait for a slot.
 	Waiting int
-	// Servers counts all servers that are neither gone nor draining, Ejected those of them that are ejected or stalled.
+	// Servers counts all servers that are neither gone nor draining nor evacuated, Ejected those of them that are ejected or stalled.
 	Servers, Ejected int
 	// Limited counts the servers that name a limit, LimitPerSecond is the sum of their limits.
 	Limited        int
@@ -29,7 +29,7 @@
 	for name, p := range sc.pools {
 		u := Usage{Batch: len(p.batchRuns), Waiting: len(p.onlineQueue), LimitedGrants: p.limitedGrants, HeldBack: p.heldBack}
 		for _, s := range p.servers {
-			if s.gone || s.Draining {
+			if !s.present() {
 				continue
 			}
 			u.Servers++
--- a/verbena/node/settings.go
+++ b/verbena/node/settings.go
@@ -38,9 +38,12 @@
 	// ResultRetention is how long after its submission a batch job's results stay readable.
 	ResultRetention time.Duration
 	// MaxClockSkew is by how much the times of day of two hosts may differ.
-	MaxClockSkew    time.Duration
-	StoreAddress    string
-	StoreValueBytes int
+	MaxClockSkew time.Duration
+	// EvacuationTimeout is how long after the operator's request the last new request may reach a server of an evacuated
+	// availability zone; 0 means that the deployment has no evacuations.
+	EvacuationTimeout time.Duration
+	StoreAddress      string
+	StoreValueBytes   int
 }
 
 // PeerAddress returns the address that other hosts connect to.
--- a/verbenad/cmd/fleet_test.go
+++ b/verbenad/cmd/fleet_test.go
@@ -34,10 +34,11 @@
 
 // fleet runs hosts of both roles in this process, with a stand-in for the platform.
 type fleet struct {
-	t            *testing.T
-	store        *memory.Store
-	storeAddress string
-	servers      map[string]*standin.Server
+	evacuationTimeout time.Duration
+	t                 *testing.T
+	store             *memory.Store
+	storeAddress      string
+	servers           map[string]*standin.Server
 	// serverAddresses are by the server's id.
 	serverAddresses map[string]string
 	// callerAddresses are those at which entry hosts serve callers, peerAddresses those for other hosts.
@@ -78,8 +79,14 @@
 // newFleetOf starts the fleet of newFleet with one model server of each given software version, or without one if it is
 // empty.
 func newFleetOf(t *testing.T, rate float64, versions ...string) *fleet {
+	return newFleetWithEvacuations(t, rate, 0, versions...)
+}
+
+// newFleetWithEvacuations starts the fleet of newFleetOf on a deployment with the given evacuation timeout.
+func newFleetWithEvacuations(t *testing.T, rate float64, timeout time.Duration, versions ...string) *fleet {
 	f := &fleet{
-		t: t, store: memory.New(), servers: make(map[string]*standin.Server), serverAddresses: make(map[string]string),
+		evacuationTimeout: timeout,
+		t:                 t, store: memory.New(), servers: make(map[string]*standin.Server), serverAddresses: make(map[string]string),
 		client: http.DefaultClient, networks: make(map[string]*cuttableNetwork), fleetNumber: int(fleetCount.Add(1)), grace: time.Second,
 	}
 	web := httptest.NewServer(&standin.Store{Store: f.store})
@@ -132,6 +139,7 @@
 	s := node.Settings{
 		Host: ids.HostID(name), Zone: "z", IP: ip, PeerPort: peerPort, MetricsPort: metricsPort, GracePeriod: f.grace,
 		StoreAddress: f.storeAddress, StoreValueBytes: 1 << 20, ResultRetention: time.Minute,
+		EvacuationTimeout: f.evacuationTimeout,
 	}
 	if strings.HasPrefix(name, "front") {
 		s.CallerAddress, s.ReadyAddress = fmt.Sprintf("%s:%d", ip, callerPort), fmt.Sprintf("%s:%d", ip, readyPort)
--- a/verbenad/internal/host/environment.go
+++ b/verbenad/internal/host/environment.go
@@ -52,6 +52,9 @@
 	CatalogKind() objects.Kind
 	ServerKind() objects.Kind
 	RetirementKind() objects.Kind
+	EvacuationKind() objects.Kind
+	// EvacuatedZone returns the availability zone that an object asks to evacuate.
+	EvacuatedZone(o objects.Object) ids.ZoneID
 	// Catalog returns nil for an object that is not a configuration.
 	Catalog(o objects.Object) (*catalog.Catalog, error)
 	Server(o objects.Object) (directory.Server, error)
@@ -83,6 +86,11 @@
 	return upstream.NewClient(c, options...)
 }
 
+// newEvacuations returns the evacuations of the deployment's availability zones.
+func (e Environment) newEvacuations(c clock.Clock) *evacuations {
+	return newEvacuations(c, e.Settings.EvacuationTimeout > 0, e.Decoder.EvacuatedZone)
+}
+
 // Apply applies those changed settings that a running process can change: the memory limit.
 func Apply(s node.Settings) {
 	limitMemory(s)
--- a/verbenad/internal/host/front.go
+++ b/verbenad/internal/host/front.go
@@ -38,12 +38,13 @@
 	var ownerMap owners.View
 	feed := objectfeed.NewFeed(systemClock)
 	notices := newDrainNotices(systemClock)
+	evacuated := env.newEvacuations(systemClock)
 	follower := newStoreFollower(env, feed, func() bool { return false })
 	slotClient := slots.NewClient(
 		env.Settings.Host, env.Settings.Zone, env.Settings.PeerAddress(), systemClock, feed,
 		func() string { return ownerMap.Address(ownership.Dispatch) }, ownerMap.StandbyAddress,
 		slots.WithDrainNotices(notices), slots.WithDisabledMechanisms(env.DisabledMechanisms),
-		slots.WithListState(follower.serversState),
+		slots.WithListState(follower.serversState), slots.WithEvacuations(evacuated.IsEvacuated),
 	)
 	notices.apply, notices.notifyDispatcher = slotClient.SetServers, slotClient.ReportDrainNotices
 	client := env.newServerClient(systemClock, notices, slotClient)
@@ -57,10 +58,12 @@
 		handler.SetCatalog(c)
 		slotClient.SetRates(workspaceRates(c))
 		slotClient.SetServices(serviceTraits(c))
-	}, func(s map[ids.BackendID]directory.Server) {
+	}, evacuated.setServers)
+	evacuated.apply = func(s map[ids.BackendID]directory.Server) {
 		listed.Store(&s)
 		notices.setServers(s)
-	})
+	}
+	follower.followEvacuations(evacuated)
 	follower.run(workCtx)
 	relay := serverrelay.NewRelay(&relayedServers{Client: client, listed: &listed})
 	go relayConnections(workCtx, env.Settings.PeerAddress(), &ownerMap, relay)
--- a/verbenad/internal/host/relayed_servers.go
+++ b/verbenad/internal/host/relayed_servers.go
@@ -14,12 +14,12 @@
 	listed *atomic.Pointer[map[ids.BackendID]directory.Server]
 }
 
-// Listed returns a server of the list.
+// Listed returns a server of the list to which new requests may be sent.
 func (r *relayedServers) Listed(id ids.BackendID) (s directory.Server, ok bool) {
 	list := r.listed.Load()
 	if list == nil {
 		return s, false
 	}
 	s, ok = (*list)[id]
-	return s, ok
+	return s, ok && !s.Evacuated
 }
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -63,6 +63,7 @@
 	feed := objectfeed.NewFeed(systemClock)
 	follower := newStoreFollower(env, feed, s.readsStore)
 	notices := newDrainNotices(systemClock)
+	evacuated := env.newEvacuations(systemClock)
 	crashReports := newStoredCrashReports(env.Store, systemClock)
 	versions := newStoredVersions(env.Store, systemClock, func() bool { return s.role() == slots.RoleDispatcher }, env.Settings.MaxClockSkew)
 	s.dispatcher = slots.NewDispatcher(
@@ -74,6 +75,7 @@
 		env.Settings.Host, env.Settings.Zone, "", systemClock, feed,
 		func() string { return s.ownerMap.Address(ownership.Dispatch) }, s.ownerMap.StandbyAddress,
 		slots.WithDrainNotices(notices), slots.WithDisabledMechanisms(env.DisabledMechanisms), s.dispatcher.WithKnowledgeReceived(),
+		slots.WithEvacuations(evacuated.IsEvacuated),
 	)
 	notices.apply, notices.notifyDispatcher, notices.notifyHosts = s.dispatcher.SetServers, s.slotClient.ReportDrainNotices, s.dispatcher.BroadcastDrainNotices
 	client := env.newServerClient(systemClock, notices, s.slotClient)
@@ -85,22 +87,18 @@
 	var listed atomic.Pointer[map[ids.BackendID]directory.Server]
 	// Hosts are accepted once configuration and servers are known: a dispatcher without them would refuse all requests.
 	var initial initialState
-	go s.dispatcher.Run(workCtx)
-	s.runStoredObjects(workCtx, crashReports, versions)
-	go s.jobOwner.Run()
-	go s.slotClient.Run(workCtx)
-	go serveMetrics(workCtx, env.Settings.MetricsAddress())
+	s.runParts(workCtx, crashReports, versions)
 	go closeUnusedConnections(workCtx, client, &listed)
 	follower.followAll(&s.ownerMap, func(c *catalog.Catalog) {
-		s.dispatcher.SetRates(workspaceRates(c))
-		s.dispatcher.SetServices(serviceTraits(c))
-		s.jobOwner.SetCatalog(c)
+		s.setCatalog(c)
 		initial.catalogReceived()
-	}, func(servers map[ids.BackendID]directory.Server) {
+	}, evacuated.setServers)
+	evacuated.apply = func(servers map[ids.BackendID]directory.Server) {
 		listed.Store(&servers)
 		s.setServers(servers, notices)
 		initial.serversReceived()
-	})
+	}
+	follower.followEvacuations(evacuated)
 	follower.follow(env.Decoder.RetirementKind(), s.retirementsChanged)
 	follower.run(workCtx)
 	s.runOwnership(workCtx)
@@ -119,13 +117,29 @@
 	go s.pollOwnership(ctx)
 }
 
+// setCatalog passes the configuration on to the parts that use it.
+func (s *storage) setCatalog(c *catalog.Catalog) {
+	s.dispatcher.SetRates(workspaceRates(c))
+	s.dispatcher.SetServices(serviceTraits(c))
+	s.jobOwner.SetCatalog(c)
+}
+
 // setServers passes the listed servers on to the parts that use them.
 func (s *storage) setServers(servers map[ids.BackendID]directory.Server, notices *drainNotices) {
 	notices.setServers(servers)
-	s.slotClient.ForgetDepartedLimits(servers)
+	s.slotClient.SetListed(servers)
 	s.jobOwner.SetServers(servers)
 }
 
+// runParts runs the parts that decide, serve and store.
+func (s *storage) runParts(ctx context.Context, crashReports *storedCrashReports, versions *storedVersions) {
+	go s.dispatcher.Run(ctx)
+	s.runStoredObjects(ctx, crashReports, versions)
+	go s.jobOwner.Run()
+	go s.slotClient.Run(ctx)
+	go serveMetrics(ctx, s.env.Settings.MetricsAddress())
+}
+
 // runStoredObjects passes on what outlived the loss of all hosts, and then stores changes of it.
 func (s *storage) runStoredObjects(ctx context.Context, crashReports *storedCrashReports, versions *storedVersions) {
 	go crashReports.run(ctx, s.dispatcher.AddCrashReports)
--- a/verbenad/internal/host/store_follower.go
+++ b/verbenad/internal/host/store_follower.go
@@ -94,6 +94,16 @@
 	metrics.GetOrCreateGauge(fmt.Sprintf("verbenad_view_age_seconds{kind=%q}", kind), func() float64 { return followed.Age().Seconds() })
 }
 
+// followEvacuations adds the evacuations of availability zones where the deployment has them.
+func (f *storeFollower) followEvacuations(e *evacuations) {
+	if f.env.Settings.EvacuationTimeout <= 0 {
+		return
+	}
+	kind := f.env.Decoder.EvacuationKind()
+	e.age = func() time.Duration { return f.age(kind) }
+	f.follow(kind, e.changed)
+}
+
 func (f *storeFollower) run(ctx context.Context) {
 	for _, v := range f.followers {
 		go v.Run(ctx)
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -75,8 +75,12 @@
 	serversKnown bool
 	relays       []string
 	drainNotices DrainNotices
-	limits       *knownLimits
-	limitLog     *limitLog
+	// isEvacuated reports whether nothing new may be sent to the servers of a zone.
+	isEvacuated func(ids.ZoneID) bool
+	// listed are the servers in the store's list.
+	listed   map[ids.BackendID]directory.Server
+	limits   *knownLimits
+	limitLog *limitLog
 	// limitsReceived gets the limits that a dispatcher sends its hosts.
 	limitsReceived func([]dispatch.ServerLimit)
 	firstBytes     firstByteTimes
@@ -100,7 +104,7 @@
 	o := applyOptions(opts)
 	client := &Client{
 		streams: origin.NewRecords(), listState: o.listState, originsReceived: o.originsReceived,
-		drainNotices: o.drainNotices, limits: newKnownLimits(), limitLog: newLimitLog(), limitsReceived: o.limitsReceived,
+		drainNotices: o.drainNotices, isEvacuated: o.isEvacuated, limits: newKnownLimits(), limitLog: newLimitLog(), limitsReceived: o.limitsReceived,
 		relayAddress: relayAddress, host: host, zone: zone, clock: c, feed: feed,
 		hostCount: defaultHostCount, localRates: dispatch.NewLocalRates(),
 		dispatcher: newPlacerConn(PlacerDispatcher, dispatcher, pingInterval), standby: newPlacerConn(PlacerStandby, standby, standbyPingInterval),
@@ -115,6 +119,7 @@
 	c.mu.Lock()
 	defer c.unlockAndEnqueue()
 	c.serversKnown = c.serversKnown || len(servers) > 0
+	c.listed = servers
 	c.limits.removeDeparted(c.clock.Now(), servers)
 	c.streams.ObserveServers(c.clock.Now(), servers, 0)
 	c.localEvents = append(c.localEvents, dispatch.ServersChanged{Servers: servers})
--- a/verbenad/internal/slots/options.go
+++ b/verbenad/internal/slots/options.go
@@ -21,6 +21,7 @@
 	standby         func() ids.HostID
 	saveVersions    func(origin.History)
 	limitsReceived  func([]dispatch.ServerLimit)
+	isEvacuated     func(ids.ZoneID) bool
 }
 
 // WithKnowledgeReceived passes to the dispatcher of a storage host what the present dispatcher sends that host, which may
@@ -55,6 +56,11 @@
 	return func(o *options) { o.drainNotices = notices }
 }
 
+// WithEvacuations returns slots on servers of the availability zones for which isEvacuated returns true.
+func WithEvacuations(isEvacuated func(ids.ZoneID) bool) Option {
+	return func(o *options) { o.isEvacuated = isEvacuated }
+}
+
 // WithDisabledMechanisms disables scheduling mechanisms, for measurements.
 func WithDisabledMechanisms(mechanisms []dispatch.Mechanism) Option {
 	return func(o *options) { o.disabled = mechanisms }
@@ -64,7 +70,7 @@
 	o := options{
 		drainNotices: noDrainNotices{}, saveCrashes: func([]crash.Report) {}, originsReceived: func([]origin.Record, *origin.History) {},
 		listState: func() directory.ListState { return directory.ListState{Age: -1} }, standby: func() ids.HostID { return "" },
-		saveVersions: func(origin.History) {}, limitsReceived: func([]dispatch.ServerLimit) {},
+		saveVersions: func(origin.History) {}, limitsReceived: func([]dispatch.ServerLimit) {}, isEvacuated: func(ids.ZoneID) bool { return false },
 	}
 	for _, f := range opts {
 		f(&o)
--- a/verbenad/internal/slots/server_limits.go
+++ b/verbenad/internal/slots/server_limits.go
@@ -50,10 +50,12 @@
 	c.limits.countSend(now, r.server.ID, address)
 }
 
-// ForgetDepartedLimits removes the limits of servers that have long not been listed. SetServers does so, too.
-func (c *Client) ForgetDepartedLimits(listed map[ids.BackendID]directory.Server) {
+// SetListed sets the servers on a host that never decides locally, and removes the limits of those that have long not been listed.
+// SetServers does so, too.
+func (c *Client) SetListed(listed map[ids.BackendID]directory.Server) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.listed = listed
 	c.limits.removeDeparted(c.clock.Now(), listed)
 }
 
--- a/verbenad/internal/slots/slot.go
+++ b/verbenad/internal/slots/slot.go
@@ -112,7 +112,11 @@
 	p.stopTimer()
 	delete(c.pending, t)
 	if c.drainNotices.IsDraining(r.server) {
-		c.returnSlot(p, t, r)
+		c.returnSlot(p, t, r, []ids.BackendID{r.server.ID})
+		return
+	}
+	if c.isEvacuated(r.server.Zone) {
+		c.returnSlot(p, t, r, c.serversOfZone(r.server))
 		return
 	}
 	if !p.mayResumeAt(r) {
@@ -141,19 +145,31 @@
 // noServerRetryAfter is the wait before a retry if all servers of a service stop; others start within seconds.
 const noServerRetryAfter = 500 * time.Millisecond
 
-// returnSlot gives back a slot on a server that announced to this host that it stops, which the placer doesn't know
-// yet. The request is submitted again with the server excluded; if it was excluded already, the request is refused.
-func (c *Client) returnSlot(p *pendingRequest, t dispatch.Ticket, r reply) {
+// returnSlot gives back a slot on a server that takes no new requests, which the placer doesn't know yet: the server announced to
+// this host that it stops, or its availability zone is evacuated. The request is submitted again with the given servers excluded,
+// its own among them; if that was excluded already, the request is refused.
+func (c *Client) returnSlot(p *pendingRequest, t dispatch.Ticket, r reply, exclude []ids.BackendID) {
 	c.reportOutcome(r.placer, dispatch.Outcome{Ticket: t, Result: dispatch.Full})
 	if slices.Contains(p.request.Exclude, r.server.ID) {
 		p.replies <- reply{refused: &RefusedError{Reason: dispatch.NoServer, RetryAfter: noServerRetryAfter, Inputs: r.inputs, Placer: r.placer}}
 		return
 	}
-	p.request.Exclude = append(p.request.Exclude[:len(p.request.Exclude):len(p.request.Exclude)], r.server.ID)
+	p.request.Exclude = append(p.request.Exclude[:len(p.request.Exclude):len(p.request.Exclude)], exclude...)
 	p.subtractElapsed(c.clock.Now())
 	c.submit(p)
 }
 
+// serversOfZone returns the listed servers of the server's service in its zone, the server first. The caller holds mu.
+func (c *Client) serversOfZone(s directory.Server) []ids.BackendID {
+	same := []ids.BackendID{s.ID}
+	for id, o := range c.listed {
+		if id != s.ID && o.Service == s.Service && o.Zone == s.Zone {
+			same = append(same, id)
+		}
+	}
+	return same
+}
+
 func (c *Client) handleRefusal(t dispatch.Ticket, r RefusedError) {
 	p, ok := c.pending[t]
 	if !ok {
