feat: keep the requests to cold servers within the rate that they tolerate

Of coldMs only a rank among servers was read, at the first sight of a server; coldPerS was not read. Each server of a service with such a rate now has a budget: a token bucket while it is cold, a count of the last second at all times. Ruled out: the regulator of named limits, whose window of four seconds allows bursts that a cold server doesn't survive.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -103,7 +103,7 @@
 func (sc *Scheduler) cannotStartInTime(now time.Time, p *pool, w *waiter) (retryAfter time.Duration, reason Reason, cannotStartInTime bool) {
 	c := p.capacityFor(now, w.request)
 	if c.effective == 0 {
-		return clampRetryAfter(noServerRetryAfter, w.request.Remaining), overloadReason(c.slots > 0),
+		return clampRetryAfter(noServerRetryAfter, w.request.Remaining), c.refusalReason(c.slots > 0),
 			w.request.FirstAttemptTime > 0 && w.request.Remaining > time.Duration(firstAttemptShare*float64(w.request.FirstAttemptTime))
 	}
 	position := 1
@@ -120,7 +120,7 @@
 	if wait <= limit {
 		return 0, 0, false
 	}
-	reason = overloadReason(c.queueTimeWithoutLimits(position) <= limit)
+	reason = c.refusalReason(c.queueTimeWithoutLimits(position) <= limit)
 	if !sc.disabled[CountReturning] && w.resumption == nil {
 		wait = c.queueTime(len(p.onlineQueue) + p.returning.count(now) + 1)
 	}
@@ -129,14 +129,6 @@
 	return retryAfter, reason, true
 }
 
-// overloadReason returns the reason for a refusal. limited is set if the servers' limits are the cause.
-func overloadReason(limited bool) Reason {
-	if limited {
-		return LimitedServers
-	}
-	return Overload
-}
-
 // isReturning reports whether the caller was refused before: it has less time left than a first attempt.
 func (w *waiter) isReturning() bool {
 	return float64(w.request.Remaining) < firstAttemptShare*float64(w.request.FirstAttemptTime)
@@ -197,6 +189,7 @@
 func (sc *Scheduler) grant(now time.Time, w *waiter, s *server, in Inputs) Grant {
 	known := s.limit.Statement()
 	s.limit.Take(now)
+	s.cold.Take(now)
 	if known.Kind == limit.Named {
 		w.pool.limitedGrants++
 	}
--- a/verbena/dispatch/capacity.go
+++ b/verbena/dispatch/capacity.go
@@ -10,6 +10,8 @@
 	// saved is how many requests limited servers have saved up, limited how many of these servers there are.
 	saved   float64
 	limited int
+	// cold counts the servers of which only the rate for cold ones can be used.
+	cold int
 }
 
 // capacity returns what the servers that can take requests now can do.
@@ -23,7 +25,10 @@
 			continue
 		}
 		c.slots += float64(s.Slots)
-		c.effective += s.effectiveSlots(c.hold, Online)
+		c.effective += s.effectiveSlots(now, c.hold, Online)
+		if s.cold.IsBounded() && s.cold.IsCold(now) {
+			c.cold++
+		}
 		if s.isLimited() {
 			c.limited++
 			c.saved += min(1, s.limit.Saved(now))
@@ -46,3 +51,15 @@
 func (c capacity) queueTimeWithoutLimits(position int) time.Duration {
 	return time.Duration(float64(c.hold) * float64(position) / c.slots)
 }
+
+// refusalReason returns the reason for a refusal. bounded is set if the servers' limits, or the rates that cold servers tolerate,
+// are the cause.
+func (c capacity) refusalReason(bounded bool) Reason {
+	switch {
+	case !bounded:
+		return Overload
+	case c.limited == 0 && c.cold > 0:
+		return ColdServers
+	}
+	return LimitedServers
+}
--- a/verbena/dispatch/limits.go
+++ b/verbena/dispatch/limits.go
@@ -148,6 +148,7 @@
 func (sc *Scheduler) applyLimitShares(now time.Time) {
 	for _, s := range sc.servers {
 		s.limit.SetShare(now, sc.limitShareOf(s))
+		s.cold.SetShare(now, sc.coldShareOf(s.ID, s.Service), sc.local())
 	}
 }
 
@@ -168,10 +169,13 @@
 // isLimited reports whether the server names a limit.
 func (s *server) isLimited() bool { return s.limit.IsLimited() }
 
-// effectiveSlots returns how many slots of the server requests can use that hold one for the given time each: a limit may
-// allow fewer requests than there are slots for.
-func (s *server) effectiveSlots(hold time.Duration, class Class) float64 {
+// effectiveSlots returns how many slots of the server requests can use that hold one for the given time each: a limit, or the
+// rate that a cold server tolerates, may allow fewer requests than there are slots for.
+func (s *server) effectiveSlots(now time.Time, hold time.Duration, class Class) float64 {
 	slots := float64(s.Slots)
+	if s.cold.IsBounded() && s.cold.IsCold(now) {
+		slots = min(slots, s.cold.Rate()*hold.Seconds())
+	}
 	switch {
 	case !s.isLimited():
 		return slots
--- a/verbena/dispatch/mechanisms.go
+++ b/verbena/dispatch/mechanisms.go
@@ -46,12 +46,14 @@
 	ReservedRates Mechanism = "absence"
 	// NamedLimits keeps to the limits that servers name.
 	NamedLimits Mechanism = "named_limits"
+	// ColdBudget keeps to the rates that cold servers tolerate.
+	ColdBudget Mechanism = "cold_budget"
 )
 
 // Mechanisms lists all mechanisms.
 var Mechanisms = []Mechanism{
 	None, BatchPlan, BatchYields, BatchReserve, EarlyRefusal, CountReturning, LateRefusal, LateLast, Stalls, Ejection, FailureRate, SlowLast, ZoneFirst,
-	CrashSuspects, CrashingParts, ReservedRates, NamedLimits,
+	CrashSuspects, CrashingParts, ReservedRates, NamedLimits, ColdBudget,
 }
 
 // ParseMechanisms parses a comma-separated list.
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -165,14 +165,10 @@
 		if !s.usable(now) {
 			continue
 		}
-		free := max(0, s.freeSlots(now))
-		exceeds := free > 0 && !s.limit.Ready(now)
-		if exceeds && req.Class == Batch {
-			free = 0 // an item has time
-		}
+		free, exceeds := s.freeSlotsFor(now, req.Class)
 		sel.free += free
 		sel.slots += s.Slots
-		sel.effective += s.effectiveSlots(hold, req.Class)
+		sel.effective += s.effectiveSlots(now, hold, req.Class)
 		if s.isLimited() {
 			sel.limited++
 			sel.heldBack += max(0, s.unlimitedSlots(now)) - free
@@ -304,7 +300,7 @@
 
 // accepts reports whether a request may be sent to the server once a batch item yields its slot.
 func (s *server) accepts(now time.Time, host ids.HostID, req SlotRequest) bool {
-	return s.usable(now) && s.trial == nil && s.limit.Ready(now) && req.mayRunOn(now, s) && !now.Before(s.pausedUntil) &&
+	return s.usable(now) && s.trial == nil && s.limit.Ready(now) && s.cold.Ready(now) && req.mayRunOn(now, s) && !now.Before(s.pausedUntil) &&
 		s.failures.suitabilityFor(now, host) == suitable
 }
 
--- a/verbena/dispatch/scheduler.go
+++ b/verbena/dispatch/scheduler.go
@@ -110,7 +110,7 @@
 	case RatesChanged:
 		sc.setRates(now, e)
 	case ServicesChanged:
-		sc.traits = e.Services
+		sc.setTraits(now, e.Services)
 	case IndependentHosts:
 		sc.setSlotShare(1 / float64(max(1, e.Count)))
 		sc.independent = e.Count > 1
@@ -167,6 +167,7 @@
 func (sc *Scheduler) setRates(now time.Time, e RatesChanged) {
 	if e.ResetTokens {
 		sc.pauseLimits(now)
+		sc.emptyColdBudgets(now)
 	}
 	sc.rates = make(map[ids.WorkspaceID]Rate, len(e.Rates))
 	for id, r := range e.Rates {
--- a/verbena/dispatch/scheduler_test.go
+++ b/verbena/dispatch/scheduler_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"verbenaledge.example/verbena/cold"
 	"verbenaledge.example/verbena/crash"
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/ids"
@@ -55,6 +56,14 @@
 	return got
 }
 
+// servicesChanged parses a service whose cold servers tolerate "cold" requests a second, and "max" within a second at most.
+func servicesChanged(words []string, o options) Event {
+	return ServicesChanged{Services: map[ids.ServiceName]ServiceTraits{ids.ServiceName(words[0]): {
+		Cold:     cold.Bound{PerSecond: float64(o.number("cold", 0)), MaxInSecond: float64(o.number("max", 0))},
+		ColdTime: o.time("cold_time", 0), MemoryTokens: o.number("memory", 0),
+	}}}
+}
+
 // event parses an event of a script.
 func (s *script) event(t *testing.T, name string, words []string) Event {
 	o := parseOptions(words)
@@ -64,12 +73,14 @@
 		s.servers[id] = directory.Server{
 			ID: id, Service: ids.ServiceName(words[1]), Slots: o.number("slots", 1), Zone: ids.ZoneID(o["zone"]), Draining: o["draining"] != "",
 			Incarnation: directory.Incarnation(o.number("incarnation", 0)), SoftwareVersion: directory.SoftwareVersion(o["version"]),
-			Evacuated: o["evacuated"] != "",
+			Evacuated: o["evacuated"] != "", WarmupRemaining: o.time("cold", 0), Revision: uint64(o.number("revision", 0)),
 		}
 		return ServersChanged{Servers: s.servers}
 	case "remove":
 		delete(s.servers, ids.BackendID(words[0]))
 		return ServersChanged{Servers: s.servers}
+	case "service":
+		return servicesChanged(words, o)
 	case "rate":
 		s.rates[ids.WorkspaceID(words[0])] = Rate{PerSecond: float64(o.number("rate", 1)), Burst: float64(o.number("burst", 1))}
 		return RatesChanged{Rates: s.rates}
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"verbenaledge.example/verbena/cold"
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/limit"
@@ -56,6 +57,7 @@
 	// firstByteSeconds is the moving average of the time to the first byte.
 	firstByteSeconds float64
 	coldUntil        time.Time
+	cold             cold.Budget
 	// slotShare is this scheduler's share of the slots.
 	slotShare float64
 	// tieBreak orders servers that are equal otherwise.
@@ -96,12 +98,23 @@
 
 // freeSlots returns the number of slots that callers' requests may take now; it may be negative.
 func (s *server) freeSlots(now time.Time) int {
-	if !s.limit.MayExceed(now) {
+	if !s.limit.MayExceed(now) || !s.cold.Ready(now) {
 		return 0
 	}
 	return s.unlimitedSlots(now)
 }
 
+// freeSlotsFor returns the number of slots that requests of a class may take now. exceeds is set if one that takes a slot exceeds
+// the server's limit on average, as callers' requests may for a while.
+func (s *server) freeSlotsFor(now time.Time, class Class) (free int, exceeds bool) {
+	free = max(0, s.freeSlots(now))
+	exceeds = free > 0 && !s.limit.Ready(now)
+	if class == Batch && (exceeds || !s.cold.ReadyForBatch(now)) {
+		free = 0 // an item has time
+	}
+	return free, exceeds
+}
+
 // unlimitedSlots is freeSlots without the server's limit.
 func (s *server) unlimitedSlots(now time.Time) int {
 	if now.Before(s.pausedUntil) || s.trial != nil {
--- a/verbena/dispatch/server_list.go
+++ b/verbena/dispatch/server_list.go
@@ -31,10 +31,12 @@
 			sc.servers[id] = s
 			s.ID = id
 			sc.restoreLimit(now, s)
+			sc.initColdBudget(now, s, listed.Service)
 		}
 		if s.Incarnation != listed.Incarnation {
 			s.reset(now, listed.WarmupRemaining)
 		}
+		sc.observeCold(now, s, listed)
 		isNew := !ok || s.Service != listed.Service
 		s.Server, s.gone = listed, false
 		if isNew {
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"verbenaledge.example/verbena/cold"
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/limit"
@@ -168,8 +169,8 @@
 
 // ServiceTraits are the properties of a service's servers that the configuration states.
 type ServiceTraits struct {
-	// ColdPerSecond is how many requests a second a cold server tolerates; 0 means no limit.
-	ColdPerSecond float64
+	// Cold is how many requests a cold server tolerates.
+	Cold cold.Bound
 	// ColdTime is how long a server is cold after its start.
 	ColdTime time.Duration
 	// MemoryTokens is the memory of a server in tokens; 0 means unknown.
@@ -370,12 +371,14 @@
 	VersionsUncertain
 	// LimitedServers: servers name limits, so that a start in time is unlikely.
 	LimitedServers
+	// ColdServers: servers are cold, so that a start in time is unlikely.
+	ColdServers
 )
 
 // IsTemporary reports whether the same request may be granted a slot a little later.
 func (r Reason) IsTemporary() bool {
 	switch r {
-	case Overload, NoServer, LimitedServers, VersionsUncertain:
+	case Overload, NoServer, LimitedServers, ColdServers, VersionsUncertain:
 		return true
 	case OverRate, TooLate, Crashing, CrashingPart, UnknownOrigin, NoServerOfVersion, OtherService:
 	}
@@ -407,6 +410,8 @@
 		return "server_versions_uncertain"
 	case LimitedServers:
 		return "server_limits"
+	case ColdServers:
+		return "cold_servers"
 	}
 	return "unknown"
 }
--- a/verbena/dispatch/usage.go
+++ b/verbena/dispatch/usage.go
@@ -18,6 +18,8 @@
 	// Limited counts the servers that name a limit, LimitPerSecond is the sum of their limits.
 	Limited        int
 	LimitPerSecond limit.RequestsPerSecond
+	// Cold counts the servers that are known to be cold and whose service has a bound.
+	Cold int
 	// LimitedGrants counts all slots granted on servers with a limit so far, HeldBack the requests that waited or were
 	// refused while a limit left slots free.
 	LimitedGrants, HeldBack int
@@ -37,6 +39,9 @@
 				u.Limited++
 				u.LimitPerSecond += s.limit.Statement().PerSecond
 			}
+			if s.cold.IsBounded() && s.cold.IsCold(now) {
+				u.Cold++
+			}
 			if !s.usable(now) {
 				u.Ejected++
 				continue
--- a/verbena/node/settings.go
+++ b/verbena/node/settings.go
@@ -42,8 +42,10 @@
 	// EvacuationTimeout is how long after the operator's request the last new request may reach a server of an evacuated
 	// availability zone; 0 means that the deployment has no evacuations.
 	EvacuationTimeout time.Duration
-	StoreAddress      string
-	StoreValueBytes   int
+	// ColdExcess times the rate that a cold server tolerates, and ColdSlack more, is the most requests that it may get in a second.
+	ColdExcess, ColdSlack float64
+	StoreAddress          string
+	StoreValueBytes       int
 }
 
 // PeerAddress returns the address that other hosts connect to.
--- a/verbenad/internal/host/environment.go
+++ b/verbenad/internal/host/environment.go
@@ -14,6 +14,7 @@
 
 	"verbenaledge.example/verbena/catalog"
 	"verbenaledge.example/verbena/clock"
+	"verbenaledge.example/verbena/cold"
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/dispatch"
 	"verbenaledge.example/verbena/ids"
@@ -160,6 +161,7 @@
 
 // logServers logs each server that was added or removed, or that started or stopped draining.
 func logServers(old, now map[ids.BackendID]directory.Server, revision objects.Revision) {
+	logColdServers(old, now, revision)
 	if len(now)-len(old) > maxServerLines || len(old)-len(now) > maxServerLines {
 		log.WithFields(log.Fields{"before": len(old), "servers": len(now), "revision": revision}).Info("servers listed")
 		return
@@ -188,10 +190,15 @@
 }
 
 // serviceTraits returns the traits of all services.
-func serviceTraits(c *catalog.Catalog) map[ids.ServiceName]dispatch.ServiceTraits {
+func (e Environment) serviceTraits(c *catalog.Catalog) map[ids.ServiceName]dispatch.ServiceTraits {
 	traits := make(map[ids.ServiceName]dispatch.ServiceTraits, len(c.Services))
 	for _, s := range c.Services {
-		traits[s.Name] = dispatch.ServiceTraits{ColdPerSecond: s.ColdPerSecond, ColdTime: s.ColdTime, MemoryTokens: s.MemoryTokens}
+		traits[s.Name] = dispatch.ServiceTraits{
+			Cold: cold.Bound{
+				PerSecond: s.ColdPerSecond, MaxInSecond: s.ColdPerSecond*max(1, e.Settings.ColdExcess) + e.Settings.ColdSlack,
+			},
+			ColdTime: s.ColdTime, MemoryTokens: s.MemoryTokens,
+		}
 	}
 	return traits
 }
--- a/verbenad/internal/host/front.go
+++ b/verbenad/internal/host/front.go
@@ -57,7 +57,7 @@
 	follower.followAll(&ownerMap, func(c *catalog.Catalog) {
 		handler.SetCatalog(c)
 		slotClient.SetRates(workspaceRates(c))
-		slotClient.SetServices(serviceTraits(c))
+		slotClient.SetServices(env.serviceTraits(c))
 	}, evacuated.setServers)
 	evacuated.apply = func(s map[ids.BackendID]directory.Server) {
 		listed.Store(&s)
--- a/verbenad/internal/host/storage.go
+++ b/verbenad/internal/host/storage.go
@@ -120,7 +120,7 @@
 // setCatalog passes the configuration on to the parts that use it.
 func (s *storage) setCatalog(c *catalog.Catalog) {
 	s.dispatcher.SetRates(workspaceRates(c))
-	s.dispatcher.SetServices(serviceTraits(c))
+	s.dispatcher.SetServices(s.env.serviceTraits(c))
 	s.jobOwner.SetCatalog(c)
 }
 
--- a/verbenad/internal/slots/gauges.go
+++ b/verbenad/internal/slots/gauges.go
@@ -44,6 +44,7 @@
 		g.set("waiting", service, u.Waiting)
 		g.set("servers", service, u.Servers)
 		g.set("servers_ejected", service, u.Ejected)
+		g.set("servers_cold", service, u.Cold)
 		g.setLimits(service, u)
 	}
 }
