--- a/verbena/dispatch/limit_script_test.go
+++ b/verbena/dispatch/limit_script_test.go
@@ -20,6 +20,8 @@
 		return LimitStated{Host: host(words[0]), Report: LimitReport{
 			Ticket: ticket(words[0]), Server: ids.BackendID(o["server"]), Statement: limitStatement(t, words[2]),
 		}}
+	case "service":
+		return servicesChanged(words, o)
 	case "limits": // those that the dispatcher sends its hosts, as "a:3,b:none"
 		return LimitsReceived{Limits: serverLimits(t, words[0])}
 	case "independent_hosts":
--- a/verbena/dispatch/scheduler_test.go
+++ b/verbena/dispatch/scheduler_test.go
@@ -79,8 +79,6 @@
 	case "remove":
 		delete(s.servers, ids.BackendID(words[0]))
 		return ServersChanged{Servers: s.servers}
-	case "service":
-		return servicesChanged(words, o)
 	case "rate":
 		s.rates[ids.WorkspaceID(words[0])] = Rate{PerSecond: float64(o.number("rate", 1)), Burst: float64(o.number("burst", 1))}
 		return RatesChanged{Rates: s.rates}
