test: the soak evacuates a zone and turns servers cold

Servers of an evacuated zone must get nothing 3 s after the request, checked after recovery; during faults the evacuations and cold phases overlap the others.

--- a/verbenalab/internal/soak/check.go
+++ b/verbenalab/internal/soak/check.go
@@ -4,7 +4,7 @@
 type checker func(ev *Evidence) []Violation
 
 var checkers = []checker{
-	checkAnswers, checkRuns, checkKeys, checkRates, checkPositions, checkOutputs, checkRetention, checkAfterRecovery, checkDraining,
+	checkAnswers, checkRuns, checkKeys, checkRates, checkPositions, checkOutputs, checkRetention, checkAfterRecovery, checkDraining, checkEvacuation,
 	checkContainment, checkVersions, checkLimits, checkProcesses, checkCuts,
 }
 
--- a/verbenalab/internal/soak/check_test.go
+++ b/verbenalab/internal/soak/check_test.go
@@ -160,6 +160,10 @@
 		}},
 		{"a result that was read is gone", "kept", func(ev *soak.Evidence) { ev.JobCalls = append(ev.JobCalls, readCall(1, 5000)) }},
 		{"a draining server receives requests", "leaving", func(ev *soak.Evidence) { ev.ServerRuns = append(ev.ServerRuns, serverRun("x", "server-0", 63_500)) }},
+		{"an evacuated server receives requests", "evacuated", func(ev *soak.Evidence) {
+			ev.EvacuatedAt, ev.EvacuatedServers = at(60_000), map[string]bool{"server-2": true}
+			ev.ServerRuns = append(ev.ServerRuns, serverRun("x", "server-2", 63_500))
+		}},
 		{"a host that is cut off serves nobody", "cut off", func(ev *soak.Evidence) { *ev = *cutHistory(13_500, 10, 50) }},
 		{"a process that crashes when asked to stop", "stop", func(ev *soak.Evidence) { ev.ProcessEnds[0].Status = "exit status 2" }},
 		{"a process that SIGTERM ends without its doing", "stop", func(ev *soak.Evidence) { ev.ProcessEnds[0].Status = "signal: terminated" }},
--- a/verbenalab/internal/soak/environment.go
+++ b/verbenalab/internal/soak/environment.go
@@ -201,7 +201,7 @@
 	if b.relay, err = relay.NewTCP(e.serverAddress(n), at); err != nil {
 		return err
 	}
-	return standin.Register(e.store, s, e.serverAddress(n), "z", "ready")
+	return standin.Register(e.store, s, e.serverAddress(n), zoneOf(n), "ready")
 }
 
 func (e *Environment) serverAddress(n int) string {
@@ -233,7 +233,7 @@
 	for _, id := range b.formerIDs {
 		e.retryWrite(func() error { return standin.Deregister(e.store, id) })
 	}
-	return e.retryWrite(func() error { return standin.Register(e.store, b.server, e.serverAddress(n), "z", state) })
+	return e.retryWrite(func() error { return standin.Register(e.store, b.server, e.serverAddress(n), zoneOf(n), state) })
 }
 
 func (e *Environment) configuration() map[string]any {
@@ -273,7 +273,9 @@
 func (e *Environment) recoverAll() {
 	e.store.SetFault(nil)
 	e.registrations.Wait()
+	e.retryWrite(func() error { return standin.EndEvacuation(e.store, evacuatedZone) })
 	for n, s := range e.servers {
+		s.server.SetWarmup(0)
 		s.server.SetFault(nil)
 		s.server.SetLimit()
 		s.relay.SetDelay(0)
--- a/verbenalab/internal/soak/evidence.go
+++ b/verbenalab/internal/soak/evidence.go
@@ -83,6 +83,9 @@
 	// DrainedAt is the time when DrainedServer was set to draining after recovery.
 	DrainedAt     time.Time
 	DrainedServer string
+	// EvacuatedAt is the time when the zone of EvacuatedServers was evacuated after recovery.
+	EvacuatedAt      time.Time
+	EvacuatedServers map[string]bool
 	// StillRunning counts the requests that servers still ran after all callers had disconnected and all jobs had ended.
 	StillRunning int
 	Containment  Containment
--- a/verbenalab/internal/soak/fault.go
+++ b/verbenalab/internal/soak/fault.go
@@ -76,7 +76,7 @@
 
 // FaultKinds returns all kinds in a stable order.
 func FaultKinds() (list []FaultKind) {
-	for _, m := range []map[FaultKind]fault{baseFaults, laterFaults, drainFaults, crashFaults, resumeFaults, versionFaults, limitFaults, cutFaults} {
+	for _, m := range []map[FaultKind]fault{baseFaults, laterFaults, drainFaults, crashFaults, resumeFaults, versionFaults, limitFaults, cutFaults, zoneFaults} {
 		list = append(list, sortedKinds(m)...)
 	}
 	return list
@@ -84,7 +84,7 @@
 
 // fault returns the implementation of a kind.
 func (k FaultKind) fault() fault {
-	for _, m := range []map[FaultKind]fault{laterFaults, drainFaults, crashFaults, resumeFaults, versionFaults, limitFaults, cutFaults} {
+	for _, m := range []map[FaultKind]fault{laterFaults, drainFaults, crashFaults, resumeFaults, versionFaults, limitFaults, cutFaults, zoneFaults} {
 		if f, ok := m[k]; ok {
 			return f
 		}
--- a/verbenalab/internal/soak/host.go
+++ b/verbenalab/internal/soak/host.go
@@ -49,7 +49,8 @@
 		h.logOffset = info.Size() // the folder has logs of an earlier run
 	}
 	s := standin.HostSettings{
-		Name: h.name, IP: h.ip, Zone: "z", Serves: h.role, PeerPort: peerPort, Store: address(h.advertisedIP, storePort), Seeds: seeds,
+		Name: h.name, IP: h.ip, Zone: usualZone, Serves: h.role, EvacuationTimeout: evacuationTimeout,
+		PeerPort: peerPort, Store: address(h.advertisedIP, storePort), Seeds: seeds,
 	}
 	if h.peerRelay, err = relay.NewTCP(address(h.advertisedIP, peerPort), address(h.ip, peerPort)); err != nil {
 		return err
--- a/verbenalab/internal/soak/plan.go
+++ b/verbenalab/internal/soak/plan.go
@@ -45,6 +45,7 @@
 	p = append(p, drawFaults(rand.New(rand.NewPCG(seed, seed+1)), resumeFaults, duration, resumeFaultInterval)...)
 	p = append(p, drawFaults(rand.New(rand.NewPCG(seed, bits.Reverse64(seed))), versionFaults, duration, versionFaultInterval)...)
 	p = append(p, drawFaults(rand.New(rand.NewPCG(^seed, seed+1)), limitFaults, duration, limitFaultInterval)...)
+	p = append(p, drawFaults(rand.New(rand.NewPCG(bits.Reverse64(seed), seed)), zoneFaults, duration, zoneFaultInterval)...)
 	cuts := drawFaults(rand.New(rand.NewPCG(seed+1, seed)), cutFaults, duration, cutFaultInterval)
 	for n := range cuts {
 		cuts[n].Duration += contactTime
--- a/verbenalab/internal/soak/run.go
+++ b/verbenalab/internal/soak/run.go
@@ -115,7 +115,8 @@
 	ev.Containment = e.measureContainment(ctx, c)
 	ev.DrainedServer, ev.DrainedAt = e.servers[0].server.ID, time.Now()
 	e.registerServer(0, "draining")
-	time.Sleep(drainingGrace)
+	e.evacuate(ev)
+	time.Sleep(max(drainingGrace, evacuationTimeout))
 	for range requestsAfterDrain {
 		ca.request(RouteStream, keyWithinRate)
 	}
