--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -50,9 +50,11 @@
 	zone ids.ZoneID
 	// relayAddress is where this host relays connections between other hosts; empty on a host that accepts no callers.
 	relayAddress string
-	clock        clock.Clock
-	local        *Runner
-	feed         *objectfeed.Feed
+	// capacity is this host's share of a processor, 0 if unknown.
+	capacity float64
+	clock    clock.Clock
+	local    *Runner
+	feed     *objectfeed.Feed
 
 	mu         sync.Mutex
 	dispatcher *placerConn
@@ -104,7 +106,8 @@
 	o := applyOptions(opts)
 	client := &Client{
 		streams: origin.NewRecords(), listState: o.listState, originsReceived: o.originsReceived,
-		drainNotices: o.drainNotices, isEvacuated: o.isEvacuated, limits: newKnownLimits(), limitLog: newLimitLog(), limitsReceived: o.limitsReceived,
+		capacity: o.capacity, drainNotices: o.drainNotices, isEvacuated: o.isEvacuated,
+		limits: newKnownLimits(), limitLog: newLimitLog(), limitsReceived: o.limitsReceived,
 		relayAddress: relayAddress, host: host, zone: zone, clock: c, feed: feed,
 		hostCount: defaultHostCount, localRates: dispatch.NewLocalRates(),
 		dispatcher: newPlacerConn(PlacerDispatcher, dispatcher, pingInterval), standby: newPlacerConn(PlacerStandby, standby, standbyPingInterval),
