fix: hosts that read the store themselves ask less often for evacuations

Such a host now waits a second for updates before it reads, and watches for 3.5 s of the 5 s that an evacuation may take.

--- a/verbenad/internal/host/store_follower.go
+++ b/verbenad/internal/host/store_follower.go
@@ -65,6 +65,10 @@
 	serversFeedWait = 2 * time.Second
 	// fleetStartFeedWait is the same when the whole fleet starts for the first time and there are no owners yet.
 	fleetStartFeedWait = 4 * time.Second
+	// evacuationFeedShare is the part of the evacuation timeout for which a host waits for updates from another host before it reads
+	// the evacuations from the store, evacuationWatchShare the part for which it then watches. Each call is billed.
+	evacuationFeedShare  = 0.2
+	evacuationWatchShare = 0.7
 )
 
 // follow adds a kind of objects. All kinds must be added before run. The owner map is read from the store at once, as it
@@ -76,6 +80,8 @@
 		feedWait = 0
 	case f.env.Decoder.ServerKind():
 		feedWait = serversFeedWait
+	case f.env.Decoder.EvacuationKind():
+		feedWait = shareOf(f.env.Settings.EvacuationTimeout, evacuationFeedShare)
 	}
 	firstFeedWait := feedWait
 	if f.env.Settings.Bootstrap && kind != owners.KindOwners {
@@ -101,9 +107,11 @@
 	}
 	kind := f.env.Decoder.EvacuationKind()
 	e.age = func() time.Duration { return f.age(kind) }
-	f.follow(kind, e.changed)
+	f.follow(kind, e.changed, view.WithOwnWatch(shareOf(f.env.Settings.EvacuationTimeout, evacuationWatchShare)))
 }
 
+func shareOf(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
+
 func (f *storeFollower) run(ctx context.Context) {
 	for _, v := range f.followers {
 		go v.Run(ctx)
--- a/verbenad/internal/host/store_follower_test.go
+++ b/verbenad/internal/host/store_follower_test.go
@@ -17,6 +17,8 @@
 
 func (serversOnly) ServerKind() objects.Kind { return "servers" }
 
+func (serversOnly) EvacuationKind() objects.Kind { return "evacuations" }
+
 // TestListStateBeforeServersAreFollowed guards against a host that crashes at its start because an event comes before it
 // follows the servers.
 func TestListStateBeforeServersAreFollowed(t *testing.T) {
--- a/verbenad/internal/view/follower.go
+++ b/verbenad/internal/view/follower.go
@@ -58,6 +58,8 @@
 	feedWait      time.Duration
 	lastFed       time.Time
 	lastWatch     time.Time
+	// ownWatch is how long a watch waits while this host reads only for itself.
+	ownWatch time.Duration
 	// keepLapsed keeps entries that are missing after an outage for returnPeriod.
 	keepLapsed bool
 
@@ -79,6 +81,11 @@
 	return func(f *Follower) { f.keepLapsed = true }
 }
 
+// WithOwnWatch sets how long a watch waits while this host reads only for itself: longer watches are fewer billed calls.
+func WithOwnWatch(timeout time.Duration) Option {
+	return func(f *Follower) { f.ownWatch = timeout }
+}
+
 // Feed provides the objects that another host publishes.
 type Feed interface {
 	// Wait waits for a state that is newer than a revision. fresh is false if the feed can't replace the store now.
@@ -104,7 +111,7 @@
 ) *Follower {
 	f := &Follower{
 		kind: kind, client: client, clock: c, elapsed: clock.Boot{}, gate: gate, onChange: onChange,
-		all: make(map[string]objects.Object), missing: make(map[string]bool),
+		all: make(map[string]objects.Object), missing: make(map[string]bool), ownWatch: watchTimeout,
 	}
 	for _, o := range options {
 		o(f)
@@ -249,7 +256,7 @@
 		f.applyListing(l)
 		return nil
 	}
-	timeout, interval := watchTimeout, watchInterval
+	timeout, interval := f.ownWatch, watchInterval
 	if f.isPublisher != nil && f.isPublisher() {
 		timeout, interval = publisherWatchTimeout, publisherWatchInterval
 	}
