--- a/verbenad/internal/host/store_follower.go
+++ b/verbenad/internal/host/store_follower.go
@@ -67,7 +67,7 @@
 	fleetStartFeedWait = 4 * time.Second
 	// evacuationFeedShare is the part of the evacuation timeout for which a host waits for updates from another host before it reads
 	// the evacuations from the store, evacuationWatchShare the part for which it then watches. Each call is billed.
-	evacuationFeedShare  = 0.2
+	evacuationFeedShare  = 0.4
 	evacuationWatchShare = 0.7
 )
 
