feat: check configurations and compare them with the version in force

An operator learned of a contradiction in a configuration from refused requests, since nothing read it before the hosts did.

Package catalogcheck holds the checks. It knows the catalog's types and does no I/O. platform.Decoder.Draft decodes a configuration as the hosts do and restores the figures that they replace by defaults, such as a burst below one request; unknown kinds are reported there, as decoding maps them to one that the product has. Findings name keys by their position and never hold them.

Decided on the way: a token cap counts as too low for a job if it is below 200 tokens, one for each item that a job may have. A rate without a burst is reported if it allows less than one request in catalog.DefaultBurstTime (exported for this), from which the burst follows. The number of hosts among which rates are divided isn't part of a configuration, so it isn't checked. A batch route with several services is reported, since owners send all items to the first one with a weight.

Proof: scripts in verbena/catalogcheck/testdata, files in platform/testdata/check.

--- a/verbena/catalog/route.go
+++ b/verbena/catalog/route.go
@@ -119,9 +119,9 @@
 	Burst         float64
 }
 
-// defaultBurstTime times a rate is the burst of a workspace that states none: with less, requests inside the rate are refused for
+// DefaultBurstTime times a rate is the burst of a workspace that states none: with less, requests inside the rate are refused for
 // arriving together.
-const defaultBurstTime = 100 * time.Millisecond
+const DefaultBurstTime = 100 * time.Millisecond
 
 // setBurst gives a workspace that has a rate a burst that admits a request.
 func (w *Workspace) setBurst() {
@@ -129,7 +129,7 @@
 		return
 	}
 	if w.Burst <= 0 {
-		w.Burst = w.RatePerSecond * defaultBurstTime.Seconds()
+		w.Burst = w.RatePerSecond * DefaultBurstTime.Seconds()
 	}
 	w.Burst = max(w.Burst, 1)
 }
