--- a/verbenactl/cmd/exit.go
+++ b/verbenactl/cmd/exit.go
@@ -18,6 +18,13 @@
 	ExitNotFound    = 7
 )
 
+// The exit codes of `verbenactl check`, apart from ExitOK.
+const (
+	ExitCheckWarnings = 1
+	ExitCheckErrors   = 2
+	ExitUnreadable    = 3
+)
+
 // ErrNotInForce is returned when a change is recorded but not yet in force on every host. The hosts apply it
 // without another command.
 var ErrNotInForce = errors.New("recorded, but not in force on every host yet; see `verbenactl status`")
@@ -26,6 +33,10 @@
 	errUsage    = errors.New("wrong usage")
 	errNotFound = errors.New("not found")
 	errBadRules = errors.New("the rules file has errors; nothing was changed")
+
+	errCheckWarnings = errors.New("the configuration has warnings")
+	errCheckErrors   = errors.New("the configuration has errors; don't send it")
+	errUnreadable    = errors.New("can't read the configuration")
 )
 
 func exitCode(err error) int {
@@ -40,6 +51,9 @@
 		{platform.ErrNotFound, ExitNotFound},
 		{errNotFound, ExitNotFound},
 		{errUsage, ExitUsage},
+		{errCheckWarnings, ExitCheckWarnings},
+		{errCheckErrors, ExitCheckErrors},
+		{errUnreadable, ExitUnreadable},
 	} {
 		if errors.Is(err, k.err) {
 			return k.code
--- a/verbenactl/cmd/root.go
+++ b/verbenactl/cmd/root.go
@@ -32,9 +32,11 @@
 
 var globalOptions globals
 
-const longHelp = `verbenactl is the operators' tool for rules, keys, jobs and the timeline.
+const longHelp = `verbenactl is the operators' tool for configurations, rules, keys, jobs and the
+timeline.
 
 Examples:
+  verbenactl check next.json --against in-force.json
   verbenactl rules check production.rules
   verbenactl rules apply production.rules
   verbenactl key issue buying-desk
@@ -44,7 +46,8 @@
 Exit codes:
   0 done, 1 failed, 2 wrong usage, 3 bad rules file, 4 conflict with another
   change, 5 platform unavailable and nothing recorded, 6 recorded but not yet in
-  force everywhere, 7 not found`
+  force everywhere, 7 not found. Of check: 0 no findings or changes only,
+  1 warnings, 2 errors or wrong usage, 3 unreadable file`
 
 // Execute runs the command line and returns the exit code.
 func Execute(args []string) int {
@@ -72,6 +75,7 @@
 
 func addCommands(parser *flags.Parser) (err error) {
 	for _, e := range []commandSpec{
+		{"check", "Check a configuration, and compare it with the version in force", &checkCommand{}, nil},
 		{"rules", "Check, apply and show the rules", &struct{}{}, []commandSpec{
 			{"check", "Check a rules file and change nothing", &rulesCheck{}, nil},
 			{"apply", "Put a rules file into force", &rulesApply{}, nil},
