--- a/verbena/catalogcheck/check.go
+++ b/verbena/catalogcheck/check.go
@@ -19,7 +19,7 @@
 	c.checkRoutes(d)
 	c.checkServices(d.Services)
 	c.checkWorkspaces(d.Workspaces)
-	c.reportNegative(Place{Section: LimitsPart}, limitFigures(d.Limits))
+	c.reportNegative(Place{Section: SectionLimits}, limitFigures(d.Limits))
 	return c.list
 }
 
@@ -40,7 +40,7 @@
 func (c *findings) checkServices(services []catalog.Service) {
 	seen := make(map[string]int)
 	for i, s := range services {
-		p := Place{Services, i, string(s.Name)}
+		p := Place{SectionServices, i, string(s.Name)}
 		c.checkName(p, seen)
 		c.reportNegative(p, serviceFigures(s))
 		switch {
--- a/verbena/catalogcheck/compare.go
+++ b/verbena/catalogcheck/compare.go
@@ -17,7 +17,7 @@
 	c.compareBatchHosts()
 	c.compareServices()
 	c.compareWorkspaces()
-	c.reportChanged(Place{Section: LimitsPart}, limitFigures(inForce.Limits), limitFigures(next.Limits))
+	c.reportChanged(Place{Section: SectionLimits}, limitFigures(inForce.Limits), limitFigures(next.Limits))
 	return c.list
 }
 
--- a/verbena/catalogcheck/compare_routes.go
+++ b/verbena/catalogcheck/compare_routes.go
@@ -15,7 +15,7 @@
 		if after[r.Name] != i {
 			continue // a duplicate, which Check reports
 		}
-		p := Place{Routes, i, r.Name}
+		p := Place{SectionRoutes, i, r.Name}
 		if n, ok := before[r.Name]; ok {
 			c.compareRoute(p, &c.before.Routes[n], r)
 			continue
@@ -25,7 +25,7 @@
 	for i := range c.before.Routes {
 		r := &c.before.Routes[i]
 		if _, ok := after[r.Name]; !ok && before[r.Name] == i {
-			c.report(Change, Place{Routes, notListed, r.Name}, "is removed: "+c.servedInstead(r)+removalEffect(r.Kind), "")
+			c.report(Change, Place{SectionRoutes, notListed, r.Name}, "is removed: "+c.servedInstead(r)+removalEffect(r.Kind), "")
 		}
 	}
 }
--- a/verbena/catalogcheck/compare_services.go
+++ b/verbena/catalogcheck/compare_services.go
@@ -16,7 +16,7 @@
 		if after[string(s.Name)] != i {
 			continue // a duplicate, which Check reports
 		}
-		p := Place{Services, i, string(s.Name)}
+		p := Place{SectionServices, i, string(s.Name)}
 		n, ok := before[string(s.Name)]
 		if !ok {
 			c.report(Change, p, "is added", "")
@@ -29,7 +29,7 @@
 	}
 	for i, s := range c.before.Services {
 		if _, ok := after[string(s.Name)]; !ok && before[string(s.Name)] == i {
-			c.report(Change, Place{Services, notListed, string(s.Name)}, "is removed", "")
+			c.report(Change, Place{SectionServices, notListed, string(s.Name)}, "is removed", "")
 		}
 	}
 }
--- a/verbena/catalogcheck/compare_workspaces.go
+++ b/verbena/catalogcheck/compare_workspaces.go
@@ -16,7 +16,7 @@
 		if after[string(w.ID)] != i {
 			continue // a duplicate, which Check reports
 		}
-		p := Place{Workspaces, i, string(w.ID)}
+		p := Place{SectionWorkspaces, i, string(w.ID)}
 		n, ok := before[string(w.ID)]
 		if !ok {
 			c.report(Change, p, fmt.Sprintf("is added with %s", count(len(w.Keys), "key")), "")
@@ -29,7 +29,7 @@
 		if _, ok := after[string(w.ID)]; ok || before[string(w.ID)] != i {
 			continue
 		}
-		p := Place{Workspaces, notListed, string(w.ID)}
+		p := Place{SectionWorkspaces, notListed, string(w.ID)}
 		c.report(Change, p, "is removed: callers can't read the results of its jobs any more", "")
 		c.compareKeys(p, w, catalog.Workspace{ID: w.ID})
 	}
--- a/verbena/catalogcheck/finding.go
+++ b/verbena/catalogcheck/finding.go
@@ -34,11 +34,12 @@
 
 // The sections of a configuration.
 const (
-	Top        Section = ""
-	Routes     Section = "routes"
-	Services   Section = "services"
-	Workspaces Section = "workspaces"
-	LimitsPart Section = "limits"
+	// SectionTop is the configuration itself.
+	SectionTop        Section = ""
+	SectionRoutes     Section = "routes"
+	SectionServices   Section = "services"
+	SectionWorkspaces Section = "workspaces"
+	SectionLimits     Section = "limits"
 )
 
 // Place is where in a configuration a finding is.
@@ -59,9 +60,9 @@
 // Format returns the place with the given name of its section.
 func (p Place) Format(section string) string {
 	switch {
-	case p.Section == Top:
+	case p.Section == SectionTop:
 		return "configuration"
-	case p.Section == LimitsPart:
+	case p.Section == SectionLimits:
 		return section
 	case p.Index == notListed:
 		return fmt.Sprintf("%s %q", section, p.Name)
--- a/verbena/catalogcheck/routes.go
+++ b/verbena/catalogcheck/routes.go
@@ -21,12 +21,12 @@
 	seen, first := make(map[string]int), make(map[matched]int)
 	for i := range d.Routes {
 		r := &d.Routes[i]
-		p := Place{Routes, i, r.Name}
+		p := Place{SectionRoutes, i, r.Name}
 		c.checkName(p, seen)
 		c.checkMatch(p, r)
 		m := matched{r.Host, r.Prefix}
 		if earlier, ok := first[m]; ok {
-			text := fmt.Sprintf("never matches: %s has the same host and prefix and gets its requests", Place{Routes, earlier, d.Routes[earlier].Name})
+			text := fmt.Sprintf("never matches: %s has the same host and prefix and gets its requests", Place{SectionRoutes, earlier, d.Routes[earlier].Name})
 			c.report(Error, p, text, "remove one of them, or change its host or prefix", FieldHost, FieldPrefix)
 		} else {
 			first[m] = i
--- a/verbena/catalogcheck/workspaces.go
+++ b/verbena/catalogcheck/workspaces.go
@@ -15,7 +15,7 @@
 func (c *findings) checkWorkspaces(workspaces []catalog.Workspace) {
 	seen, keys := make(map[string]int), make(map[string]keyPlace)
 	for i, w := range workspaces {
-		p := Place{Workspaces, i, string(w.ID)}
+		p := Place{SectionWorkspaces, i, string(w.ID)}
 		c.checkName(p, seen)
 		c.checkKeys(p, w, keys)
 		c.reportNegative(p, workspaceFigures(w))
