feat: rank servers by the pace of their machines

The cost of a server is its own speed, without the part that is noise, times the estimated pace, without a tenth. Times enter a server's average divided by the pace to be expected over the measurement; the tolerance of speeds is 1.5 times the deviation of answers from their servers' averages, now of ten answers in place of four. The advantage of a calm machine halves with each grant that the newest reading doesn't show. A server that received more than the mean beyond two deviations costs more.

A single host's readings stay within the tolerance: at 80 and 125 one report changed the order of equal servers (pace_wrong_reports).

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -190,6 +190,8 @@
 	known := s.limit.Statement()
 	s.limit.Take(now)
 	s.cold.Take(now)
+	s.pace.countGrant(now)
+	s.received.add(now)
 	if known.Kind == limit.Named {
 		w.pool.limitedGrants++
 	}
--- a/verbena/dispatch/balance.go
+++ b/verbena/dispatch/balance.go
@@ -1,14 +1,21 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// speedTolerance is the difference of two servers' speeds that counts nothing. The average of a server weighs its last four
-	// answers most, whose times vary by a fifth or more: two equal servers differ by a tenth as a rule and by a quarter often.
-	speedTolerance = 0.25
+	// minSpeedTolerance is the difference of two servers' speeds that counts nothing at least. The average of a server weighs its
+	// last four answers most, whose times vary by a fifth or more: equal servers differ by a tenth as a rule and a quarter often.
+	minSpeedTolerance = 0.25
+	// noiseTolerance is the same as a multiple of the usual deviation of one answer from its server's average. The average
+	// deviates by 0.38 of that, by more if the answers that follow each other deviate alike.
+	noiseTolerance = 1.5
+	// speedMemory is the time constant with which a server that seemed slower than others is tried again: without answers its
+	// average would stay as it is.
+	speedMemory = 2 * time.Second
 	// loadCost is added for each running request, which slows the others by 1 to 2 percent.
 	loadCost = 0.02
 	// speedWeight is what twice the time costs, as much as eight running requests. With the full weight a server that seemed a
@@ -18,6 +25,11 @@
 	// runningSlowdown is the share by which each running request slows the others. Times are compared without it: a server with
 	// little load would seem fast.
 	runningSlowdown = 0.015
+	// speedAverageWeight is the weight of one answer in the average of a server's speed, which is that of the last ten or so: a
+	// second or less under load.
+	speedAverageWeight = 0.1
+	// noiseAverageWeight is the weight of one answer in the average of the deviations.
+	noiseAverageWeight = 0.01
 	// fastestShare is the share of the servers that are faster than the one whose speed others are compared with. The least of
 	// many noisy averages would make all servers look slow.
 	fastestShare = 0.1
@@ -25,17 +37,58 @@
 	fastestRefreshInterval = 100 * time.Millisecond
 )
 
-// speedCost is the cost of a server by its speed, given as a multiple of the fastest servers' time. It is 1 for equal speeds.
-func speedCost(speed float64) float64 {
+// relativeSpeed returns a server's time as a multiple of that of the fastest servers.
+func (p *pool) relativeSpeed(now time.Time, s *server) float64 {
+	if s.eventSeconds == 0 || p.fastestEventSeconds == 0 {
+		return 1
+	}
+	speed := s.eventSeconds / p.fastestEventSeconds
+	if !p.isMuchSlower(speed) {
+		speed = 1 + (speed-1)*math.Exp(-float64(now.Sub(s.eventSecondsAt))/float64(speedMemory))
+	}
+	return speed
+}
+
+// speedCost is the cost of a server by its speed and the pace of its machine, as multiples of the fastest servers' time and of the
+// usual one. It is 1 for servers that don't differ by more than the noise of these figures. They are compared one by one: one that
+// seems a little fast would else gain from each change of pace.
+func (p *pool) speedCost(speed, machine float64) float64 {
+	return 1 + speedWeight*(beyond(speed, p.speedTolerance())*beyond(machine, paceTolerance)-1)
+}
+
+// beyond returns a multiple without the part of its difference from 1 that counts nothing.
+func beyond(multiple, tolerance float64) float64 {
 	switch {
-	case speed > 1+speedTolerance:
-		return 1 + speedWeight*(speed-1-speedTolerance)
-	case speed < 1-speedTolerance:
-		return 1 - speedWeight*(1-speedTolerance-speed)
+	case multiple > 1+tolerance:
+		return multiple - tolerance
+	case multiple < 1-tolerance:
+		return multiple + tolerance
 	}
 	return 1
 }
 
+// isMuchSlower reports whether a server is to be used last, by its speed.
+func (p *pool) isMuchSlower(speed float64) bool {
+	return speed > slowFactor*(1+p.speedTolerance())/(1+minSpeedTolerance)
+}
+
+// speedTolerance is the difference of two servers' speeds that counts nothing.
+func (p *pool) speedTolerance() float64 { return max(minSpeedTolerance, noiseTolerance*p.noise) }
+
+// recordSpeed adds a time per stream event to a server's average, and its deviation to that of the service.
+func (p *pool) recordSpeed(now time.Time, s *server, o Outcome) {
+	if o.Result != Served || o.StreamEvents <= 0 || o.Elapsed <= 0 {
+		return
+	}
+	sample := s.atUsualPace(now, o, s.withoutLoad(o.Elapsed.Seconds()/float64(o.StreamEvents)))
+	if s.eventSeconds > 0 {
+		p.noise += noiseAverageWeight * (math.Abs(math.Log(sample/s.eventSeconds)) - p.noise)
+	}
+	s.speedSamples++
+	s.eventSeconds += max(speedAverageWeight, 1/float64(s.speedSamples)) * (sample - s.eventSeconds)
+	s.eventSecondsAt = now
+}
+
 // withoutLoad returns the time that a measured one would have been if the server had run no other request.
 func (s *server) withoutLoad(measured float64) float64 {
 	return measured / (1 + runningSlowdown*float64(max(0, s.usedSlots)))
@@ -44,7 +97,19 @@
 func (p *pool) refreshFastest(now time.Time) {
 	if now.Sub(p.fastestAt) >= fastestRefreshInterval || p.fastestEventSeconds == 0 {
 		p.fastestEventSeconds, p.fastestAt = p.findFastest(now), now
+		p.meanReceived = p.findMeanReceived(now)
+	}
+}
+
+// findMeanReceived returns how many requests a server received recently, on average of those that aren't used last.
+func (p *pool) findMeanReceived(now time.Time) float64 {
+	sum, n := 0.0, 0
+	for _, s := range p.servers {
+		if s.usable(now) && !p.isMuchSlower(p.relativeSpeed(now, s)) {
+			sum, n = sum+s.received.recent(now), n+1
+		}
 	}
+	return sum / float64(max(1, n))
 }
 
 // findFastest returns the time per stream event of the fastest servers, 0 if none is known.
--- a/verbena/dispatch/balance_test.go
+++ b/verbena/dispatch/balance_test.go
@@ -67,9 +67,7 @@
 	outcome func(m *model, r modelRun, o *Outcome)
 	// slowdown, if set, returns the factor by which the machine of a server slows a request that begins.
 	slowdown func(m *model, s *modelServer) float64
-	// granted, if set, is called for each request that begins.
-	granted func(m *model, s *modelServer)
-	times   []float64
+	times    []float64
 }
 
 func newModel(seed uint64, options ...Option) *model {
@@ -121,9 +119,6 @@
 			continue
 		}
 		s := m.servers[g.Server.ID]
-		if m.granted != nil {
-			m.granted(m, s)
-		}
 		s.received++
 		factor := s.speed * (1 + modelSlowdown*float64(s.running)) * math.Exp(m.noise*m.random.NormFloat64())
 		if m.slowdown != nil {
--- a/verbena/dispatch/mechanisms.go
+++ b/verbena/dispatch/mechanisms.go
@@ -48,12 +48,16 @@
 	NamedLimits Mechanism = "named_limits"
 	// ColdBudget keeps to the rates that cold servers tolerate.
 	ColdBudget Mechanism = "cold_budget"
+	// MachinePace ranks servers by how long work takes on their machines at the moment.
+	MachinePace Mechanism = "pace"
+	// MemoryRoom places requests only where they fit in the memory of a server.
+	MemoryRoom Mechanism = "memory_room"
 )
 
 // Mechanisms lists all mechanisms.
 var Mechanisms = []Mechanism{
 	None, BatchPlan, BatchYields, BatchReserve, EarlyRefusal, CountReturning, LateRefusal, LateLast, Stalls, Ejection, FailureRate, SlowLast, ZoneFirst,
-	CrashSuspects, CrashingParts, ReservedRates, NamedLimits, ColdBudget,
+	CrashSuspects, CrashingParts, ReservedRates, NamedLimits, ColdBudget, MachinePace, MemoryRoom,
 }
 
 // ParseMechanisms parses a comma-separated list.
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -53,6 +53,10 @@
 	fastestEventSeconds float64
 	fastestAt           time.Time
 	speeds              []float64
+	// meanReceived is how many requests a server received recently, on average, as of fastestAt.
+	meanReceived float64
+	// noise is the usual deviation of an answer's time per stream event from its server's average, as a share.
+	noise float64
 }
 
 func (p *pool) recordAnswer(req SlotRequest, held time.Duration, o Outcome) {
@@ -183,7 +187,7 @@
 		if free == 0 || !req.mayRunOn(now, s) {
 			continue
 		}
-		best[suits].keepCheaper(candidate{s, s.cost(now, req.Zone, p.fastestEventSeconds)})
+		best[suits].keepCheaper(candidate{s, p.cost(now, s, req.Zone)})
 	}
 	sel.best, sel.lastResort = best[suitable].server, best[lastResort].server
 	if sel.lastResort == nil && float64(unsuitableServers) > maxEjectedShare*float64(usable) {
@@ -203,15 +207,13 @@
 	}
 }
 
-func (s *server) cost(now time.Time, zone ids.ZoneID, fastest float64) float64 {
-	c := 1.0
-	if s.eventSeconds > 0 && fastest > 0 {
-		speed := s.eventSeconds / fastest
-		c = speedCost(speed)
-		if speed > slowFactor && !s.disabled[SlowLast] {
-			c += slowCost
-		}
+func (p *pool) cost(now time.Time, s *server, zone ids.ZoneID) float64 {
+	speed := p.relativeSpeed(now, s)
+	c := p.speedCost(speed, s.paceFactor(now))
+	if p.isMuchSlower(speed) && !s.disabled[SlowLast] {
+		c += slowCost
 	}
+	c += p.receivedCost(now, s)
 	c += loadCost * float64(s.usedSlots-s.yieldingSlots)
 	c += failureCost * s.failures.rate(now)
 	if s.Zone != zone && !s.disabled[ZoneFirst] {
--- a/verbena/dispatch/scheduler.go
+++ b/verbena/dispatch/scheduler.go
@@ -234,6 +234,7 @@
 	}
 	sc.releaseSlot(now, r)
 	r.server.recordOutcome(now, r.key.Host, o)
+	p.recordSpeed(now, r.server, o)
 	r.server.recordRestartEvidence(now, r, o)
 	p.limitEjections(now, r.server)
 	sc.recordCrash(now, r, o)
--- a/verbena/dispatch/scheduler_test.go
+++ b/verbena/dispatch/scheduler_test.go
@@ -88,7 +88,7 @@
 		return SendEnded{Host: host(words[0]), Outcome: Outcome{
 			Ticket: ticket(words[0]), Result: results[words[1]], StreamEvents: o.number("events", 0), Elapsed: o.time("elapsed", 0),
 			TimeToFirstByte: o.time("first_byte", 0), Unanswered: o["unanswered"] != "", NotSent: o["not_sent"] != "",
-			ConnectionAge: o.time("connection_age", 0),
+			ConnectionAge: o.time("connection_age", 0), Pace: o.number("pace", 0), PaceAge: o.time("pace_age", 0),
 		}}
 	case "began":
 		return AnswerBegan{Key: Key{Host: host(words[0]), Ticket: ticket(words[0])}}
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -54,6 +54,9 @@
 	versionUncertainUntil, versionUncertainSince time.Time
 	// eventSeconds is the moving average of the time per stream event; 0 before the first answer.
 	eventSeconds float64
+	// eventSecondsAt is when it last changed, speedSamples how many answers it is made of.
+	eventSecondsAt time.Time
+	speedSamples   int
 	// firstByteSeconds is the moving average of the time to the first byte.
 	firstByteSeconds float64
 	coldUntil        time.Time
@@ -64,6 +67,8 @@
 	tieBreak uint64
 	disabled disabledMechanisms
 	limit    limit.Regulator
+	pace     machinePace
+	received received
 }
 
 // reset clears what was observed of the server before it restarted. Granted slots are freed when their sends end.
@@ -72,9 +77,10 @@
 	s.markAlive(now)
 	s.failures = failures{}
 	s.versionUncertainUntil, s.lastFailure = time.Time{}, time.Time{}
-	s.eventSeconds, s.firstByteSeconds = 0, 0
+	s.eventSeconds, s.speedSamples, s.firstByteSeconds = 0, 0, 0
 	s.coldUntil = now.Add(cold)
 	s.limit.Restart(now)
+	s.pace.reset()
 }
 
 func (s *server) before(o *server) bool {
@@ -136,15 +142,13 @@
 }
 
 func (s *server) recordOutcome(now time.Time, host ids.HostID, o Outcome) {
+	s.recordPace(now, host, o)
 	switch o.Result {
 	case Served:
 		s.markAlive(now)
 		s.consecutiveFailures = 0
 		s.ejectedUntil = time.Time{}
 		s.failures.recordSuccess(now, host)
-		if o.StreamEvents > 0 && o.Elapsed > 0 {
-			s.eventSeconds = serverAverage(s.eventSeconds, s.withoutLoad(o.Elapsed.Seconds()/float64(o.StreamEvents)))
-		}
 		if o.TimeToFirstByte > 0 {
 			s.firstByteSeconds = serverAverage(s.firstByteSeconds, o.TimeToFirstByte.Seconds())
 		}
--- a/verbena/dispatch/trial.go
+++ b/verbena/dispatch/trial.go
@@ -78,7 +78,7 @@
 		if v.on(s) == crash.Blocked || sc.crashes.TrialFailed(now, s.ID, s.Incarnation) {
 			continue // a further crash would prove nothing
 		}
-		cost := s.cost(now, req.Zone, p.fastestEventSeconds) + trialLoadCost*float64(s.usedSlots)
+		cost := p.cost(now, s, req.Zone) + trialLoadCost*float64(s.usedSlots)
 		if now.Sub(s.lastGrant) < unansweredTimes*p.firstByteTime() {
 			cost += unansweredCost
 		}
--- a/verbena/pace/estimate.go
+++ b/verbena/pace/estimate.go
@@ -28,8 +28,8 @@
 	// minPace and maxPace bound the effect of readings.
 	minPace, maxPace Percent = 50, 300
 	// minUnconfirmed and maxUnconfirmed bound the effect of the readings of a single host: one report, or one host's stuck
-	// value, must not decide.
-	minUnconfirmed, maxUnconfirmed Percent = 80, 125
+	// value, must not decide: the estimate stays within a tenth of the usual pace, which placement counts as usual.
+	minUnconfirmed, maxUnconfirmed Percent = 85, 115
 	// priorWeight is the weight of the usual pace; a fresh reading has 1.
 	priorWeight = 0.5
 	// maxHosts bounds the readings that are kept.
