feat: report the pace that servers state with each outcome

Hosts read the figure in the head of an answer, and send it with its age when the answer ends: from answers to callers and to batch items, not from unsigned ones. Without it the pace of all machines counted as unknown (TestAnswerReportsPace failed with 0).

--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -224,6 +224,7 @@
 		i.logTurnedAway(slot, answer)
 		return result
 	}
+	defer slots.ReadPace(i.owner.clock, answer.Info.Load, &o)()
 	progress := func() {
 		stall.Progress()
 		silence.Reset(silenceTimeout)
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -207,8 +207,9 @@
 	state.serverStatus, state.framing, state.relayed = response.Status, response.Framing(), response.Relayed
 	state.connection = response.Connection
 	defer h.measureConnectionAge(response.Connection.Number, &outcome)()
+	load := response.Info.Load
 	outcome.TimeToFirstByte = response.TimeToHeaders
-	outcome.LoadReported, outcome.Running, outcome.Waiting = response.Info.Load.Known, response.Info.Load.Running, response.Info.Load.Waiting
+	outcome.LoadReported, outcome.Running, outcome.Waiting = load.Known, load.Running, load.Waiting
 	switch {
 	case response.Info.NotExecuted:
 		state.refusals++
@@ -224,8 +225,8 @@
 		outcome.Result = dispatch.Broken
 		return h.afterFailure(req, state, false), outcome
 	}
-	state.sends++
-	state.mayHaveRun = true
+	defer slots.ReadPace(h.clock, load, &outcome)()
+	state.sends, state.mayHaveRun = state.sends+1, true
 	if response.Status >= http.StatusInternalServerError && h.mayRepeat(req, state) {
 		h.saveFailure(state, response)
 		outcome.Result = dispatch.Failed
