--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -207,8 +207,8 @@
 	state.serverStatus, state.framing, state.relayed = response.Status, response.Framing(), response.Relayed
 	state.connection = response.Connection
 	defer h.measureConnectionAge(response.Connection.Number, &outcome)()
-	load := response.Info.Load
 	outcome.TimeToFirstByte = response.TimeToHeaders
+	load := response.Info.Load
 	outcome.LoadReported, outcome.Running, outcome.Waiting = load.Known, load.Running, load.Waiting
 	switch {
 	case response.Info.NotExecuted:
@@ -220,8 +220,7 @@
 		}
 		return h.afterFailure(req, state, true), outcome
 	case !response.Info.Signed:
-		state.sends++
-		state.mayHaveRun, state.reason = true, "unsigned_answer"
+		state.sends, state.mayHaveRun, state.reason = state.sends+1, true, "unsigned_answer"
 		outcome.Result = dispatch.Broken
 		return h.afterFailure(req, state, false), outcome
 	}
