feat: place requests by the memory of servers

Services state the memory of a server in tokens. Requests were placed by slots alone: a server whose memory runs out stops its newest request and reads it again, refuses one that is larger than its memory as if it were full, or crashes. A request is now placed where its prompt and maximum output fit beside those that run, with common beginnings of prompts counted once; else it waits and holds up no other. One larger than the memory is refused at once with too_large. A caller's request makes an item yield for room, and waits for it. Estimates count the slots that the memory lets requests of the usual size use, and the time until a server has given back what is lacking.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -25,6 +25,7 @@
 // handleRequest starts a new slot request, lets it wait or refuses it.
 func (sc *Scheduler) handleRequest(now time.Time, e SlotRequested) {
 	p := sc.pool(e.Request.Service)
+	e.Request.Footprint = e.Request.footprint()
 	w := &waiter{key: Key{Host: e.Host, Ticket: e.Request.Ticket}, request: e.Request, since: now, deadline: now.Add(e.Request.Remaining), pool: p}
 	w.due = now.Add(e.Request.Objective)
 	if e.Request.Resumption != nil {
@@ -33,6 +34,9 @@
 		}
 		p = w.pool
 	}
+	if sc.refuseTooLarge(now, w) {
+		return
+	}
 	if !p.hasOther(now, w.request.anyVersionIfBatch()) {
 		w.request.Exclude = nil // a server that failed once is better than none
 	}
@@ -108,11 +112,15 @@
 	}
 	position := 1
 	for _, o := range p.onlineQueue {
-		if waitsBefore(o, w) && !now.After(o.due) && w.mayWaitBehind(o) {
+		if waitsBefore(o, w) && !now.After(o.due) && !o.lacksRoom && w.mayWaitBehind(o) {
 			position++
 		}
 	}
-	wait := c.queueTime(position)
+	if w.lacksRoom {
+		position-- // a slot is free
+	}
+	room := p.roomWait(now, w.request)
+	wait := max(room, c.queueTime(position))
 	limit := w.due.Sub(now)
 	if w.isReturning() {
 		limit = max(limit, w.request.Remaining-p.holdTime()-p.firstByteTime())
@@ -120,11 +128,11 @@
 	if wait <= limit {
 		return 0, 0, false
 	}
-	reason = c.refusalReason(c.queueTimeWithoutLimits(position) <= limit)
+	reason = c.refusalReason(max(room, c.queueTimeWithoutLimits(position)) <= limit)
 	if !sc.disabled[CountReturning] && w.resumption == nil {
 		wait = c.queueTime(len(p.onlineQueue) + p.returning.count(now) + 1)
 	}
-	retryAfter = clampRetryAfter(wait, w.request.Remaining)
+	retryAfter = clampRetryAfter(max(wait, room), w.request.Remaining)
 	p.returning.add(now, retryAfter)
 	return retryAfter, reason, true
 }
@@ -174,6 +182,7 @@
 		s = sel.lastResort
 	}
 	if s == nil {
+		sc.makeRoom(now, w, req, sel)
 		return false, sel
 	}
 	in := w.pool.inputs(sel)
@@ -206,6 +215,7 @@
 	s.usedSlots++
 	s.lastGrant = now
 	p := sc.pool(w.request.Service)
+	p.holdMemory(r)
 	if w.request.Class != Batch {
 		p.onlineRuns++
 		return r
@@ -263,9 +273,10 @@
 // nextItem returns the first batch item that can start now, and its server. An item that waits for a server of the version
 // that began its output doesn't hold up the others.
 func (p *pool) nextItem(now time.Time) (w *waiter, s *server, in Inputs) {
+	var search roomSearch
 	for _, w := range p.batchQueue {
 		req := p.itemRequest(now, w)
-		if req.Resumption != nil && w.awaitsList() {
+		if search.isHopeless(req) || req.Resumption != nil && w.awaitsList() {
 			continue
 		}
 		sel := p.selectServer(now, w.key.Host, req)
@@ -285,9 +296,10 @@
 			}
 			return w, s, p.inputs(sel)
 		}
-		if req.Resumption == nil {
+		if !sel.lacksRoom && req.Resumption == nil {
 			return nil, nil, in
 		}
+		search.add(sel, req)
 	}
 	return nil, nil, in
 }
--- a/verbena/dispatch/capacity.go
+++ b/verbena/dispatch/capacity.go
@@ -24,8 +24,8 @@
 		if !s.usable(now) || r.Resumption != nil && r.Resumption.Origin != s.origin() {
 			continue
 		}
-		c.slots += float64(s.Slots)
-		c.effective += s.effectiveSlots(now, c.hold, Online)
+		c.slots += p.slotsInMemory(float64(s.Slots))
+		c.effective += p.slotsInMemory(s.effectiveSlots(now, c.hold, Online))
 		if s.cold.IsBounded() && s.cold.IsCold(now) {
 			c.cold++
 		}
--- a/verbena/dispatch/cold.go
+++ b/verbena/dispatch/cold.go
@@ -12,6 +12,7 @@
 // setTraits applies the traits of all services.
 func (sc *Scheduler) setTraits(now time.Time, traits map[ids.ServiceName]ServiceTraits) {
 	sc.traits = traits
+	sc.setMemory(now)
 	for _, s := range sc.servers {
 		s.cold.SetBound(sc.coldBound(s.Service))
 		s.cold.SetShare(now, sc.coldShareOf(s.ID, s.Service), sc.local())
--- /dev/null
+++ b/verbena/dispatch/memory.go
@@ -0,0 +1,178 @@
+package dispatch
+
+import (
+	"time"
+
+	"verbenaledge.example/verbena/memory"
+)
+
+// footprint returns what the request holds in a server's memory.
+func (r SlotRequest) footprint() memory.Footprint {
+	return memory.Request{
+		Prompt: memory.Tokens(r.PromptTokens), Output: memory.Tokens(r.OutputTokens), Parts: r.Parts, PartTokens: r.PartTokens,
+	}.Footprint()
+}
+
+// memoryTokens returns the memory of a server of the service, 0 if it isn't known.
+func (sc *Scheduler) memoryTokens(p *pool) memory.Tokens {
+	if sc.disabled[MemoryRoom] {
+		return 0
+	}
+	return memory.Tokens(sc.traits[p.service].MemoryTokens)
+}
+
+// setMemory applies the memory of the services' servers. It refuses the waiting requests that fit on none any more.
+func (sc *Scheduler) setMemory(now time.Time) {
+	for _, p := range sc.pools {
+		p.memoryTokens = sc.memoryTokens(p)
+		for _, q := range []*queue{&p.onlineQueue, &p.batchQueue} {
+			for i := 0; i < len(*q); {
+				w := (*q)[i]
+				if !p.tooLarge(w.request) {
+					i++
+					continue
+				}
+				sc.removeWaiting(w)
+				sc.refuse(now, w, TooLarge, 0)
+			}
+		}
+	}
+}
+
+// tooLarge reports whether no server could ever hold the request.
+func (p *pool) tooLarge(r SlotRequest) bool {
+	return p.memoryTokens > 0 && r.Footprint.Size > p.memoryTokens
+}
+
+// refuseTooLarge refuses a new request that no server of its service could ever hold. It hasn't been counted against a rate.
+func (sc *Scheduler) refuseTooLarge(now time.Time, w *waiter) bool {
+	if !w.pool.tooLarge(w.request) {
+		return false
+	}
+	sc.commands = append(sc.commands, Refuse{
+		Key: w.key, Reason: TooLarge, Inputs: w.pool.inputs(w.pool.selectServer(now, w.key.Host, w.request)), Resumption: w.resumption,
+	})
+	return true
+}
+
+// hasRoom reports whether the request fits in the server's memory beside those that it holds, items that yield included: a server whose
+// memory runs out stops its newest request and reads it again, or crashes. Requests without sizes always fit.
+func (p *pool) hasRoom(s *server, r SlotRequest) bool {
+	return p.lackingTokens(s, r, 0) <= 0
+}
+
+// lackingTokens returns how many tokens the server has too few for the request once some are given back. Hosts that decide by
+// themselves use their part of the memory, or hold one request.
+func (p *pool) lackingTokens(s *server, r SlotRequest, givenBack memory.Tokens) memory.Tokens {
+	if p.memoryTokens == 0 || r.Footprint.Size == 0 {
+		return 0
+	}
+	limit, held := p.memoryTokens, s.held.Tokens()-givenBack
+	if s.slotShare < 1 && held > 0 {
+		limit = memory.Tokens(s.slotShare * float64(limit))
+	}
+	return held + s.held.Need(r.Footprint) - limit
+}
+
+// slotsInMemory limits a server's slots to those that requests of the usual size can use at the same time.
+func (p *pool) slotsInMemory(slots float64) float64 {
+	if p.memoryTokens == 0 || p.meanTokens == 0 {
+		return slots
+	}
+	return min(slots, max(1, float64(p.memoryTokens)/p.meanTokens))
+}
+
+// holdMemory counts the memory of a run that begins, giveBackMemory that of one that ends.
+func (p *pool) holdMemory(r *run) {
+	r.request.Footprint = r.request.footprint()
+	if need := r.server.held.Need(r.request.Footprint); need > 0 {
+		p.meanTokens = poolAverage(p.meanTokens, float64(need))
+	}
+	r.server.held.Add(r.request.Footprint)
+}
+
+func (p *pool) giveBackMemory(r *run) { r.server.held.Remove(r.request.Footprint) }
+
+// yieldingTokens returns the memory that batch items will give back that were told to yield, by server.
+func (p *pool) yieldingTokens() map[*server]memory.Tokens {
+	var yielding map[*server]memory.Tokens
+	for _, r := range p.batchRuns {
+		if !r.yielding {
+			continue
+		}
+		if yielding == nil {
+			yielding = make(map[*server]memory.Tokens)
+		}
+		yielding[r.server] += r.request.Footprint.Own
+	}
+	return yielding
+}
+
+// makeRoom tells a batch item to yield whose memory lets a caller's request in, unless enough is about to be given back. The request
+// waits until then: the server must not hold both.
+func (sc *Scheduler) makeRoom(now time.Time, w *waiter, req SlotRequest, sel selection) {
+	p := w.pool
+	w.lacksRoom = sel.lacksRoom
+	if p.memoryTokens == 0 || req.Footprint.Size == 0 || p.disabled[BatchYields] || len(p.batchRuns) == 0 {
+		return
+	}
+	yielding := p.yieldingTokens()
+	for s, tokens := range yielding {
+		if s.usable(now) && req.mayRunOn(now, s) && p.lackingTokens(s, req, tokens) <= 0 {
+			return
+		}
+	}
+	var item *run
+	for _, r := range p.batchRuns {
+		if r.yielding || !r.server.accepts(now, w.key.Host, req) || p.lackingTokens(r.server, req, yielding[r.server]+r.request.Footprint.Own) > 0 {
+			continue
+		}
+		if item == nil || r.yieldsBefore(item) {
+			item = r
+		}
+	}
+	if item == nil {
+		return
+	}
+	item.yielding = true
+	item.server.yieldingSlots++
+	sc.commands = append(sc.commands, Yield{Key: item.key})
+}
+
+// roomWait estimates when a server has room for the request: each gives back what it holds once in the usual time of a request.
+func (p *pool) roomWait(now time.Time, r SlotRequest) (wait time.Duration) {
+	if p.memoryTokens == 0 || r.Footprint.Size == 0 {
+		return 0
+	}
+	yielding, found := p.yieldingTokens(), false
+	for _, s := range p.servers {
+		if !s.usable(now) || !r.mayRunOn(now, s) {
+			continue
+		}
+		lacking := p.lackingTokens(s, r, yielding[s])
+		if lacking <= 0 {
+			return 0
+		}
+		held := max(1, s.held.Tokens())
+		if d := time.Duration(float64(p.holdTime()) * min(1, float64(lacking)/float64(held))); !found || d < wait {
+			wait, found = d, true
+		}
+	}
+	return wait
+}
+
+// roomSearch spares the search of a server for items that need at least as much room as one that found none.
+type roomSearch struct{ lacking memory.Tokens }
+
+func (rs *roomSearch) isHopeless(r SlotRequest) bool {
+	return rs.lacking > 0 && r.Footprint.Own >= rs.lacking
+}
+
+func (rs *roomSearch) add(sel selection, r SlotRequest) {
+	if !sel.lacksRoom {
+		return
+	}
+	if rs.lacking == 0 || r.Footprint.Size < rs.lacking {
+		rs.lacking = r.Footprint.Size
+	}
+}
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/memory"
 )
 
 const (
@@ -30,6 +31,7 @@
 
 // pool is a service's servers and the requests that wait for them.
 type pool struct {
+	service     ids.ServiceName
 	servers     []*server
 	onlineQueue queue
 	batchQueue  queue
@@ -46,6 +48,9 @@
 	trials        map[Key]*run
 	crashRevision uint64
 	disabled      disabledMechanisms
+	// memoryTokens is the memory of a server, 0 if it isn't known. meanTokens is the moving average of what a request holds.
+	memoryTokens memory.Tokens
+	meanTokens   float64
 	// limitedGrants counts the slots granted on servers with a limit, heldBack the requests that waited or were refused
 	// while a limit left slots free.
 	limitedGrants, heldBack int
@@ -155,6 +160,8 @@
 	effective float64
 	// limited counts the servers with a limit, heldBack their free slots that the limits leave unused.
 	limited, heldBack int
+	// lacksRoom is set if a server with a free slot lacks the memory for the request.
+	lacksRoom bool
 }
 
 // selectServer chooses the server of lowest cost with a free slot. Servers that are unsuitable for the host are left out
@@ -171,7 +178,7 @@
 		free, exceeds := s.freeSlotsFor(now, req.Class)
 		sel.free += free
 		sel.slots += s.Slots
-		sel.effective += s.effectiveSlots(now, hold, req.Class)
+		sel.effective += p.slotsInMemory(s.effectiveSlots(now, hold, req.Class))
 		if s.isLimited() {
 			sel.limited++
 			sel.heldBack += max(0, s.unlimitedSlots(now)) - free
@@ -187,6 +194,10 @@
 		if free == 0 || !req.mayRunOn(now, s) {
 			continue
 		}
+		if !p.hasRoom(s, req) {
+			sel.lacksRoom = true
+			continue
+		}
 		best[suits].keepCheaper(candidate{s, p.cost(now, s, req.Zone)})
 	}
 	sel.best, sel.lastResort = best[suitable].server, best[lastResort].server
@@ -255,7 +266,7 @@
 	}
 	itemRank := 0
 	for _, r := range p.batchRuns {
-		if r.yielding || !r.server.accepts(now, host, req) {
+		if r.yielding || !r.server.accepts(now, host, req) || !p.hasRoom(r.server, req) {
 			continue
 		}
 		failing := r.server.failing(now)
--- a/verbena/dispatch/queue.go
+++ b/verbena/dispatch/queue.go
@@ -18,6 +18,8 @@
 	deferred bool
 	pool     *pool
 	judged   judgedRequest
+	// lacksRoom is set while the request waits for memory although slots are free.
+	lacksRoom bool
 	// resumption is set for a resumed stream.
 	resumption *ResumptionInputs
 	// list is set if the list of servers must have been confirmed since the request came.
--- a/verbena/dispatch/scheduler.go
+++ b/verbena/dispatch/scheduler.go
@@ -158,7 +158,8 @@
 func (sc *Scheduler) pool(name ids.ServiceName) *pool {
 	p, ok := sc.pools[name]
 	if !ok {
-		p = &pool{disabled: sc.disabled}
+		p = &pool{service: name, disabled: sc.disabled}
+		p.memoryTokens = sc.memoryTokens(p)
 		sc.pools[name] = p
 	}
 	return p
@@ -262,6 +263,7 @@
 		r.server.yieldingSlots--
 	}
 	p := sc.pool(r.request.Service)
+	p.giveBackMemory(r)
 	if r.request.Class == Batch {
 		delete(p.batchRuns, r.key)
 	} else {
--- a/verbena/dispatch/scheduler_test.go
+++ b/verbena/dispatch/scheduler_test.go
@@ -157,7 +157,7 @@
 		if !ok {
 			continue
 		}
-		e.Held = append(e.Held, HeldSlot{Request: slotRequest("request", []string{key, o["service"]}, parseOptions(nil)), Server: ids.BackendID(server)})
+		e.Held = append(e.Held, HeldSlot{Request: slotRequest("request", []string{key, o["service"]}, options{"prompt": o["prompt"]}), Server: ids.BackendID(server)})
 	}
 	return e
 }
@@ -168,6 +168,7 @@
 		Objective: o.time("objective", 300*time.Millisecond), Remaining: o.time("remaining", 5*time.Second), FirstAttemptTime: o.time("route_timeout", 5*time.Second),
 		Priority: o.number("priority", 0), StreamEvents: 1, Metered: o["workspace"] != "" && o["retry"] == "", Retry: o["retry"] != "", Zone: ids.ZoneID(o["zone"]),
 		Fingerprint: uint64(o.number("fingerprint", 0)), Parts: promptParts(o["parts"]),
+		PromptTokens: o.number("prompt", 0), OutputTokens: o.number("output", 0), PartTokens: partTokens(o["part_tokens"]),
 	}
 	req.Resumption = resumption(req.Service, o)
 	if event == "batch" {
@@ -227,6 +228,17 @@
 	return parts
 }
 
+func partTokens(list string) (tokens []int) {
+	if list == "" {
+		return nil
+	}
+	for p := range strings.SplitSeq(list, ",") {
+		n, _ := strconv.Atoi(p) // 0 stands for an unknown size
+		tokens = append(tokens, n)
+	}
+	return tokens
+}
+
 func joinParts(parts []ids.PromptPartID) string {
 	names := make([]string, len(parts))
 	for i, p := range parts {
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -8,6 +8,7 @@
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/limit"
+	"verbenaledge.example/verbena/memory"
 )
 
 const (
@@ -69,6 +70,7 @@
 	limit    limit.Regulator
 	pace     machinePace
 	received received
+	held     memory.Held
 }
 
 // reset clears what was observed of the server before it restarted. Granted slots are freed when their sends end.
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -9,6 +9,7 @@
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/limit"
+	"verbenaledge.example/verbena/memory"
 	"verbenaledge.example/verbena/origin"
 )
 
@@ -69,6 +70,8 @@
 	OutputTokens int `cbor:"18,keyasint,omitempty"`
 	// PartTokens are the sizes of Parts, 0 if unknown.
 	PartTokens []int `cbor:"19,keyasint,omitempty"`
+	// Footprint is what the request holds in a server's memory, as the scheduler computes it. Hosts don't send it.
+	Footprint memory.Footprint `cbor:"-"`
 	// ListOutdated is set by the scheduler for a resumed stream if its list of servers is outdated, ListConfirmedAt is when
 	// the store last confirmed it. Hosts don't send them.
 	ListOutdated    bool      `cbor:"-"`
@@ -373,6 +376,8 @@
 	LimitedServers
 	// ColdServers: servers are cold, so that a start in time is unlikely.
 	ColdServers
+	// TooLarge: no server of the service has the memory that the request needs.
+	TooLarge
 )
 
 // IsTemporary reports whether the same request may be granted a slot a little later.
@@ -380,7 +385,7 @@
 	switch r {
 	case Overload, NoServer, LimitedServers, ColdServers, VersionsUncertain:
 		return true
-	case OverRate, TooLate, Crashing, CrashingPart, UnknownOrigin, NoServerOfVersion, OtherService:
+	case OverRate, TooLate, Crashing, CrashingPart, UnknownOrigin, NoServerOfVersion, OtherService, TooLarge:
 	}
 	return false
 }
@@ -412,6 +417,8 @@
 		return "server_limits"
 	case ColdServers:
 		return "cold_servers"
+	case TooLarge:
+		return "too_large"
 	}
 	return "unknown"
 }
--- a/verbena/memory/held.go
+++ b/verbena/memory/held.go
@@ -22,39 +22,34 @@
 	PartTokens []int
 }
 
-// beginning identifies the beginning of a prompt up to a part: a part is shared only if all parts before it are.
-type beginning uint64
+// Beginning identifies the beginning of a prompt up to a part: a part is shared only if all parts before it are.
+type Beginning uint64
 
-// sharedPart is a part of a request's prompt.
-type sharedPart struct {
-	beginning beginning
-	tokens    Tokens
+// SharedPart is a part of a request's prompt.
+type SharedPart struct {
+	Beginning Beginning
+	Tokens    Tokens
 }
 
-// part is one that running requests hold.
-type part struct {
-	requests int
-	tokens   Tokens
+// Footprint is what a request holds on a server.
+type Footprint struct {
+	// Size is what it holds on a server that runs no other request, Own what it shares with no other.
+	Size, Own Tokens
+	// Shared are the parts whose sizes are known.
+	Shared []SharedPart
 }
 
-// Size returns what the request holds on a server that runs no other.
-func (r Request) Size() Tokens {
-	shared := Tokens(0)
+// Footprint computes what the request holds.
+func (r Request) Footprint() (f Footprint) {
+	stated := Tokens(0)
 	for i := range r.Parts {
-		shared += r.partSize(i)
+		stated += r.partSize(i)
 	}
-	return max(0, r.Output) + max(0, r.Prompt, shared)
-}
-
-func (r Request) partSize(i int) Tokens {
-	if i >= len(r.PartTokens) {
-		return 0
+	f.Size = max(0, r.Output) + max(0, r.Prompt, stated)
+	f.Own = f.Size
+	if stated == 0 {
+		return f
 	}
-	return Tokens(max(0, r.PartTokens[i]))
-}
-
-// sharedParts returns the parts whose sizes are known.
-func (r Request) sharedParts() (all []sharedPart) {
 	digest := xxhash.New()
 	for i, id := range r.Parts {
 		size := r.partSize(i)
@@ -66,60 +61,71 @@
 		binary.LittleEndian.PutUint64(frame[8:], uint64(size))
 		_, _ = digest.Write(frame[:])
 		_, _ = digest.WriteString(string(id)) // never returns an error
-		all = append(all, sharedPart{beginning(digest.Sum64()), size})
+		f.Shared = append(f.Shared, SharedPart{Beginning(digest.Sum64()), size})
+		f.Own -= size
+	}
+	return f
+}
+
+func (r Request) partSize(i int) Tokens {
+	if i >= len(r.PartTokens) {
+		return 0
 	}
-	return all
+	return Tokens(max(0, r.PartTokens[i]))
+}
+
+// part is one that running requests hold.
+type part struct {
+	requests int
+	tokens   Tokens
 }
 
 // Held is what the requests running on one server hold. The zero value is a server without requests.
 type Held struct {
 	tokens Tokens
-	parts  map[beginning]part
+	parts  map[Beginning]part
 }
 
 // Tokens returns the sum.
 func (h *Held) Tokens() Tokens { return h.tokens }
 
 // Need returns what a request would hold in addition.
-func (h *Held) Need(r Request) Tokens {
-	need := r.Size()
-	if len(h.parts) == 0 || len(r.Parts) == 0 {
-		return need
-	}
-	for _, p := range r.sharedParts() {
-		if _, ok := h.parts[p.beginning]; !ok {
+func (h *Held) Need(f Footprint) Tokens {
+	need := f.Size
+	for _, p := range f.Shared {
+		if _, ok := h.parts[p.Beginning]; !ok {
 			break
 		}
-		need -= p.tokens
+		need -= p.Tokens
 	}
 	return need
 }
 
 // Add counts a request that begins.
-func (h *Held) Add(r Request) {
-	h.tokens += r.Size()
-	for _, p := range r.sharedParts() {
-		held, ok := h.parts[p.beginning]
+func (h *Held) Add(f Footprint) {
+	h.tokens += f.Size
+	for _, p := range f.Shared {
+		held, ok := h.parts[p.Beginning]
 		if ok {
-			h.tokens -= p.tokens
+			h.tokens -= p.Tokens
 		}
 		if h.parts == nil {
-			h.parts = make(map[beginning]part)
+			h.parts = make(map[Beginning]part)
 		}
-		h.parts[p.beginning] = part{held.requests + 1, p.tokens}
+		h.parts[p.Beginning] = part{held.requests + 1, p.Tokens}
 	}
 }
 
-// Remove counts a request that has ended, with the same figures as it was added.
-func (h *Held) Remove(r Request) {
-	h.tokens -= r.Size()
-	for _, p := range r.sharedParts() {
-		held := h.parts[p.beginning]
+// Remove counts a request that has ended, with the same footprint as it was added.
+func (h *Held) Remove(f Footprint) {
+	h.tokens -= f.Size
+	for _, p := range f.Shared {
+		held := h.parts[p.Beginning]
 		if held.requests > 1 {
-			h.tokens += p.tokens
-			h.parts[p.beginning] = part{held.requests - 1, p.tokens}
+			h.tokens += p.Tokens
+			h.parts[p.Beginning] = part{held.requests - 1, p.Tokens}
 			continue
 		}
-		delete(h.parts, p.beginning)
+		delete(h.parts, p.Beginning)
 	}
 }
--- a/verbena/memory/held_test.go
+++ b/verbena/memory/held_test.go
@@ -9,8 +9,8 @@
 	"verbenaledge.example/verbena/ids"
 )
 
-func request(prompt, output Tokens, sizes []int, parts ...ids.PromptPartID) Request {
-	return Request{Prompt: prompt, Output: output, Parts: parts, PartTokens: sizes}
+func request(prompt, output Tokens, sizes []int, parts ...ids.PromptPartID) Footprint {
+	return Request{Prompt: prompt, Output: output, Parts: parts, PartTokens: sizes}.Footprint()
 }
 
 // TestSharedPartsCountOnce guards against memory that is counted for each request although they share the beginning of their
@@ -19,7 +19,7 @@
 	c := qt.New(t)
 	var h Held
 	first := request(1000, 100, []int{400, 200}, "a", "b")
-	c.Assert(first.Size(), qt.Equals, Tokens(1100))
+	c.Assert(first.Size, qt.Equals, Tokens(1100))
 	h.Add(first)
 	c.Assert(h.Need(first), qt.Equals, Tokens(500))
 	c.Assert(h.Need(request(1000, 100, []int{400, 200}, "a", "c")), qt.Equals, Tokens(700))
@@ -36,9 +36,9 @@
 // TestUntrueSizes guards against a sum that goes wrong with figures of callers that can't be true.
 func TestUntrueSizes(t *testing.T) {
 	c := qt.New(t)
-	c.Assert(request(10, 5, []int{400, 200}, "a", "b").Size(), qt.Equals, Tokens(605))
-	c.Assert(request(-10, -5, []int{-400, 200}, "a", "b").Size(), qt.Equals, Tokens(200))
-	c.Assert(request(0, 0, []int{7}, "a", "b").Size(), qt.Equals, Tokens(7))
+	c.Assert(request(10, 5, []int{400, 200}, "a", "b").Size, qt.Equals, Tokens(605))
+	c.Assert(request(-10, -5, []int{-400, 200}, "a", "b").Size, qt.Equals, Tokens(200))
+	c.Assert(request(0, 0, []int{7}, "a", "b").Size, qt.Equals, Tokens(7))
 }
 
 // TestSumReturnsToZero guards against memory that is never given back: requests begin and end in any order.
@@ -46,7 +46,7 @@
 	c := qt.New(t)
 	random := rand.New(rand.NewPCG(1, 2))
 	var h Held
-	var running []Request
+	var running []Footprint
 	names := []ids.PromptPartID{"a", "b", "c", "a"}
 	for range 20_000 {
 		if len(running) > 0 && random.IntN(2) == 0 {
