feat: end requests that no server can hold with 413

too_large is final: callers got 503, which asks them to repeat it, and items asked again until they were given up.

--- a/verbenactl/internal/loglines/explain.go
+++ b/verbenactl/internal/loglines/explain.go
@@ -115,6 +115,7 @@
 		"slots_held_back their free slots that no request might use; look for `server names a limit`",
 	"cold_servers": "servers have just started or become cold again, and the rate that they tolerate made a start in time unlikely; look for " +
 		"`servers are cold` and `evacuation ended`",
+	"too_large": "prompt and maximum output hold more tokens than the memory of a server of the service; the caller has to shorten the request",
 	"answered":  "it was answered; took_ms and slot_wait_ms show whether in time, and a gap in the lines before it whether its host was paused",
 	"completed": "the item has its result; due_in_ms shows whether in time, yields how often it yielded its slot",
 	"placed":    "no line reports the request's end: it is still running, or its host's process ended; check the host",
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -88,6 +88,8 @@
 	sends  int
 	yields int
 	cancel context.CancelFunc
+	// tooLarge is set once a placer says that no server of the service can hold the item.
+	tooLarge bool
 	// wait is used by the owner's goroutine only. It is nil while the item doesn't wait for a slot.
 	wait *slotWait
 	// displaced is used by the owner's goroutine only. It is set once the item makes room for others.
@@ -123,6 +125,10 @@
 			i.owner.logErrored(i.record, i.item.ID, reasonRouteGone, i.progressFields())
 			return bulk.Result{Item: i.item.ID, State: bulk.Errored}, true
 		}
+		if i.tooLarge {
+			i.owner.logErrored(i.record, i.item.ID, reasonTooLarge, i.progressFields())
+			return bulk.Result{Item: i.item.ID, State: bulk.Errored}, true
+		}
 		if slot == nil {
 			clock.Sleep(ctx, itemRetryPause)
 			continue
--- a/verbenad/internal/bulk/item_log.go
+++ b/verbenad/internal/bulk/item_log.go
@@ -22,6 +22,8 @@
 	reasonGivenUp = "given_up"
 	// reasonRouteGone is a configuration without the job's route.
 	reasonRouteGone = "route_gone"
+	// reasonTooLarge is a size that no server of the service can hold.
+	reasonTooLarge = "too_large"
 	// reasonUnsafePath is a path that can't be sent.
 	reasonUnsafePath = "unsafe_path"
 )
--- a/verbenad/internal/bulk/slot_wait.go
+++ b/verbenad/internal/bulk/slot_wait.go
@@ -70,6 +70,8 @@
 	i.followRoute(target.service)
 	slot, err := i.owner.slots.Acquire(waitCtx, i.slotRequest(target.service))
 	current, ok := i.target(ctx)
+	refused, isRefused := slots.AsRefusedError(err)
+	i.tooLarge = isRefused && refused.Reason == dispatch.TooLarge && ok && current.service == target.service
 	if err == nil && ok && ctx.Err() == nil && current.service == target.service {
 		return current, slot, true
 	}
--- a/verbenad/internal/entry/slot_request.go
+++ b/verbenad/internal/entry/slot_request.go
@@ -114,11 +114,19 @@
 		h.answerFailed(ctx, req, state)
 		return
 	}
-	status := http.StatusServiceUnavailable
-	if refused.Reason == dispatch.OverRate {
-		status = http.StatusTooManyRequests
+	h.refuse(req, refusalStatus(refused.Reason), refused.RetryAfter, state.reason, decisionFields(state)...)
+}
+
+// refusalStatus returns the status of a refusal. One that is final must not ask the caller to repeat the request.
+func refusalStatus(r dispatch.Reason) int {
+	switch r {
+	case dispatch.OverRate:
+		return http.StatusTooManyRequests
+	case dispatch.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	default:
+		return http.StatusServiceUnavailable
 	}
-	h.refuse(req, status, refused.RetryAfter, state.reason, decisionFields(state)...)
 }
 
 // decisionFields returns the log fields with the inputs of the slot decision.
