--- a/verbena/dispatch/usage.go
+++ b/verbena/dispatch/usage.go
@@ -5,6 +5,7 @@
 
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/limit"
+	"verbenaledge.example/verbena/pace"
 )
 
 // Usage counts a service's slots, waiting requests and servers at a point in time.
@@ -23,6 +24,10 @@
 	// LimitedGrants counts all slots granted on servers with a limit so far, HeldBack the requests that waited or were
 	// refused while a limit left slots free.
 	LimitedGrants, HeldBack int
+	// Paces are the paces of the servers' machines, as far as they are known. HeldMemory are the shares of their memory that requests
+	// hold.
+	Paces      []pace.Percent
+	HeldMemory []float64
 }
 
 // Usage returns the usage of each service.
@@ -46,6 +51,7 @@
 				u.Ejected++
 				continue
 			}
+			u.addMachine(now, p, s)
 			u.Slots += s.Slots
 			u.Used += s.usedSlots
 		}
@@ -53,3 +59,12 @@
 	}
 	return all
 }
+
+func (u *Usage) addMachine(now time.Time, p *pool, s *server) {
+	if e := &s.pace.estimate; now.Sub(e.ReadAt()) < pace.MaxAge {
+		u.Paces = append(u.Paces, e.At(now))
+	}
+	if p.memoryTokens > 0 {
+		u.HeldMemory = append(u.HeldMemory, float64(s.held.Tokens())/float64(p.memoryTokens))
+	}
+}
--- a/verbena/pace/estimate.go
+++ b/verbena/pace/estimate.go
@@ -17,12 +17,13 @@
 // Usual is the pace of a machine of which nothing is known.
 const Usual Percent = 100
 
+// MaxAge is the age from which a reading isn't used.
+const MaxAge = time.Second
+
 const (
 	// timeConstant is the time within which a reading loses most of its weight. The figure changes many times a second, so a
 	// reading that is a second old tells nothing.
 	timeConstant = 250 * time.Millisecond
-	// maxAge is the age from which a reading isn't used.
-	maxAge = time.Second
 	// minPlausible and maxPlausible bound the readings that are used at all.
 	minPlausible, maxPlausible Percent = 10, 1000
 	// minPace and maxPace bound the effect of readings.
@@ -101,7 +102,7 @@
 	var array [maxHosts]vote
 	votes, total := array[:0], 0.0
 	for _, r := range e.readings {
-		if distance := t.Sub(r.at).Abs(); distance < maxAge {
+		if distance := t.Sub(r.at).Abs(); distance < MaxAge {
 			v := vote{r.pace, weightAfter(distance)}
 			votes, total = append(votes, v), total+v.weight
 		}
@@ -127,10 +128,10 @@
 	return Usual + (median-Usual)*Percent(total/(total+priorWeight))
 }
 
-// weightAfter decays to 0 at maxAge without a step.
+// weightAfter decays to 0 at MaxAge without a step.
 func weightAfter(d time.Duration) float64 {
 	decayed := func(d time.Duration) float64 { return math.Exp(-float64(d) / float64(timeConstant)) }
-	return decayed(d) - decayed(maxAge)
+	return decayed(d) - decayed(MaxAge)
 }
 
 // MeanOver returns the mean pace to be expected over a time at whose beginning or end it was p.
--- a/verbenad/internal/slots/gauges.go
+++ b/verbenad/internal/slots/gauges.go
@@ -46,9 +46,20 @@
 		g.set("servers_ejected", service, u.Ejected)
 		g.set("servers_cold", service, u.Cold)
 		g.setLimits(service, u)
+		for _, p := range u.Paces {
+			g.histogram("server_pace_percent", service).Update(float64(p))
+		}
+		for _, share := range u.HeldMemory {
+			g.histogram("memory_held_share", service).Update(share)
+		}
 	}
 }
 
+// histogram returns one of the servers of a service, each of which counts once in gaugeInterval.
+func (g *gauges) histogram(name, service string) *metrics.Histogram {
+	return metrics.GetOrCreateHistogram(fmt.Sprintf("verbenad_dispatch_%s{by=%q,service=%q}", name, g.by, service))
+}
+
 func (g *gauges) set(name, service string, n int) { g.setFloat(name, service, float64(n)) }
 
 func (g *gauges) setFloat(name, service string, v float64) {
