--- a/verbena/dispatch/balance.go
+++ b/verbena/dispatch/balance.go
@@ -87,6 +87,7 @@
 	s.speedSamples++
 	s.eventSeconds += max(speedAverageWeight, 1/float64(s.speedSamples)) * (sample - s.eventSeconds)
 	s.eventSecondsAt = now
+	s.speed = p.relativeSpeed(now, s)
 }
 
 // withoutLoad returns the time that a measured one would have been if the server had run no other request.
@@ -97,19 +98,21 @@
 func (p *pool) refreshFastest(now time.Time) {
 	if now.Sub(p.fastestAt) >= fastestRefreshInterval || p.fastestEventSeconds == 0 {
 		p.fastestEventSeconds, p.fastestAt = p.findFastest(now), now
-		p.meanReceived = p.findMeanReceived(now)
+		p.compareServers(now)
 	}
 }
 
-// findMeanReceived returns how many requests a server received recently, on average of those that aren't used last.
-func (p *pool) findMeanReceived(now time.Time) float64 {
+// compareServers computes the relative speeds, and how many requests a server received recently, on average of those that aren't used
+// last.
+func (p *pool) compareServers(now time.Time) {
 	sum, n := 0.0, 0
 	for _, s := range p.servers {
-		if s.usable(now) && !p.isMuchSlower(p.relativeSpeed(now, s)) {
+		s.speed = p.relativeSpeed(now, s)
+		if s.usable(now) && !p.isMuchSlower(s.speed) {
 			sum, n = sum+s.received.recent(now), n+1
 		}
 	}
-	return sum / float64(max(1, n))
+	p.meanReceived = sum / float64(max(1, n))
 }
 
 // findFastest returns the time per stream event of the fastest servers, 0 if none is known.
--- a/verbena/dispatch/memory.go
+++ b/verbena/dispatch/memory.go
@@ -57,21 +57,21 @@
 
 // hasRoom reports whether the request fits in the server's memory beside those that it holds, items that yield included: a server whose
 // memory runs out stops its newest request and reads it again, or crashes. Requests without sizes always fit.
-func (p *pool) hasRoom(s *server, r SlotRequest) bool {
-	return p.lackingTokens(s, r, 0) <= 0
+func (p *pool) hasRoom(s *server, f *memory.Footprint) bool {
+	return p.memoryTokens == 0 || p.lackingTokens(s, f, 0) <= 0
 }
 
 // lackingTokens returns how many tokens the server has too few for the request once some are given back. Hosts that decide by
 // themselves use their part of the memory, or hold one request.
-func (p *pool) lackingTokens(s *server, r SlotRequest, givenBack memory.Tokens) memory.Tokens {
-	if p.memoryTokens == 0 || r.Footprint.Size == 0 {
+func (p *pool) lackingTokens(s *server, f *memory.Footprint, givenBack memory.Tokens) memory.Tokens {
+	if p.memoryTokens == 0 || f.Size == 0 {
 		return 0
 	}
 	limit, held := p.memoryTokens, s.held.Tokens()-givenBack
 	if s.slotShare < 1 && held > 0 {
 		limit = memory.Tokens(s.slotShare * float64(limit))
 	}
-	return held + s.held.Need(r.Footprint) - limit
+	return held + s.held.Need(*f) - limit
 }
 
 // slotsInMemory limits a server's slots to those that requests of the usual size can use at the same time.
@@ -118,13 +118,13 @@
 	}
 	yielding := p.yieldingTokens()
 	for s, tokens := range yielding {
-		if s.usable(now) && req.mayRunOn(now, s) && p.lackingTokens(s, req, tokens) <= 0 {
+		if s.usable(now) && req.mayRunOn(now, s) && p.lackingTokens(s, &req.Footprint, tokens) <= 0 {
 			return
 		}
 	}
 	var item *run
 	for _, r := range p.batchRuns {
-		if r.yielding || !r.server.accepts(now, w.key.Host, req) || p.lackingTokens(r.server, req, yielding[r.server]+r.request.Footprint.Own) > 0 {
+		if r.yielding || !r.server.accepts(now, w.key.Host, req) || p.lackingTokens(r.server, &req.Footprint, yielding[r.server]+r.request.Footprint.Own) > 0 {
 			continue
 		}
 		if item == nil || r.yieldsBefore(item) {
@@ -149,7 +149,7 @@
 		if !s.usable(now) || !r.mayRunOn(now, s) {
 			continue
 		}
-		lacking := p.lackingTokens(s, r, yielding[s])
+		lacking := p.lackingTokens(s, &r.Footprint, yielding[s])
 		if lacking <= 0 {
 			return 0
 		}
--- a/verbena/dispatch/memory_test.go
+++ b/verbena/dispatch/memory_test.go
@@ -120,7 +120,7 @@
 		for _, w := range p.onlineQueue {
 			waited++
 			for _, s := range p.servers {
-				c.Assert(s.freeSlots(m.now) > 0 && p.hasRoom(s, w.request), qt.IsFalse, qt.Commentf("step %d: %v could run on %s", n, w.key, s.ID))
+				c.Assert(s.freeSlots(m.now) > 0 && p.hasRoom(s, &w.request.Footprint), qt.IsFalse, qt.Commentf("step %d: %v could run on %s", n, w.key, s.ID))
 			}
 		}
 		grants += len(m.running)
--- a/verbena/dispatch/pace.go
+++ b/verbena/dispatch/pace.go
@@ -38,12 +38,10 @@
 	m.cachedAt = time.Time{}
 }
 
-func (m *machinePace) reset() {
-	m.estimate.Reset()
-	m.cachedAt = time.Time{}
-}
-
 func (m *machinePace) countGrant(now time.Time) {
+	if m == nil {
+		return
+	}
 	m.granted[m.next] = now
 	m.next = (m.next + 1) % countedGrants
 }
@@ -67,7 +65,10 @@
 
 // recordPace reads what an answer states of its server's machine.
 func (s *server) recordPace(now time.Time, host ids.HostID, o Outcome) {
-	if o.Pace != 0 && !s.disabled[MachinePace] {
+	if pace.IsPlausible(pace.Percent(o.Pace)) && !s.disabled[MachinePace] {
+		if s.pace == nil {
+			s.pace = &machinePace{}
+		}
 		s.pace.read(now, host, now.Add(-o.PaceAge), pace.Percent(o.Pace))
 	}
 }
@@ -75,7 +76,7 @@
 // atUsualPace returns the time that a measured one would have been at the usual pace of the server's machine. The pace is that at the
 // answer's head, and the usual one on average over a time that is much longer than a reading is valid.
 func (s *server) atUsualPace(now time.Time, o Outcome, measured float64) float64 {
-	if o.Pace == 0 || s.disabled[MachinePace] {
+	if o.Pace == 0 || s.pace == nil {
 		return measured
 	}
 	mean := pace.MeanOver(s.pace.estimate.At(now.Add(-o.PaceAge)), o.Elapsed)
@@ -84,7 +85,7 @@
 
 // paceFactor is the pace of the server's machine as a multiple of the usual time.
 func (s *server) paceFactor(now time.Time) float64 {
-	if s.disabled[MachinePace] {
+	if s.pace == nil {
 		return 1
 	}
 	return float64(s.pace.at(now) / pace.Usual)
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -194,7 +194,7 @@
 		if free == 0 || !req.mayRunOn(now, s) {
 			continue
 		}
-		if !p.hasRoom(s, req) {
+		if !p.hasRoom(s, &req.Footprint) {
 			sel.lacksRoom = true
 			continue
 		}
@@ -219,9 +219,8 @@
 }
 
 func (p *pool) cost(now time.Time, s *server, zone ids.ZoneID) float64 {
-	speed := p.relativeSpeed(now, s)
-	c := p.speedCost(speed, s.paceFactor(now))
-	if p.isMuchSlower(speed) && !s.disabled[SlowLast] {
+	c := p.speedCost(s.speed, s.paceFactor(now))
+	if p.isMuchSlower(s.speed) && !s.disabled[SlowLast] {
 		c += slowCost
 	}
 	c += p.receivedCost(now, s)
@@ -266,7 +265,7 @@
 	}
 	itemRank := 0
 	for _, r := range p.batchRuns {
-		if r.yielding || !r.server.accepts(now, host, req) || !p.hasRoom(r.server, req) {
+		if r.yielding || !r.server.accepts(now, host, req) || !p.hasRoom(r.server, &req.Footprint) {
 			continue
 		}
 		failing := r.server.failing(now)
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -58,6 +58,8 @@
 	// eventSecondsAt is when it last changed, speedSamples how many answers it is made of.
 	eventSecondsAt time.Time
 	speedSamples   int
+	// speed is the server's time per event as a multiple of that of the fastest servers.
+	speed float64
 	// firstByteSeconds is the moving average of the time to the first byte.
 	firstByteSeconds float64
 	coldUntil        time.Time
@@ -68,7 +70,8 @@
 	tieBreak uint64
 	disabled disabledMechanisms
 	limit    limit.Regulator
-	pace     machinePace
+	// pace is nil until hosts have read one.
+	pace     *machinePace
 	received received
 	held     memory.Held
 }
@@ -79,10 +82,11 @@
 	s.markAlive(now)
 	s.failures = failures{}
 	s.versionUncertainUntil, s.lastFailure = time.Time{}, time.Time{}
+	s.speed = 1
 	s.eventSeconds, s.speedSamples, s.firstByteSeconds = 0, 0, 0
 	s.coldUntil = now.Add(cold)
 	s.limit.Restart(now)
-	s.pace.reset()
+	s.pace = nil
 }
 
 func (s *server) before(o *server) bool {
--- a/verbena/dispatch/server_list.go
+++ b/verbena/dispatch/server_list.go
@@ -27,7 +27,7 @@
 			sc.removeFromPool(s)
 		}
 		if !ok {
-			s = &server{disabled: sc.disabled, coldUntil: now.Add(listed.WarmupRemaining), slotShare: sc.slotShare, tieBreak: sc.tieBreakOf(id)}
+			s = &server{speed: 1, disabled: sc.disabled, coldUntil: now.Add(listed.WarmupRemaining), slotShare: sc.slotShare, tieBreak: sc.tieBreakOf(id)}
 			sc.servers[id] = s
 			s.ID = id
 			sc.restoreLimit(now, s)
--- a/verbena/dispatch/usage.go
+++ b/verbena/dispatch/usage.go
@@ -61,8 +61,8 @@
 }
 
 func (u *Usage) addMachine(now time.Time, p *pool, s *server) {
-	if e := &s.pace.estimate; now.Sub(e.ReadAt()) < pace.MaxAge {
-		u.Paces = append(u.Paces, e.At(now))
+	if s.pace != nil && now.Sub(s.pace.estimate.ReadAt()) < pace.MaxAge {
+		u.Paces = append(u.Paces, s.pace.estimate.At(now))
 	}
 	if p.memoryTokens > 0 {
 		u.HeldMemory = append(u.HeldMemory, float64(s.held.Tokens())/float64(p.memoryTokens))
--- a/verbena/pace/estimate.go
+++ b/verbena/pace/estimate.go
@@ -79,9 +79,6 @@
 	}
 }
 
-// Reset forgets all readings.
-func (e *Estimate) Reset() { e.readings = nil }
-
 // ReadAt returns when the newest reading was made, zero if there is none.
 func (e *Estimate) ReadAt() (at time.Time) {
 	for _, r := range e.readings {
