--- a/verbena/dispatch/pace_test.go
+++ b/verbena/dispatch/pace_test.go
@@ -68,3 +68,22 @@
 		})
 	}
 }
+
+// TestStuckPace guards against servers that state the same figure to all hosts, and get all requests or none for it.
+func TestStuckPace(t *testing.T) {
+	for _, stuck := range []int{10, 50, 300, 1000} {
+		m := newModel(5)
+		m.load = loads["half"]
+		m.outcome = func(m *model, r modelRun, o *Outcome) {
+			o.Pace = 60 + m.random.IntN(80)
+			if r.server.id == "s07" {
+				o.Pace = stuck
+			}
+		}
+		m.play()
+		mean := float64(len(m.times)) / modelServers
+		got := float64(m.servers["s07"].received) / mean
+		t.Logf("stuck at %d: %.2f of the mean", stuck, got)
+		qt.Check(t, got > 0.6 && got < 1.5, qt.IsTrue, qt.Commentf("stuck at %d: %.2f of the mean", stuck, got))
+	}
+}
--- a/verbena/pace/estimate.go
+++ b/verbena/pace/estimate.go
@@ -33,6 +33,10 @@
 	minUnconfirmed, maxUnconfirmed Percent = 85, 115
 	// priorWeight is the weight of the usual pace; a fresh reading has 1.
 	priorWeight = 0.5
+	// stuckReadings and stuckTime are for how many readings and how long a host may read the same figure. A true one changes many
+	// times a second; the usual pace has the same effect either way.
+	stuckReadings = 5
+	stuckTime     = time.Second
 	// maxHosts bounds the readings that are kept.
 	maxHosts = 16
 )
@@ -42,8 +46,14 @@
 	host ids.HostID
 	at   time.Time
 	pace Percent
+	// stated is the figure as it was read, same how many readings in a row were equal, and since the time of the first of these.
+	stated Percent
+	same   int
+	since  time.Time
 }
 
+func (r reading) isStuck() bool { return r.same >= stuckReadings && r.at.Sub(r.since) >= stuckTime }
+
 // Estimate is the pace of one machine. The zero value has no readings.
 type Estimate struct {
 	readings []reading
@@ -57,9 +67,12 @@
 	if !IsPlausible(p) {
 		return
 	}
-	r := reading{host: host, at: at, pace: clamp(p, minPace, maxPace)}
+	r := reading{host: host, at: at, pace: clamp(p, minPace, maxPace), stated: p, same: 1, since: at}
 	if i := slices.IndexFunc(e.readings, func(o reading) bool { return o.host == host }); i >= 0 {
-		if at.After(e.readings[i].at) {
+		if o := e.readings[i]; at.After(o.at) {
+			if o.stated == p {
+				r.same, r.since = o.same+1, o.since
+			}
 			e.readings[i] = r
 		}
 		return
@@ -99,7 +112,7 @@
 	var array [maxHosts]vote
 	votes, total := array[:0], 0.0
 	for _, r := range e.readings {
-		if distance := t.Sub(r.at).Abs(); distance < MaxAge {
+		if distance := t.Sub(r.at).Abs(); distance < MaxAge && !r.isStuck() {
 			v := vote{r.pace, weightAfter(distance)}
 			votes, total = append(votes, v), total+v.weight
 		}
--- a/verbena/pace/estimate_test.go
+++ b/verbena/pace/estimate_test.go
@@ -100,3 +100,24 @@
 	c.Assert(MeanOver(200, 10*time.Millisecond) > 195, qt.IsTrue)
 	c.Assert(MeanOver(200, 5*time.Second) < 106, qt.IsTrue)
 }
+
+// TestStuckServer guards against a server that states the same figure to all hosts and is ranked by it: the true one changes many times
+// a second.
+func TestStuckServer(t *testing.T) {
+	c := qt.New(t)
+	var e Estimate
+	hosts := []ids.HostID{"a", "b", "c", "d"}
+	read := func(from, to int, p func(ms int) Percent) {
+		for ms := from; ms < to; ms += 50 {
+			e.Read(hosts[ms/50%len(hosts)], at(ms), p(ms))
+		}
+	}
+	read(0, 800, func(int) Percent { return 50 })
+	c.Assert(e.At(at(800)) < 65, qt.IsTrue, qt.Commentf("%v", e.At(at(800))))
+	read(800, 2000, func(int) Percent { return 50 })
+	c.Assert(e.At(at(2000)), qt.Equals, Usual)
+	read(2000, 5000, func(int) Percent { return 50 })
+	c.Assert(e.At(at(5000)), qt.Equals, Usual)
+	read(5000, 5400, func(ms int) Percent { return 200 + Percent(ms%7) })
+	c.Assert(e.At(at(5400)) > 160, qt.IsTrue, qt.Commentf("%v", e.At(at(5400))))
+}
