--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -208,7 +208,8 @@
 	state.connection = response.Connection
 	defer h.measureConnectionAge(response.Connection.Number, &outcome)()
 	outcome.TimeToFirstByte = response.TimeToHeaders
-	outcome.LoadReported, outcome.Running, outcome.Waiting = response.Info.Load.Known, response.Info.Load.Running, response.Info.Load.Waiting
+	load := response.Info.Load
+	outcome.LoadReported, outcome.Running, outcome.Waiting = load.Known, load.Running, load.Waiting
 	switch {
 	case response.Info.NotExecuted:
 		state.refusals++
@@ -219,13 +220,12 @@
 		}
 		return h.afterFailure(req, state, true), outcome
 	case !response.Info.Signed:
-		state.sends++
-		state.mayHaveRun, state.reason = true, "unsigned_answer"
+		state.sends, state.mayHaveRun, state.reason = state.sends+1, true, "unsigned_answer"
 		outcome.Result = dispatch.Broken
 		return h.afterFailure(req, state, false), outcome
 	}
-	state.sends++
-	state.mayHaveRun = true
+	defer slots.ReadPace(h.clock, load, &outcome)()
+	state.sends, state.mayHaveRun = state.sends+1, true
 	if response.Status >= http.StatusInternalServerError && h.mayRepeat(req, state) {
 		h.saveFailure(state, response)
 		outcome.Result = dispatch.Failed
