--- a/verbena/cold/budget.go
+++ b/verbena/cold/budget.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -48,10 +49,20 @@
 	if b.bound == bound {
 		return
 	}
+	kept := b.inOrder()
 	b.bound, b.recent, b.next = bound, nil, 0
-	if n := int(bound.MaxInSecond * maxShareOfBound); bound.PerSecond > 0 && n > 0 {
-		b.recent = make([]time.Time, n)
+	if bound.PerSecond <= 0 {
+		return
 	}
+	n := max(1, int(bound.MaxInSecond*maxShareOfBound))
+	b.recent = make([]time.Time, n)
+	kept = kept[max(0, len(kept)-n):] // the newest
+	copy(b.recent[n-len(kept):], kept)
+}
+
+// inOrder returns the times of the last requests, the oldest first.
+func (b *Budget) inOrder() []time.Time {
+	return append(append(make([]time.Time, 0, len(b.recent)), b.recent[b.next:]...), b.recent[:b.next]...)
 }
 
 // SetShare sets the part of the bound that may be used here. independent is set if the others that send to the server count for
@@ -103,7 +114,21 @@
 	return b.independent || len(b.recent) == 0 || now.Sub(b.recent[b.next]) > window+windowMargin
 }
 
-// Take counts a request that was sent at a time.
+// Adopt counts a request that another scheduler granted at an earlier time.
+func (b *Budget) Adopt(now, granted time.Time) {
+	if len(b.recent) == 0 || now.Sub(granted) > window+windowMargin {
+		return
+	}
+	ordered := b.inOrder()
+	if granted.Before(ordered[0]) {
+		return // as many newer ones are counted
+	}
+	ordered[0] = granted
+	slices.SortFunc(ordered, time.Time.Compare)
+	b.recent, b.next = ordered, 0
+}
+
+// Take counts a request that is sent now.
 func (b *Budget) Take(now time.Time) {
 	if len(b.recent) > 0 {
 		b.recent[b.next] = now
--- a/verbena/cold/budget_test.go
+++ b/verbena/cold/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -111,3 +112,34 @@
 		b.Take(now)
 	}
 }
+
+// TestAdoptedRequestsKeepBound guards against a placer that forgets its own requests when a host connects with older ones.
+func TestAdoptedRequestsKeepBound(t *testing.T) {
+	c := qt.New(t)
+	var b Budget
+	b.SetBound(bound)
+	now := time.Unix(100, 0)
+	b.SetShare(now, 1, false)
+	var sent []time.Time
+	send := func() {
+		for b.Ready(now) {
+			b.Take(now)
+			sent = append(sent, now)
+		}
+	}
+	send()
+	now = now.Add(100 * time.Millisecond)
+	for range 14 {
+		b.Adopt(now, now.Add(-20*time.Second))
+	}
+	for range 3 {
+		b.Adopt(now, now.Add(-500*time.Millisecond))
+		sent = append(sent, now.Add(-500*time.Millisecond))
+	}
+	send()
+	now = now.Add(700 * time.Millisecond)
+	b.SetBound(Bound{PerSecond: 8, MaxInSecond: 17})
+	send()
+	slices.SortFunc(sent, time.Time.Compare)
+	c.Assert(float64(most(sent)) < bound.MaxInSecond, qt.IsTrue, qt.Commentf("%d in a second", most(sent)))
+}
--- a/verbena/dispatch/cold.go
+++ b/verbena/dispatch/cold.go
@@ -66,7 +66,11 @@
 // coldShareOf returns the part of a cold server's rate that this scheduler may use.
 func (sc *Scheduler) coldShareOf(id ids.BackendID, service ids.ServiceName) float64 {
 	if sc.local() {
-		return sc.hosts.ShareOf(id, limit.RequestsPerSecond(sc.traits[service].Cold.PerSecond))
+		perSecond := sc.traits[service].Cold.PerSecond
+		if sc.hosts.Rank == 0 && float64(sc.hosts.Count) > perSecond {
+			return 0 // hosts that don't know their places would each send one request in the same moment
+		}
+		return sc.hosts.ShareOf(id, limit.RequestsPerSecond(perSecond))
 	}
 	return sc.reservations.connectedShare()
 }
--- a/verbena/dispatch/hosts.go
+++ b/verbena/dispatch/hosts.go
@@ -41,7 +41,7 @@
 		}, s)
 		r := sc.runs[Key{Host: e.Host, Ticket: h.Request.Ticket}]
 		r.start, r.takenOver = now.Add(-h.HeldFor), true
-		s.cold.Take(r.start)
+		s.cold.Adopt(now, r.start)
 	}
 	if sc.reservations.connect(now, e) {
 		sc.resetBuckets(now)
--- a/verbena/dispatch/received.go
+++ b/verbena/dispatch/received.go
@@ -12,6 +12,8 @@
 	receivedNoise = 2
 	// receivedCost is the cost of a server that received twice the mean, beyond the noise: as much as ten running requests.
 	receivedCost = 0.2
+	// maxReceivedCost keeps warm servers before cold ones, and failing ones behind others, whatever they received.
+	maxReceivedCost = 0.5 * coldCost
 )
 
 // received counts the requests that a server received, with a weight that decays. Advantages that are too small to matter each add up
@@ -41,5 +43,5 @@
 	if mean < 1 || beyondMean <= 0 {
 		return 0
 	}
-	return receivedCost * beyondMean / mean
+	return min(maxReceivedCost, receivedCost*beyondMean/mean)
 }
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -96,7 +96,7 @@
 	return s.ID < o.ID
 }
 
-// present reports whether the server takes new requests by its entry and the operator's word.
+// present reports whether the server takes new requests by its entry and the operator's requests.
 func (s *server) present() bool { return !s.gone && !s.Draining && !s.Evacuated }
 
 func (s *server) usable(now time.Time) bool {
--- a/verbena/memory/held.go
+++ b/verbena/memory/held.go
@@ -45,7 +45,7 @@
 	for i := range r.Parts {
 		stated += r.partSize(i)
 	}
-	f.Size = max(0, r.Output) + max(0, r.Prompt, stated)
+	f.Size = bounded(r.Output) + max(bounded(r.Prompt), stated)
 	f.Own = f.Size
 	if stated == 0 {
 		return f
@@ -71,9 +71,14 @@
 	if i >= len(r.PartTokens) {
 		return 0
 	}
-	return Tokens(max(0, r.PartTokens[i]))
+	return bounded(Tokens(r.PartTokens[i]))
 }
 
+// maxTokens bounds each figure that a request states, so that sums don't overflow. It exceeds the memory of any server.
+const maxTokens Tokens = 1 << 40
+
+func bounded(t Tokens) Tokens { return min(max(0, t), maxTokens) }
+
 // part is one that running requests hold.
 type part struct {
 	requests int
--- a/verbena/memory/held_test.go
+++ b/verbena/memory/held_test.go
@@ -1,6 +1,7 @@
 package memory
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -68,3 +69,17 @@
 	c.Assert(h.Tokens(), qt.Equals, Tokens(0))
 	c.Assert(h.parts, qt.HasLen, 0)
 }
+
+// TestAbsurdSizesHoldTheirServer guards against sizes that a caller states so large that their sum is negative, and the request
+// seems to hold nothing.
+func TestAbsurdSizesHoldTheirServer(t *testing.T) {
+	c := qt.New(t)
+	for _, r := range []Request{
+		{Prompt: math.MaxInt, Output: math.MaxInt - 1_000_000},
+		{Prompt: 10, Parts: []ids.PromptPartID{"a", "b"}, PartTokens: []int{1 << 62, 1 << 62}},
+	} {
+		f := r.Footprint()
+		c.Check(f.Size >= 1<<40, qt.IsTrue, qt.Commentf("%d", f.Size))
+		c.Check(f.Own >= 0, qt.IsTrue)
+	}
+}
