feat: share scarce slots among workspaces by their rates, and spread the return of callers refused for a rate

Under more work than slots, requests went by due time only: one workspace that sends several times its part made those of all others wait or be refused. Package fairness keeps the use of slots over about a second and finds who uses more than its weighted max-min part; within a priority (for items: within deferral) the others' requests go first. The estimate of the wait uses that order, and a request that is displaced within a quarter of its objective is refused. The order changes at most every 100 ms, and only while more is wanted than free and at least two workspaces with a rate want it.

Callers refused for their workspace's rate all got the time until the next token, so that all but one were refused again. The time now allows for those that were refused before, as the pool's does.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -37,6 +37,7 @@
 		w.request.Exclude = nil // a server that failed once is better than none
 	}
 	if e.Request.Class == Batch {
+		w.standing = p.batchShares.standing(w.request.Workspace, sc.rates)
 		p.batchQueue.add(w)
 		sc.waiting[w.key] = w
 		sc.servePool(now, p)
@@ -62,6 +63,7 @@
 		return
 	}
 	p.countHeldBack(sel)
+	sc.updateCallerShares(now, p, w)
 	if !sc.disabled[EarlyRefusal] {
 		if retryAfter, reason, cannotStartInTime := sc.cannotStartInTime(now, p, w); cannotStartInTime {
 			sc.refuse(now, w, reason, retryAfter)
@@ -71,31 +73,7 @@
 	p.onlineQueue.add(w)
 	sc.waiting[w.key] = w
 	sc.commands = append(sc.commands, Wait{Key: w.key})
-}
-
-// takeToken counts the request against its workspace's rate and refuses it if the rate is exceeded.
-func (sc *Scheduler) takeToken(now time.Time, w *waiter) bool {
-	if sc.reservations.expiryDue(now) {
-		sc.reservations.removeExpired(now)
-		sc.applyReservations(now)
-	}
-	b, ok := sc.buckets[w.request.Workspace]
-	if ok && w.request.Retry {
-		b.takeOnCredit(now)
-		sc.admissions.Add(now, thisPlacer, w.request.Workspace, 1)
-	}
-	if !ok || !w.request.Metered {
-		return true
-	}
-	if ok, wait := b.take(now); !ok {
-		sc.commands = append(sc.commands, Refuse{
-			Key: w.key, Reason: OverRate, RetryAfter: clampRetryAfter(wait, w.request.Remaining),
-			Inputs: w.pool.inputs(w.pool.selectServer(now, w.key.Host, w.request)),
-		})
-		return false
-	}
-	sc.admissions.Add(now, thisPlacer, w.request.Workspace, 1)
-	return true
+	sc.refuseDisplaced(now, p)
 }
 
 // cannotStartInTime reports whether a start in time is unlikely, and after what time to retry. A caller that was refused
@@ -113,20 +91,12 @@
 		}
 	}
 	wait := c.queueTime(position)
-	limit := w.due.Sub(now)
-	if w.isReturning() {
-		limit = max(limit, w.request.Remaining-p.holdTime()-p.firstByteTime())
-	}
+	limit := p.longestWait(now, w)
 	if wait <= limit {
 		return 0, 0, false
 	}
 	reason = c.refusalReason(c.queueTimeWithoutLimits(position) <= limit)
-	if !sc.disabled[CountReturning] && w.resumption == nil {
-		wait = c.queueTime(len(p.onlineQueue) + p.returning.count(now) + 1)
-	}
-	retryAfter = clampRetryAfter(wait, w.request.Remaining)
-	p.returning.add(now, retryAfter)
-	return retryAfter, reason, true
+	return sc.retryAfter(now, p, c, w, wait), reason, true
 }
 
 // isReturning reports whether the caller was refused before: it has less time left than a first attempt.
@@ -134,17 +104,11 @@
 	return float64(w.request.Remaining) < firstAttemptShare*float64(w.request.FirstAttemptTime)
 }
 
-// clampRetryAfter limits a retry time to minRetryAfter, maxRetryAfter and what the caller honours.
-func clampRetryAfter(d, remaining time.Duration) time.Duration {
-	upper := max(minRetryAfter, min(maxRetryAfter, time.Duration(retryAfterShare*float64(remaining))))
-	return min(max(d, minRetryAfter), upper)
-}
-
 func (sc *Scheduler) refuse(now time.Time, w *waiter, reason Reason, retryAfter time.Duration) {
 	sc.refundToken(w.request)
-	sc.commands = append(sc.commands, Refuse{
-		Key: w.key, Reason: reason, RetryAfter: retryAfter, Inputs: w.pool.inputs(w.pool.selectServer(now, w.key.Host, w.request)), Resumption: w.resumption,
-	})
+	in := w.pool.inputs(w.pool.selectServer(now, w.key.Host, w.request))
+	in.Share = w.standing
+	sc.commands = append(sc.commands, Refuse{Key: w.key, Reason: reason, RetryAfter: retryAfter, Inputs: in, Resumption: w.resumption})
 }
 
 // place starts an online request at once, on a free slot or on one that a batch item yields. If it can't be placed, only
@@ -163,6 +127,7 @@
 	if s == nil || s.failing(now) {
 		// Failing servers are left to batch items, which resume elsewhere when their server fails. A caller's request may
 		// have no time for that.
+		sc.updateBatchShares(now, w.pool, true)
 		if r := w.pool.itemToYield(now, w.key.Host, req, s != nil); r != nil {
 			r.yielding = true
 			r.server.yieldingSlots++
@@ -187,6 +152,7 @@
 
 // grant returns the command that gives a request a slot.
 func (sc *Scheduler) grant(now time.Time, w *waiter, s *server, in Inputs) Grant {
+	in.Share = w.standing
 	known := s.limit.Statement()
 	s.limit.Take(now)
 	s.cold.Take(now)
@@ -199,11 +165,12 @@
 }
 
 func (sc *Scheduler) startRun(now time.Time, w *waiter, s *server) *run {
-	r := &run{key: w.key, request: w.request, server: s, start: now, due: w.due, deadline: w.deadline, deferred: w.deferred}
+	r := &run{key: w.key, request: w.request, server: s, start: now, due: w.due, deadline: w.deadline, deferred: w.deferred, standing: w.standing}
 	sc.runs[w.key] = r
 	s.usedSlots++
 	s.lastGrant = now
 	p := sc.pool(w.request.Service)
+	p.sharesOf(w.request.Class).account.Begin(now, w.request.Workspace)
 	if w.request.Class != Batch {
 		p.onlineRuns++
 		return r
@@ -229,15 +196,20 @@
 	sc.refuseExpired(now, p)
 	sc.refuseBlocked(now, p)
 	sc.refuseUncertain(now, p)
+	if len(p.onlineQueue) > 0 {
+		sc.updateCallerShares(now, p, nil)
+	}
 	for len(p.onlineQueue) > 0 {
 		if !sc.serveNext(now, p) {
 			break
 		}
 	}
+	sc.refuseDisplaced(now, p)
 	if slices.ContainsFunc(p.onlineQueue, func(w *waiter) bool { return w.resumption == nil && !sc.isSuspect(now, w) }) {
 		return // suspects wait for a trial, and resumed streams for certain servers: other slots are left to batch items
 	}
 	p.planBatch(now)
+	sc.updateBatchShares(now, p, false)
 	for {
 		w, s, in := p.nextItem(now)
 		if w == nil {
--- a/verbena/dispatch/bucket.go
+++ b/verbena/dispatch/bucket.go
@@ -10,6 +10,8 @@
 	rate       Rate
 	tokens     float64
 	refilledAt time.Time
+	// returning are the callers that were refused for the rate.
+	returning returnTimes
 }
 
 // initialShare is the share of its burst that a workspace has when counting starts: a dispatcher that takes over doesn't
--- a/verbena/dispatch/mechanisms.go
+++ b/verbena/dispatch/mechanisms.go
@@ -48,12 +48,14 @@
 	NamedLimits Mechanism = "named_limits"
 	// ColdBudget keeps to the rates that cold servers tolerate.
 	ColdBudget Mechanism = "cold_budget"
+	// FairRoom shares scarce slots among workspaces by their rates.
+	FairRoom Mechanism = "fair_room"
 )
 
 // Mechanisms lists all mechanisms.
 var Mechanisms = []Mechanism{
 	None, BatchPlan, BatchYields, BatchReserve, EarlyRefusal, CountReturning, LateRefusal, LateLast, Stalls, Ejection, FailureRate, SlowLast, ZoneFirst,
-	CrashSuspects, CrashingParts, ReservedRates, NamedLimits, ColdBudget,
+	CrashSuspects, CrashingParts, ReservedRates, NamedLimits, ColdBudget, FairRoom,
 }
 
 // ParseMechanisms parses a comma-separated list.
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -48,6 +48,8 @@
 	trials        map[Key]*run
 	crashRevision uint64
 	disabled      disabledMechanisms
+	callerShares  shares
+	batchShares   shares
 	// limitedGrants counts the slots granted on servers with a limit, heldBack the requests that waited or were refused
 	// while a limit left slots free.
 	limitedGrants, heldBack int
@@ -304,11 +306,15 @@
 		s.failures.suitabilityFor(now, host) == suitable
 }
 
-// yieldsBefore orders batch items: deferred ones first, then those with the most time left.
+// yieldsBefore orders batch items: deferred ones first, then those of workspaces beyond their share, then those with the most
+// time left.
 func (r *run) yieldsBefore(o *run) bool {
 	if r.deferred != o.deferred {
 		return r.deferred
 	}
+	if r.yieldsForShare(o) || o.yieldsForShare(r) {
+		return r.yieldsForShare(o)
+	}
 	return r.due.After(o.due) || r.due.Equal(o.due) && keyLess(r.key, o.key)
 }
 
--- a/verbena/dispatch/queue.go
+++ b/verbena/dispatch/queue.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"verbenaledge.example/verbena/fairness"
 )
 
 // waiter is a slot request that waits.
@@ -16,6 +18,8 @@
 	deadline time.Time
 	// deferred is set while the batch plan defers the item.
 	deferred bool
+	// standing is the workspace's while room is short.
+	standing fairness.Standing
 	pool     *pool
 	judged   judgedRequest
 	// resumption is set for a resumed stream.
@@ -24,7 +28,8 @@
 	list *listView
 }
 
-// queue is ordered by priority and then by due time; within a priority, deferred items are last.
+// queue is ordered by priority and then by due time; within a priority, deferred items are last, and otherwise the requests of
+// workspaces beyond their share.
 type queue []*waiter
 
 func (q *queue) add(w *waiter) {
@@ -50,6 +55,9 @@
 	if a.deferred != b.deferred {
 		return b.deferred
 	}
+	if beyond := a.standing == fairness.Beyond; beyond != (b.standing == fairness.Beyond) {
+		return !beyond
+	}
 	if !a.due.Equal(b.due) {
 		return a.due.Before(b.due)
 	}
--- a/verbena/dispatch/scheduler.go
+++ b/verbena/dispatch/scheduler.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"verbenaledge.example/verbena/crash"
+	"verbenaledge.example/verbena/fairness"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/limit"
 	"verbenaledge.example/verbena/origin"
@@ -25,6 +26,8 @@
 	yielding bool
 	// deferred is set while the batch plan defers the item.
 	deferred bool
+	// standing is that of an item's workspace while room is short.
+	standing fairness.Standing
 	// trialParts are the suspect prompt parts of a run on trial whose answer has not begun. trial is set for any trial.
 	trialParts []ids.PromptPartID
 	trial      bool
@@ -261,6 +264,7 @@
 		r.server.yieldingSlots--
 	}
 	p := sc.pool(r.request.Service)
+	p.sharesOf(r.request.Class).account.End(now, r.request.Workspace)
 	if r.request.Class == Batch {
 		delete(p.batchRuns, r.key)
 	} else {
--- a/verbena/dispatch/scheduler_test.go
+++ b/verbena/dispatch/scheduler_test.go
@@ -157,7 +157,8 @@
 		if !ok {
 			continue
 		}
-		e.Held = append(e.Held, HeldSlot{Request: slotRequest("request", []string{key, o["service"]}, parseOptions(nil)), Server: ids.BackendID(server)})
+		req := slotRequest("request", []string{key, o["service"]}, options{"workspace": o["workspace"]})
+		e.Held = append(e.Held, HeldSlot{Request: req, Server: ids.BackendID(server)})
 	}
 	return e
 }
@@ -195,9 +196,9 @@
 		if c.Resumption != nil && c.Resumption.MayHaveRestarted {
 			trial += " may_have_restarted"
 		}
-		return fmt.Sprintf("grant %s/%d %s%s", c.Key.Host, c.Key.Ticket, c.Server.ID, trial)
+		return fmt.Sprintf("grant %s/%d %s%s%s", c.Key.Host, c.Key.Ticket, c.Server.ID, trial, describeShare(c.Inputs))
 	case Refuse:
-		return fmt.Sprintf("refuse %s/%d %s %d", c.Key.Host, c.Key.Ticket, c.Reason, c.RetryAfter.Milliseconds())
+		return fmt.Sprintf("refuse %s/%d %s %d%s", c.Key.Host, c.Key.Ticket, c.Reason, c.RetryAfter.Milliseconds(), describeShare(c.Inputs))
 	case Yield:
 		return fmt.Sprintf("yield %s/%d", c.Key.Host, c.Key.Ticket)
 	case Wait:
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -7,6 +7,7 @@
 
 	"verbenaledge.example/verbena/cold"
 	"verbenaledge.example/verbena/directory"
+	"verbenaledge.example/verbena/fairness"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/limit"
 	"verbenaledge.example/verbena/origin"
@@ -288,6 +289,8 @@
 	// Limited counts the servers that name a limit, HeldBack their free slots that no request may use at present.
 	Limited  int `cbor:"5,keyasint,omitempty"`
 	HeldBack int `cbor:"6,keyasint,omitempty"`
+	// Share is the standing of the request's workspace while room was short.
+	Share fairness.Standing `cbor:"7,keyasint,omitempty"`
 }
 
 // Grant gives a slot request a slot.
