--- a/verbenad/internal/slots/gauges.go
+++ b/verbenad/internal/slots/gauges.go
@@ -22,6 +22,7 @@
 	by        string
 	updatedAt time.Time
 	services  map[string]bool
+	roomLog   roomLog
 }
 
 func (g *gauges) update(now time.Time, scheduler *dispatch.Scheduler) {
@@ -45,6 +46,7 @@
 		g.set("servers", service, u.Servers)
 		g.set("servers_ejected", service, u.Ejected)
 		g.set("servers_cold", service, u.Cold)
+		g.set("workspaces_beyond_share", service, u.BeyondShare)
 		g.setLimits(service, u)
 		for _, p := range u.Paces {
 			g.histogram("server_pace_percent", service).Update(float64(p))
@@ -52,6 +54,7 @@
 		for _, share := range u.HeldMemory {
 			g.histogram("memory_held_share", service).Update(share)
 		}
+		g.roomLog.record(now, name, u)
 	}
 }
 
