feat: count and log whether workspaces were within their share while room was short

Inputs of a decision carry the workspace's standing (optional in CBOR, log field workspace_share); grants and refusals while room was short are counted by it, under labels that don't grow with the workspaces.

--- a/verbena/dispatch/displaced.go
+++ b/verbena/dispatch/displaced.go
@@ -16,7 +16,10 @@
 	if len(p.callerShares.beyond) == 0 || sc.disabled[EarlyRefusal] {
 		return
 	}
-	var c capacity
+	c := p.callerShares.capacity
+	if c.effective == 0 {
+		return
+	}
 	var lastWithin *waiter
 	position := 0
 	for i := 0; i < len(p.onlineQueue); {
@@ -33,11 +36,6 @@
 		if !w.mayBeRefusedDisplaced(now) || !w.isDisplacedBy(lastWithin) {
 			continue
 		}
-		if c.hold == 0 {
-			if c = p.capacity(now); c.effective == 0 {
-				return
-			}
-		}
 		if wait := c.queueTime(position); wait > p.longestWait(now, w) {
 			i--
 			position--
--- a/verbena/dispatch/shares.go
+++ b/verbena/dispatch/shares.go
@@ -23,6 +23,9 @@
 	inForce   bool
 	beyond    map[ids.WorkspaceID]bool
 	decidedAt time.Time
+	// capacity is that for callers' requests as of decidedAt. A further pass over all servers for each event costs as much as
+	// the rest of a decision.
+	capacity capacity
 	// checkedAt is when it was last checked whether items want more than is free.
 	checkedAt time.Time
 }
@@ -97,6 +100,7 @@
 		}
 		return
 	}
+	s.capacity = p.capacity(now)
 	s.decide(now, float64(slots), wanting.countByWorkspace(), sc.rates)
 	p.onlineQueue.applyShares(s, sc.rates)
 }
--- a/verbenactl/internal/loglines/explain.go
+++ b/verbenactl/internal/loglines/explain.go
@@ -110,7 +110,7 @@
 	"cannot_be_done":   "the server said that the item can never be done; its caller has to change it",
 	"failed_too_often": "the item failed at as many servers as its route allows",
 	"overload": "no start in time was likely: free_slots, slots and queue show the load at that moment; " +
-		"check the lines before it for slow or lost servers",
+		"check the lines before it for slow or lost servers; with workspace_share=beyond its workspace used more than its share",
 	"server_limits": "servers name how many requests a second they take, and what that leaves made a start in time unlikely: limited_servers counts them, " +
 		"slots_held_back their free slots that no request might use; look for `server names a limit`",
 	"cold_servers": "servers have just started or become cold again, and the rate that they tolerate made a start in time unlikely; look for " +
--- a/verbenad/internal/bulk/item_log.go
+++ b/verbenad/internal/bulk/item_log.go
@@ -58,6 +58,7 @@
 	fields := log.Fields{
 		"job": i.record.Job.ID, "item": i.item.ID, "service": slot.Server.Service, "server": slot.Server.ID, "resume_after": i.lastEventID,
 		"placed_by": slot.Placer.String(), "free_slots": slot.Inputs.Free, "slots": slot.Inputs.Slots, "outcome": "placed",
+		"workspace_share": slot.Inputs.Share.String(),
 	}
 	if known := i.owner.slots.KnownLimit(slot.Server.ID); known.Kind == limit.Named {
 		fields["server_limit"] = known.PerSecond
--- a/verbenad/internal/entry/slot_request.go
+++ b/verbenad/internal/entry/slot_request.go
@@ -130,6 +130,7 @@
 		{"batch_slots", state.inputs.Batch},
 		{"limited_servers", state.inputs.Limited},
 		{"slots_held_back", state.inputs.HeldBack},
+		{"workspace_share", state.inputs.Share.String()},
 		{"placed_by", state.placer.String()},
 	}
 }
--- a/verbenad/internal/slots/dispatcher.go
+++ b/verbenad/internal/slots/dispatcher.go
@@ -347,6 +347,7 @@
 
 // execute carries out a scheduler command. It doesn't block: a host that doesn't read loses its connection.
 func (d *Dispatcher) execute(cmd dispatch.Command) {
+	countShortRoom(countedByDispatcher, cmd)
 	switch cmd := cmd.(type) {
 	case dispatch.Grant:
 		grants.Inc()
--- a/verbenad/internal/slots/fallback.go
+++ b/verbenad/internal/slots/fallback.go
@@ -77,6 +77,7 @@
 // executeLocal carries out a command of the local scheduler. It runs on the scheduler's goroutine, which must not
 // block on its own queue, so another goroutine queues the events that follow.
 func (c *Client) executeLocal(cmd dispatch.Command) {
+	countShortRoom(countedByHost, cmd)
 	c.mu.Lock()
 	switch cmd := cmd.(type) {
 	case dispatch.Grant:
