feat: estimate waits of workspaces beyond their share by what the others leave

Tried and not taken: to refuse callers beyond their share that return, instead of keeping them while an answer is likely.

The model also checks after each event that the queues are in order, no slot is free while a request waits and the order doesn't change more often than each 100 ms.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -79,7 +79,7 @@
 // cannotStartInTime reports whether a start in time is unlikely, and after what time to retry. A caller that was refused
 // before may wait as long as an answer is likely before its time ends.
 func (sc *Scheduler) cannotStartInTime(now time.Time, p *pool, w *waiter) (retryAfter time.Duration, reason Reason, cannotStartInTime bool) {
-	c := p.capacityFor(now, w.request)
+	c := p.callerShares.capacityFor(w, p.capacityFor(now, w.request))
 	if c.effective == 0 {
 		return clampRetryAfter(noServerRetryAfter, w.request.Remaining), c.refusalReason(c.slots > 0),
 			w.request.FirstAttemptTime > 0 && w.request.Remaining > time.Duration(firstAttemptShare*float64(w.request.FirstAttemptTime))
--- a/verbena/dispatch/displaced.go
+++ b/verbena/dispatch/displaced.go
@@ -36,11 +36,12 @@
 		if !w.mayBeRefusedDisplaced(now) || !w.isDisplacedBy(lastWithin) {
 			continue
 		}
-		if wait := c.queueTime(position); wait > p.longestWait(now, w) {
+		left := p.callerShares.capacityFor(w, c)
+		if wait := left.queueTime(position); wait > p.longestWait(now, w) {
 			i--
 			position--
 			sc.removeWaiting(w)
-			sc.refuse(now, w, Overload, sc.retryAfter(now, p, c, w, wait))
+			sc.refuse(now, w, Overload, sc.retryAfter(now, p, left, w, wait))
 		}
 	}
 }
--- a/verbena/dispatch/fair_model_test.go
+++ b/verbena/dispatch/fair_model_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"time"
 
 	"verbenaledge.example/verbena/directory"
@@ -43,6 +44,8 @@
 	sent, inTime, late, refusedFirst, gaveUp int
 	// granted and refused count attempts, refusedEarly those refused within a quarter of the objective.
 	granted, refused, refusedEarly int
+	// keptInVain counts first attempts refused later than that.
+	keptInVain int
 	// waited counts the grants after a wait, waitTime is the sum of their waits.
 	waited   int
 	waitTime time.Duration
@@ -98,14 +101,18 @@
 	ticket           Ticket
 	results          map[ids.WorkspaceID]*modelResult
 	running          map[ids.BackendID]int
+	// faults are the rules of check that were broken, decidedAt is for check.
+	faults    []string
+	decidedAt map[*shares]time.Time
 }
 
-func runModel(cfg modelConfig) map[ids.WorkspaceID]*modelResult {
+func runModel(cfg modelConfig) (results map[ids.WorkspaceID]*modelResult, faults []string) {
 	cfg.placers = max(1, cfg.placers)
 	m := &model{
 		modelConfig: cfg, random: rand.New(rand.NewPCG(cfg.seed, 1)), arrivals: rand.New(rand.NewPCG(cfg.seed, 2)), now: time.Unix(1000, 0),
 		calls:   make(map[Key]*modelCall),
 		results: make(map[ids.WorkspaceID]*modelResult), all: make([]*Scheduler, cfg.placers), running: make(map[ids.BackendID]int),
+		decidedAt: make(map[*shares]time.Time),
 	}
 	for n := range m.all {
 		m.startPlacer(n)
@@ -135,7 +142,7 @@
 		m.now = e.at
 		e.run()
 	}
-	return m.results
+	return m.results, m.faults
 }
 
 func (m *model) startPlacer(n int) {
@@ -214,8 +221,34 @@
 	m.step(c.placer, SlotRequested{Host: "h", Request: c.request})
 }
 
+// check records what must hold after each event: the queues are in order, no slot is free while a request waits, and the order
+// doesn't change more often than stated.
+func (m *model) check(sc *Scheduler) {
+	p := sc.pool(modelService)
+	for name, q := range map[string]queue{"callers": p.onlineQueue, "items": p.batchQueue} {
+		if !sort.SliceIsSorted(q, func(i, j int) bool { return waitsBefore(q[i], q[j]) }) {
+			m.faults = append(m.faults, name+" are out of order")
+		}
+	}
+	_, free := p.callerSlots(m.now)
+	if free > 0 && len(p.onlineQueue) > 0 {
+		m.faults = append(m.faults, "a slot is free while a caller waits")
+	}
+	if free > p.batchReserve() && len(p.batchQueue) > 0 {
+		m.faults = append(m.faults, "a slot is free while an item waits")
+	}
+	for _, s := range []*shares{&p.callerShares, &p.batchShares} {
+		if last := m.decidedAt[s]; !last.IsZero() && s.decidedAt.After(last) && s.decidedAt.Sub(last) < sharesInterval {
+			m.faults = append(m.faults, "the order changed again too soon")
+		}
+		m.decidedAt[s] = s.decidedAt
+	}
+}
+
 func (m *model) step(placer int, e Event) {
-	for _, cmd := range m.all[placer].Step(m.now, e) {
+	commands := m.all[placer].Step(m.now, e)
+	m.check(m.all[placer])
+	for _, cmd := range commands {
 		switch cmd := cmd.(type) {
 		case Grant:
 			m.grant(cmd)
@@ -278,6 +311,9 @@
 	}
 	if c.attempts == 1 {
 		r.refusedFirst++
+		if m.now.Sub(c.attempted) >= modelObjective/4 {
+			r.keptInVain++
+		}
 	}
 	if cmd.Reason == TooLate || m.now.Sub(c.began)+cmd.RetryAfter >= modelTimeout {
 		r.gaveUp++
--- a/verbena/dispatch/fair_room_test.go
+++ b/verbena/dispatch/fair_room_test.go
@@ -37,6 +37,7 @@
 		total.refused += r.refused
 		total.refusedEarly += r.refusedEarly
 		total.refusedFirst += r.refusedFirst
+		total.keptInVain += r.keptInVain
 		total.gaveUp += r.gaveUp
 		total.items += r.items
 		total.slotTime += r.slotTime
@@ -48,9 +49,9 @@
 	t.Helper()
 	for _, w := range slices.Sorted(maps.Keys(all)) {
 		r := all[w]
-		t.Logf("%s %s: sent %d, in time %.3f, late %d, waited %d (%d ms), refused at first %d, refused %d (%d early), gave up %d, items %d, slots %.2f",
-			name, w, r.sent, r.shareInTime(), r.late, r.waited, r.waitTime.Milliseconds()/int64(max(1, r.waited)), r.refusedFirst, r.refused, r.refusedEarly,
-			r.gaveUp, r.items, r.slotTime.Seconds()/20)
+		t.Logf("%s %s: sent %d, in time %.3f, late %d, waited %d (%d ms), refused at first %d (%d kept in vain), gave up %d, items %d, slots %.2f; "+
+			"refusals %d, %d early", name, w, r.sent, r.shareInTime(), r.late, r.waited, r.waitTime.Milliseconds()/int64(max(1, r.waited)), r.refusedFirst,
+			r.keptInVain, r.gaveUp, r.items, r.slotTime.Seconds()/20, r.refused, r.refusedEarly)
 	}
 }
 
@@ -71,7 +72,9 @@
 				before, after := overloadOfOne(seed, FairRoom), overloadOfOne(seed, None)
 				tt.change(&before)
 				tt.change(&after)
-				off, on := runModel(before), runModel(after)
+				off, _ := runModel(before)
+				on, faults := runModel(after)
+				c.Check(faults, qt.HasLen, 0)
 				if seed == 0 {
 					logResults(t, "off", off)
 					logResults(t, "on", on)
@@ -84,6 +87,9 @@
 				c.Check(lightOn.shareInTime() > 0.97, qt.IsTrue)
 				c.Check(lightOn.shareInTime() > lightOff.shareInTime(), qt.IsTrue)
 				c.Check(float64(lightOn.refusedFirst) < 0.03*float64(lightOn.sent), qt.IsTrue)
+				if after.placers <= 1 { // hosts that decide by themselves estimate waits as if all slots were theirs
+					c.Check(float64(on["heavy"].keptInVain) < 0.05*float64(on["heavy"].sent), qt.IsTrue)
+				}
 				c.Check(float64(allOn.slotTime) > 0.97*float64(allOff.slotTime), qt.IsTrue)
 				c.Check(float64(allOn.inTime) > 0.95*float64(allOff.inTime), qt.IsTrue)
 			}
@@ -100,9 +106,10 @@
 			rates: map[ids.WorkspaceID]Rate{"heavy": {PerSecond: 10, Burst: 40}, "light": {PerSecond: 10, Burst: 40}},
 			items: map[ids.WorkspaceID]int{"heavy": 200, "light": 4},
 		}
-		off := runModel(cfg)
+		off, _ := runModel(cfg)
 		cfg.disabled = None
-		on := runModel(cfg)
+		on, faults := runModel(cfg)
+		c.Check(faults, qt.HasLen, 0)
 		logResults(t, "off", off)
 		logResults(t, "on", on)
 		c.Check(on["light"].items > 3*off["light"].items, qt.IsTrue)
--- a/verbena/dispatch/shares.go
+++ b/verbena/dispatch/shares.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -12,6 +13,9 @@
 // queue and passes over all servers.
 const sharesInterval = 100 * time.Millisecond
 
+// minLeftShare bounds leftShare, so that the estimate of a wait stays finite.
+const minLeftShare = 0.05
+
 // shares tells which workspaces use more than their share of a service's slots. It handles the load in which one workspace
 // sends several times its part while others send little and there are fewer slots than wanted: in order of due times alone,
 // the requests of all would wait behind, or be refused for, those of that one. A service has one for callers' requests and
@@ -23,6 +27,8 @@
 	inForce   bool
 	beyond    map[ids.WorkspaceID]bool
 	decidedAt time.Time
+	// leftShare is the share of the slots that the others leave to those beyond their share.
+	leftShare float64
 	// capacity is that for callers' requests as of decidedAt. A further pass over all servers for each event costs as much as
 	// the rest of a decision.
 	capacity capacity
@@ -33,10 +39,15 @@
 // decide decides anew which workspaces are beyond their share of the slots.
 func (s *shares) decide(now time.Time, slots float64, waiting map[ids.WorkspaceID]int, rates map[ids.WorkspaceID]Rate) {
 	s.inForce, s.decidedAt = true, now
-	s.beyond = s.account.Beyond(now, slots, waiting, func(w ids.WorkspaceID) (weight float64, ok bool) {
+	var left float64
+	s.beyond, left = s.account.Beyond(now, slots, waiting, func(w ids.WorkspaceID) (weight float64, ok bool) {
 		r, ok := rates[w]
 		return r.PerSecond, ok
 	})
+	s.leftShare = 1
+	if slots > 0 {
+		s.leftShare = math.Max(minLeftShare, left/slots)
+	}
 }
 
 // end returns to the order of due times. It reports whether another order was in force.
@@ -60,6 +71,16 @@
 	return fairness.None
 }
 
+// capacityFor returns what is left of a capacity to a request. Those of workspaces beyond their share go behind the ones of
+// others that wait and also behind those that are yet to come: only what the others leave is theirs.
+func (s *shares) capacityFor(w *waiter, c capacity) capacity {
+	if w.standing == fairness.Beyond && w.resumption == nil {
+		c.effective *= s.leftShare
+		c.slots *= s.leftShare
+	}
+	return c
+}
+
 // sharesOf returns the shares for requests of a class.
 func (p *pool) sharesOf(class Class) *shares {
 	if class == Batch {
--- a/verbena/fairness/shares.go
+++ b/verbena/fairness/shares.go
@@ -23,8 +23,10 @@
 
 // Beyond returns the workspaces that use more than their share of a number of slots. waiting counts the slots that workspaces
 // want in addition to those that they hold. weight returns a workspace's weight; workspaces without one take no part, and what
-// they use isn't shared out.
-func (a *Account) Beyond(now time.Time, slots float64, waiting map[ids.WorkspaceID]int, weight func(ids.WorkspaceID) (float64, bool)) map[ids.WorkspaceID]bool {
+// they use isn't shared out. left is what all others leave to the workspaces beyond their share.
+func (a *Account) Beyond(
+	now time.Time, slots float64, waiting map[ids.WorkspaceID]int, weight func(ids.WorkspaceID) (float64, bool),
+) (beyond map[ids.WorkspaceID]bool, left float64) {
 	a.removeIdle(now)
 	claims := make([]claim, 0, len(a.holders)+len(waiting))
 	for w, h := range a.holders {
@@ -44,13 +46,18 @@
 		}
 	}
 	level := waterLevel(claims, math.Max(0, slots))
-	beyond := make(map[ids.WorkspaceID]bool)
+	beyond = make(map[ids.WorkspaceID]bool)
+	left = slots
 	for _, c := range claims {
 		if c.use > c.weight*level+tolerance {
 			beyond[c.workspace] = true
+			continue
+		}
+		if h, ok := a.holders[c.workspace]; ok {
+			left -= h.average
 		}
 	}
-	return beyond
+	return beyond, math.Max(0, left)
 }
 
 // waterLevel returns the slots for each unit of weight that claims which want more get; it is infinite if all get what they want.
--- a/verbena/fairness/shares_test.go
+++ b/verbena/fairness/shares_test.go
@@ -1,6 +1,7 @@
 package fairness
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -76,7 +77,15 @@
 			for _, w := range tt.want {
 				want[w] = true
 			}
-			qt.Assert(t, a.Beyond(start.Add(5*time.Second), tt.slots, tt.waiting, weights(tt.weights)), qt.DeepEquals, want)
+			beyond, left := a.Beyond(start.Add(5*time.Second), tt.slots, tt.waiting, weights(tt.weights))
+			qt.Assert(t, beyond, qt.DeepEquals, want)
+			taken := 0.0
+			for w, n := range tt.held {
+				if !want[w] {
+					taken += float64(n)
+				}
+			}
+			qt.Assert(t, math.Abs(left-math.Max(0, tt.slots-taken)) < 0.01, qt.IsTrue, qt.Commentf("left %f", left))
 		})
 	}
 }
@@ -93,7 +102,7 @@
 	}
 	c.Assert(a.Use(start.Add(2100*time.Millisecond), "w") > 6, qt.IsTrue)
 	c.Assert(a.Use(start.Add(3*time.Second), "w") < 1.2, qt.IsTrue)
-	a.Beyond(start.Add(20*time.Second), 1, nil, weights(nil))
+	_, _ = a.Beyond(start.Add(20*time.Second), 1, nil, weights(nil))
 	c.Assert(a.holders, qt.HasLen, 0, qt.Commentf("an idle workspace must be forgotten"))
 	c.Assert(a.Use(start, "unknown"), qt.Equals, 0.0)
 	a.End(start, "unknown")
