--- a/verbena/dispatch/shares.go
+++ b/verbena/dispatch/shares.go
@@ -57,6 +57,17 @@
 	return wasInForce
 }
 
+// mostUsing returns the workspace that uses the most of those beyond their share; it is empty if there are none.
+func (s *shares) mostUsing(now time.Time) (most ids.WorkspaceID) {
+	for w := range s.beyond {
+		use, mostUse := s.account.Use(now, w), s.account.Use(now, most)
+		if most == "" || use > mostUse || use == mostUse && w < most {
+			most = w
+		}
+	}
+	return most
+}
+
 // standing returns a workspace's standing; those without a rate take no part.
 func (s *shares) standing(w ids.WorkspaceID, rates map[ids.WorkspaceID]Rate) fairness.Standing {
 	if !s.inForce {
--- a/verbena/dispatch/usage.go
+++ b/verbena/dispatch/usage.go
@@ -23,13 +23,24 @@
 	// LimitedGrants counts all slots granted on servers with a limit so far, HeldBack the requests that waited or were
 	// refused while a limit left slots free.
 	LimitedGrants, HeldBack int
+	// RoomShort is set if callers' requests of several workspaces wanted more slots than were free within usageWindow.
+	// BeyondShare counts the workspaces beyond their share then, MostUsing is one that uses the most, if any.
+	RoomShort   bool
+	BeyondShare int
+	MostUsing   ids.WorkspaceID
 }
 
+// usageWindow is the time for which a shortage of room is reported: the interval of reports, and some more.
+const usageWindow = 2 * time.Second
+
 // Usage returns the usage of each service.
 func (sc *Scheduler) Usage(now time.Time) map[ids.ServiceName]Usage {
 	all := make(map[ids.ServiceName]Usage, len(sc.pools))
 	for name, p := range sc.pools {
 		u := Usage{Batch: len(p.batchRuns), Waiting: len(p.onlineQueue), LimitedGrants: p.limitedGrants, HeldBack: p.heldBack}
+		if s := &p.callerShares; s.inForce && now.Sub(s.decidedAt) < usageWindow {
+			u.RoomShort, u.BeyondShare, u.MostUsing = true, len(s.beyond), s.mostUsing(now)
+		}
 		for _, s := range p.servers {
 			if !s.present() {
 				continue
--- a/verbenad/internal/slots/gauges.go
+++ b/verbenad/internal/slots/gauges.go
@@ -22,6 +22,7 @@
 	by        string
 	updatedAt time.Time
 	services  map[string]bool
+	roomLog   roomLog
 }
 
 func (g *gauges) update(now time.Time, scheduler *dispatch.Scheduler) {
@@ -45,7 +46,9 @@
 		g.set("servers", service, u.Servers)
 		g.set("servers_ejected", service, u.Ejected)
 		g.set("servers_cold", service, u.Cold)
+		g.set("workspaces_beyond_share", service, u.BeyondShare)
 		g.setLimits(service, u)
+		g.roomLog.record(now, name, u)
 	}
 }
 
