--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbena/memory"
 )
 
 const (
@@ -14,8 +15,6 @@
 	defaultFirstByteTime = 60 * time.Millisecond
 	// poolAverageWeight is the weight of one answer in a pool's moving averages.
 	poolAverageWeight = 0.05
-	// loadCost is the share by which each running request slows its server.
-	loadCost = 0.02
 	// crossZoneCost is added for a server in another availability zone; it keeps traffic in the zone when all else is equal.
 	crossZoneCost = 0.01
 	// coldCost ranks servers that have just started behind warm ones.
@@ -32,6 +31,7 @@
 
 // pool is a service's servers and the requests that wait for them.
 type pool struct {
+	service     ids.ServiceName
 	servers     []*server
 	onlineQueue queue
 	batchQueue  queue
@@ -48,12 +48,20 @@
 	trials        map[Key]*run
 	crashRevision uint64
 	disabled      disabledMechanisms
+	// memoryTokens is the memory of a server, 0 if it isn't known. meanTokens is the moving average of what a request holds.
+	memoryTokens memory.Tokens
+	meanTokens   float64
 	// limitedGrants counts the slots granted on servers with a limit, heldBack the requests that waited or were refused
 	// while a limit left slots free.
 	limitedGrants, heldBack int
-	// fastestEventSeconds is the shortest time per stream event among the servers, as of fastestAt.
+	// fastestEventSeconds is the time per stream event of the fastest servers, as of fastestAt. speeds is used to find it.
 	fastestEventSeconds float64
 	fastestAt           time.Time
+	speeds              []float64
+	// meanReceived is how many requests a server received recently, on average, as of fastestAt.
+	meanReceived float64
+	// noise is the usual deviation of an answer's time per stream event from its server's average, as a share.
+	noise float64
 }
 
 func (p *pool) recordAnswer(req SlotRequest, held time.Duration, o Outcome) {
@@ -152,6 +160,8 @@
 	effective float64
 	// limited counts the servers with a limit, heldBack their free slots that the limits leave unused.
 	limited, heldBack int
+	// lacksRoom is set if a server with a free slot lacks the memory for the request.
+	lacksRoom bool
 }
 
 // selectServer chooses the server of lowest cost with a free slot. Servers that are unsuitable for the host are left out
@@ -168,7 +178,7 @@
 		free, exceeds := s.freeSlotsFor(now, req.Class)
 		sel.free += free
 		sel.slots += s.Slots
-		sel.effective += s.effectiveSlots(now, hold, req.Class)
+		sel.effective += p.slotsInMemory(s.effectiveSlots(now, hold, req.Class))
 		if s.isLimited() {
 			sel.limited++
 			sel.heldBack += max(0, s.unlimitedSlots(now)) - free
@@ -184,7 +194,11 @@
 		if free == 0 || !req.mayRunOn(now, s) {
 			continue
 		}
-		best[suits].keepCheaper(candidate{s, s.cost(now, req.Zone, p.fastestEventSeconds)})
+		if !p.hasRoom(s, req) {
+			sel.lacksRoom = true
+			continue
+		}
+		best[suits].keepCheaper(candidate{s, p.cost(now, s, req.Zone)})
 	}
 	sel.best, sel.lastResort = best[suitable].server, best[lastResort].server
 	if sel.lastResort == nil && float64(unsuitableServers) > maxEjectedShare*float64(usable) {
@@ -204,32 +218,13 @@
 	}
 }
 
-// fastestRefreshInterval is how long the speed of the fastest server is cached.
-const fastestRefreshInterval = 100 * time.Millisecond
-
-func (p *pool) refreshFastest(now time.Time) {
-	if now.Sub(p.fastestAt) >= fastestRefreshInterval || p.fastestEventSeconds == 0 {
-		p.fastestEventSeconds, p.fastestAt = p.findFastest(now), now
-	}
-}
-
-func (p *pool) findFastest(now time.Time) (seconds float64) {
-	for _, s := range p.servers {
-		if s.usable(now) && s.eventSeconds > 0 && (seconds == 0 || s.eventSeconds < seconds) {
-			seconds = s.eventSeconds
-		}
-	}
-	return seconds
-}
-
-func (s *server) cost(now time.Time, zone ids.ZoneID, fastest float64) float64 {
-	c := 1.0
-	if s.eventSeconds > 0 && fastest > 0 {
-		c = s.eventSeconds / fastest
-		if c > slowFactor && !s.disabled[SlowLast] {
-			c += slowCost
-		}
+func (p *pool) cost(now time.Time, s *server, zone ids.ZoneID) float64 {
+	speed := p.relativeSpeed(now, s)
+	c := p.speedCost(speed, s.paceFactor(now))
+	if p.isMuchSlower(speed) && !s.disabled[SlowLast] {
+		c += slowCost
 	}
+	c += p.receivedCost(now, s)
 	c += loadCost * float64(s.usedSlots-s.yieldingSlots)
 	c += failureCost * s.failures.rate(now)
 	if s.Zone != zone && !s.disabled[ZoneFirst] {
@@ -271,7 +266,7 @@
 	}
 	itemRank := 0
 	for _, r := range p.batchRuns {
-		if r.yielding || !r.server.accepts(now, host, req) {
+		if r.yielding || !r.server.accepts(now, host, req) || !p.hasRoom(r.server, req) {
 			continue
 		}
 		failing := r.server.failing(now)
--- a/verbena/dispatch/trial.go
+++ b/verbena/dispatch/trial.go
@@ -72,13 +72,13 @@
 	p.refreshFastest(now)
 	var best candidate
 	for _, s := range p.servers {
-		if !s.usable(now) || s.freeSlots(now) <= 0 || !req.mayRunOn(now, s) || s.failures.suitabilityFor(now, w.key.Host) == unsuitable {
+		if !s.usable(now) || s.freeSlots(now) <= 0 || !req.mayRunOn(now, s) || !p.hasRoom(s, req) || s.failures.suitabilityFor(now, w.key.Host) == unsuitable {
 			continue
 		}
 		if v.on(s) == crash.Blocked || sc.crashes.TrialFailed(now, s.ID, s.Incarnation) {
 			continue // a further crash would prove nothing
 		}
-		cost := s.cost(now, req.Zone, p.fastestEventSeconds) + trialLoadCost*float64(s.usedSlots)
+		cost := p.cost(now, s, req.Zone) + trialLoadCost*float64(s.usedSlots)
 		if now.Sub(s.lastGrant) < unansweredTimes*p.firstByteTime() {
 			cost += unansweredCost
 		}
