--- a/verbena/dispatch/mechanisms.go
+++ b/verbena/dispatch/mechanisms.go
@@ -52,12 +52,14 @@
 	MachinePace Mechanism = "pace"
 	// MemoryRoom places requests only where they fit in the memory of a server.
 	MemoryRoom Mechanism = "memory_room"
+	// FairRoom shares scarce slots among workspaces by their rates.
+	FairRoom Mechanism = "fair_room"
 )
 
 // Mechanisms lists all mechanisms.
 var Mechanisms = []Mechanism{
 	None, BatchPlan, BatchYields, BatchReserve, EarlyRefusal, CountReturning, LateRefusal, LateLast, Stalls, Ejection, FailureRate, SlowLast, ZoneFirst,
-	CrashSuspects, CrashingParts, ReservedRates, NamedLimits, ColdBudget, MachinePace, MemoryRoom,
+	CrashSuspects, CrashingParts, ReservedRates, NamedLimits, ColdBudget, MachinePace, MemoryRoom, FairRoom,
 }
 
 // ParseMechanisms parses a comma-separated list.
