--- a/verbena/dispatch/prompt_reuse_bench_test.go
+++ b/verbena/dispatch/prompt_reuse_bench_test.go
@@ -12,10 +12,10 @@
 )
 
 // BenchmarkPromptReuse measures a decision and the end of an earlier request at 600 servers, 3,800 requests a second and a second for
-// each of them. Prompts have three parts, the first of which all servers hold. "state" is the memory of the estimate with all servers at
-// their bound of parts.
+// each of them. Prompts have three parts, the first of which all servers hold; with size 0, nothing is known of prompts, which is the cost of all
+// else.
 func BenchmarkPromptReuse(b *testing.B) {
-	for _, size := range []int{shortPart, longPart} {
+	for _, size := range []int{0, shortPart, longPart} {
 		for _, mechanism := range []Mechanism{PromptReuse, None} {
 			b.Run(fmt.Sprintf("part=%d/disabled=%s", size, mechanism), func(b *testing.B) {
 				f := newReuseFixture(qt.New(b), 600, WithDisabledMechanisms(mechanism))
@@ -24,6 +24,9 @@
 				step := func(i int) {
 					f.now = f.now.Add(time.Second / 3800)
 					req := f.request(size, "system", ids.PromptPartID(fmt.Sprint("a", i%100)), ids.PromptPartID(fmt.Sprint("b", i%1000)))
+					if size == 0 {
+						req.Parts, req.PartTokens, req.PromptTokens = nil, nil, 0
+					}
 					if f.place(req) != "" {
 						running = append(running, req)
 					}
--- a/verbena/dispatch/prompt_reuse_test.go
+++ b/verbena/dispatch/prompt_reuse_test.go
@@ -167,6 +167,20 @@
 	c.Assert(f.place(f.request(shortPart, "p")), qt.Equals, ids.BackendID("s000"))
 }
 
+// Requests with short parts must be placed by load as before, also while servers read long prompts.
+func TestShortPartsIgnoreReading(t *testing.T) {
+	c := qt.New(t)
+	f := newReuseFixture(c, 4)
+	f.teach()
+	for _, other := range []ids.BackendID{"s001", "s002", "s003"} {
+		f.occupy(other, 2)
+	}
+	long := f.request(0)
+	long.PromptTokens = 40_000
+	c.Assert(f.place(long), qt.Equals, ids.BackendID("s000"))
+	c.Assert(f.place(f.request(shortPart, "p")), qt.Equals, ids.BackendID("s000"))
+}
+
 // A server that runs more requests than others must not be preferred, however long the part is.
 func TestBusyHolderIsNotPreferred(t *testing.T) {
 	c := qt.New(t)
