--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -183,6 +183,7 @@
 	p := sc.pool(w.request.Service)
 	p.holdMemory(r)
 	p.sharesOf(w.request.Class).account.Begin(now, w.request.Workspace)
+	sc.beginPrompt(now, p, r)
 	if w.request.Class != Batch {
 		p.onlineRuns++
 		return r
--- a/verbena/dispatch/mechanisms.go
+++ b/verbena/dispatch/mechanisms.go
@@ -54,12 +54,14 @@
 	MemoryRoom Mechanism = "memory_room"
 	// FairRoom shares scarce slots among workspaces by their rates.
 	FairRoom Mechanism = "fair_room"
+	// PromptReuse weighs the reading of prompts that servers still hold in part.
+	PromptReuse Mechanism = "prompt_reuse"
 )
 
 // Mechanisms lists all mechanisms.
 var Mechanisms = []Mechanism{
 	None, BatchPlan, BatchYields, BatchReserve, EarlyRefusal, CountReturning, LateRefusal, LateLast, Stalls, Ejection, FailureRate, SlowLast, ZoneFirst,
-	CrashSuspects, CrashingParts, ReservedRates, NamedLimits, ColdBudget, MachinePace, MemoryRoom, FairRoom,
+	CrashSuspects, CrashingParts, ReservedRates, NamedLimits, ColdBudget, MachinePace, MemoryRoom, FairRoom, PromptReuse,
 }
 
 // ParseMechanisms parses a comma-separated list.
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -63,7 +63,8 @@
 	// meanReceived is how many requests a server received recently, on average, as of fastestAt.
 	meanReceived float64
 	// noise is the usual deviation of an answer's time per stream event from its server's average, as a share.
-	noise float64
+	noise   float64
+	prompts prompts
 }
 
 func (p *pool) recordAnswer(req SlotRequest, held time.Duration, o Outcome) {
@@ -171,6 +172,7 @@
 func (p *pool) selectServer(now time.Time, host ids.HostID, req SlotRequest) (sel selection) {
 	p.refreshFastest(now)
 	hold := p.slotTime(req)
+	reuse := p.reuseFor(now, req, hold)
 	var usable, unsuitableServers int
 	var best [unsuitable + 1]candidate
 	for _, s := range p.servers {
@@ -200,7 +202,7 @@
 			sel.lacksRoom = true
 			continue
 		}
-		best[suits].keepCheaper(candidate{s, p.cost(now, s, req.Zone)})
+		best[suits].keepCheaper(candidate{s, p.cost(now, s, req.Zone) + reuse.cost(now, s)})
 	}
 	sel.best, sel.lastResort = best[suitable].server, best[lastResort].server
 	if sel.lastResort == nil && float64(unsuitableServers) > maxEjectedShare*float64(usable) {
--- a/verbena/dispatch/usage.go
+++ b/verbena/dispatch/usage.go
@@ -28,13 +28,15 @@
 	// hold.
 	Paces      []pace.Percent
 	HeldMemory []float64
+	// PartTokens counts the tokens of the shared parts of the prompts that were placed so far.
+	PartTokens PartTokens
 }
 
 // Usage returns the usage of each service.
 func (sc *Scheduler) Usage(now time.Time) map[ids.ServiceName]Usage {
 	all := make(map[ids.ServiceName]Usage, len(sc.pools))
 	for name, p := range sc.pools {
-		u := Usage{Batch: len(p.batchRuns), Waiting: len(p.onlineQueue), LimitedGrants: p.limitedGrants, HeldBack: p.heldBack}
+		u := Usage{Batch: len(p.batchRuns), Waiting: len(p.onlineQueue), LimitedGrants: p.limitedGrants, HeldBack: p.heldBack, PartTokens: p.prompts.placed}
 		for _, s := range p.servers {
 			if !s.present() {
 				continue
--- a/verbenad/internal/slots/gauges.go
+++ b/verbenad/internal/slots/gauges.go
@@ -52,6 +52,9 @@
 		for _, share := range u.HeldMemory {
 			g.histogram("memory_held_share", service).Update(share)
 		}
+		g.set("part_tokens_held", service, u.PartTokens.Held)
+		g.set("part_tokens_held_elsewhere", service, u.PartTokens.HeldElsewhere)
+		g.set("part_tokens_new", service, u.PartTokens.New)
 	}
 }
 
