--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -183,6 +183,7 @@
 	p := sc.pool(w.request.Service)
 	p.holdMemory(r)
 	p.sharesOf(w.request.Class).account.Begin(now, w.request.Workspace)
+	sc.beginPrompt(now, p, r)
 	if w.request.Class != Batch {
 		p.onlineRuns++
 		return r
@@ -298,7 +299,15 @@
 	if sel.free == 0 {
 		return false
 	}
+	room := p.mostRoom(now)
 	for _, w := range waiting.inTimeFirst(now) {
+		if w == first {
+			continue
+		}
+		if p.lacksRoomEverywhere(w.request, room) && !sc.isSuspect(now, w) {
+			w.lacksRoom = true
+			continue
+		}
 		if placed, _ := sc.place(now, w); placed {
 			sc.removeWaiting(w)
 			return true
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -74,6 +74,7 @@
 	pace     *machinePace
 	received received
 	held     memory.Held
+	prompts  serverPrompts
 }
 
 // reset clears what was observed of the server before it restarted. Granted slots are freed when their sends end.
--- a/verbena/dispatch/usage.go
+++ b/verbena/dispatch/usage.go
@@ -33,6 +33,8 @@
 	RoomShort   bool
 	BeyondShare int
 	MostUsing   ids.WorkspaceID
+	// PartTokens counts the tokens of the shared parts of the prompts that were placed so far.
+	PartTokens PartTokens
 }
 
 // usageWindow is the time for which a shortage of room is reported: the interval of reports, and some more.
@@ -42,7 +44,7 @@
 func (sc *Scheduler) Usage(now time.Time) map[ids.ServiceName]Usage {
 	all := make(map[ids.ServiceName]Usage, len(sc.pools))
 	for name, p := range sc.pools {
-		u := Usage{Batch: len(p.batchRuns), Waiting: len(p.onlineQueue), LimitedGrants: p.limitedGrants, HeldBack: p.heldBack}
+		u := Usage{Batch: len(p.batchRuns), Waiting: len(p.onlineQueue), LimitedGrants: p.limitedGrants, HeldBack: p.heldBack, PartTokens: p.prompts.placed}
 		if s := &p.callerShares; s.inForce && now.Sub(s.decidedAt) < usageWindow {
 			u.RoomShort, u.BeyondShare, u.MostUsing = true, len(s.beyond), s.mostUsing(now)
 		}
--- a/verbenad/internal/slots/gauges.go
+++ b/verbenad/internal/slots/gauges.go
@@ -55,6 +55,9 @@
 			g.histogram("memory_held_share", service).Update(share)
 		}
 		g.roomLog.record(now, name, u)
+		g.set("part_tokens_held", service, u.PartTokens.Held)
+		g.set("part_tokens_held_elsewhere", service, u.PartTokens.HeldElsewhere)
+		g.set("part_tokens_new", service, u.PartTokens.New)
 	}
 }
 
