test: compare policies that aren't built only where slots are short

TestCentralDispatcherServesMost asked that hosts with peers' counts start no fewer answers than hosts with their own, also where slots suffice. At all other densities, and for the dispatcher at all, the checks are unchanged.

--- a/verbenalab/internal/placing/placing_test.go
+++ b/verbenalab/internal/placing/placing_test.go
@@ -1,6 +1,7 @@
 package placing_test
 
 import (
+	"math"
 	"os"
 	"strings"
 	"testing"
@@ -23,8 +24,12 @@
 // densities are the factors by which the recorded bursts are multiplied, up to a load that no policy can serve in whole.
 var densities = []float64{1, 1.5, 2, 2.5, 3}
 
+// minInTimeShare is the share of the answers that each policy starts in time while there are slots for all.
+const minInTimeShare = 0.99
+
 // TestCentralDispatcherServesMost: at each density a central dispatcher starts more answers in time than hosts that
-// exchange their counts, and these start no fewer than hosts that know only their own counts.
+// exchange their counts, and where slots are short these start no fewer than hosts that know only their own counts. Where they
+// suffice, counts of others that are a quarter of a second old lead several hosts to the same slot, so only the share counts.
 func TestCentralDispatcherServesMost(t *testing.T) {
 	c := qt.New(t)
 	for _, d := range densities {
@@ -33,6 +38,12 @@
 		peers := placing.Simulate(load, placing.StandardConfig(placing.PeerCounts))
 		central := placing.Simulate(load, placing.StandardConfig(placing.CentralDispatcher))
 		c.Check(central.InTime > peers.InTime, qt.IsTrue, qt.Commentf("density %.1f: %d with a dispatcher, %d with peer counts", d, central.InTime, peers.InTime))
+		if d == 1 {
+			least := int(math.Ceil(minInTimeShare * float64(len(load))))
+			c.Check(min(peers.InTime, local.InTime) >= least, qt.IsTrue,
+				qt.Commentf("of %d: %d with peer counts, %d with local counts", len(load), peers.InTime, local.InTime))
+			continue
+		}
 		c.Check(peers.InTime >= local.InTime, qt.IsTrue, qt.Commentf("density %.1f: %d with peer counts, %d with local counts", d, peers.InTime, local.InTime))
 	}
 }
