test: end processes by clients that are not trusted

TestHostileClients starts the programs with 112 MB and 600 descriptors and plays a crowd against one of them for each shape. The process must live, its peak of memory and its open descriptors must stay under the limits in its settings, and every host must serve afterwards. Shapes, crowds and bounds are fixed here, before the hosts are protected.

The process isn't killed at its limit here, so that the peak can be read.

--- a/verbenalab/internal/soak/environment.go
+++ b/verbenalab/internal/soak/environment.go
@@ -70,6 +70,8 @@
 	objective, eventGap time.Duration
 	// mixedVersions gives the stream servers the softwareVersions in turn, instead of none.
 	mixedVersions bool
+	// memoryMB and maxOpenFiles are the limits in the hosts' settings. With 0 those of standin.WriteSettings apply.
+	memoryMB, maxOpenFiles int
 }
 
 // backendServer is a stand-in for a backend server and the relay in front of it.
--- a/verbenalab/internal/soak/host.go
+++ b/verbenalab/internal/soak/host.go
@@ -50,6 +50,7 @@
 	}
 	s := standin.HostSettings{
 		Name: h.name, IP: h.ip, Zone: "z", Serves: h.role, PeerPort: peerPort, Store: address(h.advertisedIP, storePort), Seeds: seeds,
+		MemoryMB: h.env.options.memoryMB, MaxOpenFiles: h.env.options.maxOpenFiles,
 	}
 	if h.peerRelay, err = relay.NewTCP(address(h.advertisedIP, peerPort), address(h.ip, peerPort)); err != nil {
 		return err
