feat: bound what callers' connections cost before their requests are known

Cause: net/http parses a head while it arrives and keeps all of it. Its limit bounds one head, not their sum, and a head of short fields takes some 140 bytes a field: 16 times its bytes. The listener used constants (64 KiB, 10 s, 90 s) in place of the configuration's limits and had no bound on connections.

A Guard collects heads whole within a budget, reserves what they cost parsed, and makes room by closing connections without a request. callerguard.Pool decides, without I/O. Readiness address and metrics port have small guards.

--- a/verbenad/internal/callerconn/conn.go
+++ b/verbenad/internal/callerconn/conn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"verbenaledge.example/verbena/callerguard"
 )
 
 // firstRequestTime is how long the first request of a connection is expected, and how long the rest of a head may take while the
@@ -32,9 +34,23 @@
 	used, endsWhenUsed bool
 	// requests counts the requests that have begun.
 	requests int
+
+	// reader reads requests within the limits of a guard. It is nil without one.
+	reader *requestReader
+	// waitEnd is until when something has to arrive by the guard's limits; zero if nothing has to.
+	waitEnd time.Time
+	// evictionReason is set once the guard has made the connection end.
+	evictionReason callerguard.Reason
 }
 
-func newConn(c net.Conn, s *connections) *Conn { return &Conn{Conn: c, set: s, openedAt: time.Now()} }
+func newConn(c net.Conn, s *connections, g *Guard) *Conn {
+	conn := &Conn{Conn: c, set: s, openedAt: time.Now()}
+	if g != nil {
+		conn.reader = newRequestReader(conn, g)
+		conn.awaitUntil(conn.openedAt.Add(g.limits.Load().IdleTimeout))
+	}
+	return conn
+}
 
 // End returns how the connection ended, or Open.
 func (c *Conn) End() End { return End(c.end.Load()) }
@@ -48,8 +64,16 @@
 
 func (c *Conn) ended(by End) { c.end.CompareAndSwap(int32(Open), int32(by)) }
 
-// Read reads from the connection, and notices its end.
+// Read reads from the connection.
 func (c *Conn) Read(p []byte) (n int, err error) {
+	if c.reader != nil {
+		return c.reader.Read(p)
+	}
+	return c.readArriving(p)
+}
+
+// readArriving reads what arrives, and notices the end of the connection.
+func (c *Conn) readArriving(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.endsIdle() {
 		n, err = c.readArrived(p)
@@ -86,6 +110,9 @@
 		return
 	}
 	c.phase, c.used = head, true
+	if c.reader != nil && c.evictionReason == "" {
+		c.awaitUntil(time.Now().Add(c.reader.guard.limits.Load().HeaderTimeout))
+	}
 	if c.endsWhenUsed || !c.endsAt.IsZero() {
 		c.endAt(time.Now().Add(firstRequestTime))
 	}
@@ -101,12 +128,20 @@
 }
 
 // becomeIdle is called when a response is complete.
-func (c *Conn) becomeIdle() { c.enter(idle) }
+func (c *Conn) becomeIdle() {
+	if c.reader != nil {
+		c.reader.idle()
+	}
+	c.enter(idle)
+}
 
 func (c *Conn) enter(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = p
+	if p == idle && c.reader != nil && c.evictionReason == "" {
+		c.awaitUntil(time.Now().Add(c.reader.guard.limits.Load().IdleTimeout))
+	}
 	switch {
 	case c.endsAt.IsZero():
 	case p == idle:
@@ -160,7 +195,10 @@
 func (c *Conn) currentDeadline() time.Time {
 	t := c.readDeadline
 	if c.phase != active && !c.endsAt.IsZero() && (t.IsZero() || t.After(c.endsAt)) {
-		return c.endsAt
+		t = c.endsAt
+	}
+	if !c.waitEnd.IsZero() && (t.IsZero() || t.After(c.waitEnd)) {
+		t = c.waitEnd
 	}
 	return t
 }
@@ -183,7 +221,11 @@
 func (c *Conn) Close() error {
 	c.ended(ClosedByHost)
 	c.set.remove(c)
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	if c.reader != nil {
+		c.reader.guard.closed(c.reader.member)
+	}
+	return err
 }
 
 // CloseWrite closes the direction to the caller, where the connection can.
--- a/verbenad/internal/callerconn/listener.go
+++ b/verbenad/internal/callerconn/listener.go
@@ -26,11 +26,23 @@
 	ending atomic.Bool
 	// closeBy is the latest time at which it closes, in Unix nanoseconds; 0 while it isn't draining.
 	closeBy atomic.Int64
+	// guard may be nil.
+	guard *Guard
 }
 
+// Option configures a listener.
+type Option func(*Listener)
+
+// WithGuard makes the listener keep its connections within the limits of a guard.
+func WithGuard(g *Guard) Option { return func(l *Listener) { l.guard = g } }
+
 // NewListener returns a listener that accepts the connections of another one.
-func NewListener(ln net.Listener) *Listener {
-	return &Listener{Listener: ln, connections: connections{open: make(map[*Conn]bool)}}
+func NewListener(ln net.Listener, options ...Option) *Listener {
+	l := &Listener{Listener: ln, connections: connections{open: make(map[*Conn]bool)}}
+	for _, o := range options {
+		o(l)
+	}
+	return l
 }
 
 // Drain makes the listener close once no connection has arrived for acceptQuietTime, at the latest at end. It looks for connections
@@ -77,7 +89,11 @@
 		case draining:
 			l.extendAccept()
 		}
-		c := newConn(accepted, &l.connections)
+		c := newConn(accepted, &l.connections, l.guard)
+		if l.guard != nil && !l.guard.open(c.reader.member) {
+			_ = accepted.Close() // no request was read
+			continue
+		}
 		l.connections.add(c)
 		if l.ending.Load() {
 			c.endWhenIdle()
--- a/verbenad/internal/host/caller_server.go
+++ b/verbenad/internal/host/caller_server.go
@@ -32,8 +32,10 @@
 	endRequests func()
 }
 
-func startCallerServer(ln net.Listener, h http.Handler, endRequests func()) *callerServer {
-	s := &callerServer{listener: callerconn.NewListener(ln), handler: callerconn.NewHandler(h), failed: make(chan error, 1), endRequests: endRequests}
+func startCallerServer(ln net.Listener, h http.Handler, endRequests func(), options ...callerconn.Option) *callerServer {
+	s := &callerServer{
+		listener: callerconn.NewListener(ln, options...), handler: callerconn.NewHandler(h), failed: make(chan error, 1), endRequests: endRequests,
+	}
 	s.http = &http.Server{
 		Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: logs.NewServerErrorLog(callerConnectionErrors.Inc), ConnState: s.listener.StateChanged, ConnContext: entry.ConnContext,
--- a/verbenad/internal/host/callers.go
+++ b/verbenad/internal/host/callers.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"verbenaledge.example/verbenad/internal/callerconn"
 	"verbenaledge.example/verbenad/internal/entry"
 	"verbenaledge.example/verbenad/internal/serverrelay"
 	"verbenaledge.example/verbenad/internal/slots"
@@ -22,12 +23,14 @@
 
 // serveCallers serves callers until the context ends. Then it waits for the load balancer to notice, and for requests
 // in progress to end.
-func serveCallers(ctx context.Context, env Environment, h *entry.Handler, slotClient *slots.Client, relay *serverrelay.Relay) error {
+func serveCallers(
+	ctx context.Context, env Environment, h *entry.Handler, guard *callerconn.Guard, slotClient *slots.Client, relay *serverrelay.Relay,
+) error {
 	ln, err := listen(context.WithoutCancel(ctx), env.Settings.CallerAddress)
 	if err != nil {
 		return err
 	}
-	s := startCallerServer(ln, h, h.EndRequests)
+	s := startCallerServer(ln, h, h.EndRequests, callerconn.WithGuard(guard))
 	log.WithField("address", env.Settings.CallerAddress).Info("taking callers")
 	select {
 	case err := <-s.failed:
--- a/verbenad/internal/host/environment.go
+++ b/verbenad/internal/host/environment.go
@@ -32,12 +32,14 @@
 	memoryPercent = 60
 	// gcPercent is how much the heap may grow between garbage collections; a small heap is cheap to collect.
 	gcPercent = 60
-	// headerTimeout is how long a caller's headers may take to arrive.
-	headerTimeout = 10 * time.Second
-	// maxHeaderBytes limits a caller's headers; each connection may take up this much memory.
-	maxHeaderBytes = 64 << 10
-	// idleTimeout is how long an idle connection of a caller is kept; callers close theirs sooner.
-	idleTimeout = 90 * time.Second
+	// headerTimeout, idleTimeout and maxHeaderBytes bound callers whatever the configuration says; the guard of their connections
+	// applies its limits, which are lower.
+	headerTimeout  = 10 * time.Minute
+	idleTimeout    = time.Hour
+	maxHeaderBytes = 1 << 20
+	// toolTimeout bounds a request of the operator's tools, toolIdleTimeout how long their idle connections are kept.
+	toolTimeout     = 10 * time.Second
+	toolIdleTimeout = 90 * time.Second
 	// closeUnusedInterval is the time between checks for unused connections to backend servers.
 	closeUnusedInterval = 500 * time.Millisecond
 )
@@ -207,9 +209,11 @@
 func serveMetrics(ctx context.Context, address string) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	s := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: headerTimeout}
-	context.AfterFunc(ctx, func() { _ = s.Close() }) // the process is ending
-	if err := s.ListenAndServe(); err != nil && ctx.Err() == nil {
+	ln, err := listen(ctx, address)
+	if err == nil {
+		err = newGuardedServer(ctx, mux).serve(ln)
+	}
+	if err != nil && ctx.Err() == nil {
 		log.WithError(err).WithField("address", address).Error("cannot serve metrics")
 	}
 }
--- a/verbenad/internal/host/front.go
+++ b/verbenad/internal/host/front.go
@@ -14,6 +14,7 @@
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/ownership"
+	"verbenaledge.example/verbenad/internal/callerconn"
 	"verbenaledge.example/verbenad/internal/entry"
 	"verbenaledge.example/verbenad/internal/hostlink"
 	"verbenaledge.example/verbenad/internal/objectfeed"
@@ -54,8 +55,10 @@
 	go slotClient.Run(workCtx)
 	go serveMetrics(workCtx, env.Settings.MetricsAddress())
 	go closeUnusedConnections(workCtx, client, &listed)
+	guard := callerconn.NewGuard(env.Settings.MemoryMB, env.Settings.MaxOpenFiles)
 	follower.followAll(&ownerMap, func(c *catalog.Catalog) {
 		handler.SetCatalog(c)
+		guard.SetLimits(callerLimits(c))
 		slotClient.SetRates(workspaceRates(c))
 		slotClient.SetServices(env.serviceTraits(c))
 	}, evacuated.setServers)
@@ -71,7 +74,7 @@
 	if err := serveReady(workCtx, env.Settings.ReadyAddress, handler); err != nil {
 		return err
 	}
-	return serveCallers(ctx, env, handler, slotClient, relay)
+	return serveCallers(ctx, env, handler, guard, slotClient, relay)
 }
 
 // closeUnusedConnections closes unused connections to backend servers at intervals, until the context ends.
@@ -95,20 +98,24 @@
 	}
 }
 
+// callerLimits returns a configuration's limits of callers' connections.
+func callerLimits(c *catalog.Catalog) callerconn.Limits {
+	return callerconn.Limits{HeaderBytes: c.Limits.HeaderBytes, HeaderTimeout: c.Limits.HeaderTimeout, IdleTimeout: c.Limits.IdleTimeout}
+}
+
 // serveReady serves the readiness check until the context ends.
 func serveReady(ctx context.Context, address string, h *entry.Handler) error {
 	ln, err := listen(ctx, address)
 	if err != nil {
 		return err
 	}
-	s := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s := newGuardedServer(ctx, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !h.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-	})}
-	context.AfterFunc(ctx, func() { _ = s.Close() }) // the process is ending
+	}))
 	go func() {
-		if err := s.Serve(ln); err != nil && ctx.Err() == nil {
+		if err := s.serve(ln); err != nil && ctx.Err() == nil {
 			log.WithError(err).Error("cannot serve readiness")
 		}
 	}()
