feat: reserve memory for bodies as they arrive

Cause: a body that was announced and never sent reserved its whole length, and a chunked one the whole limit, from the budget of all requests. Five silent clients kept bodies of others out of a host of 64 MB.

Memory is now reserved as the body arrives, in doubling steps.

TestAnnouncedBodiesTakeNoMemory and TestUnfinishedBodiesMakeRoom fail on the code before (run with its readBody restored) and pass now, 3 of 3 with -race. With an ordinary body of 100 KB instead of 1 MiB they passed before, as so much of the budget was left by chance.

Ruled out: refusing at once, which lets slow bodies keep the budget until their deadlines.

--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -63,6 +62,8 @@
 	clock       clock.Clock
 	catalog     atomic.Pointer[catalog.Catalog]
 	memory      *memoryBudget
+	// bodies are those that are being read.
+	bodies      *unfinishedBodies
 	retryBudget *retryBudget
 	durations   *durations
 	connections connectionAges
@@ -92,6 +93,7 @@
 		runCtx: runCtx, endRequests: endRequests,
 		protocol: p, jobProtocol: jobProtocol, jobOwners: jobOwners, slots: s, client: u, clock: c, retryBudget: newRetryBudget(),
 		durations:    newDurations(),
+		bodies:       newUnfinishedBodies(c),
 		memory:       newMemoryBudget(int64(max(16, memoryMB)) << 20 / memoryBudgetDivisor),
 		firstCatalog: make(chan struct{}), startupEnd: c.Now().Add(startupTime),
 	}
@@ -181,7 +183,7 @@
 		h.refuseBody(req, err)
 		return
 	}
-	defer h.memory.release(int64(len(req.body)))
+	defer h.releaseBody(req)
 	if req.route.Kind == catalog.KindBatch {
 		h.submitJob(req)
 		return
@@ -249,6 +251,8 @@
 var (
 	errTooLarge = errors.New("request body exceeds the limit")
 	errNoMemory = errors.New("no memory left for the request body")
+	// errDisplaced means that the body was the slowest one, and made room for others.
+	errDisplaced = errors.New("request body made room for others")
 )
 
 // readBody reads the whole body, so that it can be sent to another server as well.
@@ -263,46 +267,33 @@
 	if req.httpRequest.ContentLength == 0 {
 		return nil
 	}
-	reserved := req.httpRequest.ContentLength
-	if reserved < 0 {
-		reserved = limit
-	}
-	if !h.memory.reserve(reserved) {
-		return errNoMemory
-	}
 	clearDeadline := h.setReadDeadline(req)
-	body, err := req.readAll(limit)
+	body, err := h.readUnfinished(req, limit)
 	if err == nil {
 		clearDeadline() // after an error it stays: without it, net/http would wait for the rest of the body
 	}
-	h.memory.release(reserved - int64(len(body)))
 	req.body = body
 	return err
 }
 
-func (r *request) readAll(limit int64) ([]byte, error) {
-	if length := r.httpRequest.ContentLength; length > 0 {
-		body := make([]byte, length)
-		n, err := io.ReadFull(r.httpRequest.Body, body)
-		return body[:n], err
-	}
-	body, err := io.ReadAll(io.LimitReader(r.httpRequest.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return body, errTooLarge
-	}
-	return body, err
+// releaseBody returns the memory of a request's body to the budget.
+func (h *Handler) releaseBody(req *request) {
+	h.memory.release(int64(cap(req.body)))
+	req.body = nil
 }
 
 // refuseBody answers a request whose body could not be read.
 func (h *Handler) refuseBody(req *request, err error) {
-	h.memory.release(int64(len(req.body)))
-	req.body = nil
+	h.releaseBody(req)
 	switch {
 	case errors.Is(err, errTooLarge):
 		h.refuse(req, http.StatusRequestEntityTooLarge, 0, "body_too_large")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		req.writer.Header().Set("Connection", "close") // the rest of the body may still arrive
 		h.refuse(req, http.StatusRequestTimeout, 0, "body_too_slow")
+	case errors.Is(err, errDisplaced):
+		req.writer.Header().Set("Connection", "close") // as above
+		h.refuse(req, http.StatusServiceUnavailable, unavailableRetryAfter, "body_displaced")
 	case errors.Is(err, errNoMemory):
 		h.refuse(req, http.StatusServiceUnavailable, unavailableRetryAfter, "no_memory")
 	default:
