fix: bound the bytes of queued log lines

Cause: the queue for a slow reader of the output was bounded by lines only. Lines carry ids that callers choose, up to the size of a head: 2,048 lines of 16 KB are 32 MB. Beyond 2 MiB lines are dropped and counted, as before beyond 2,048 lines. TestLongLinesDontFillMemory guards it.

--- a/verbenad/internal/logs/writer.go
+++ b/verbenad/internal/logs/writer.go
@@ -14,6 +14,8 @@
 const (
 	// maxQueuedLines bounds the lines that wait for a slow reader of standard output.
 	maxQueuedLines = 2048
+	// maxQueuedBytes bounds their bytes: ids that callers choose stand in lines, and may be as long as a head.
+	maxQueuedBytes = 2 << 20
 	// maxLinesPerSecond bounds the log's volume; a line is about 300 bytes.
 	maxLinesPerSecond = 400
 	// closeTimeout bounds the time for writing the last lines when the process ends.
@@ -27,7 +29,9 @@
 	second  atomic.Int64
 	count   atomic.Int64
 	dropped atomic.Int64
-	done    chan struct{}
+	// queued counts the bytes in lines.
+	queued atomic.Int64
+	done   chan struct{}
 
 	// mu keeps Close from closing lines while Write sends to it.
 	mu     sync.RWMutex
@@ -57,12 +61,15 @@
 	if w.closed {
 		return false
 	}
-	select {
-	case w.lines <- line:
-		return true
-	default:
-		return false
+	if w.queued.Add(int64(len(line))) <= maxQueuedBytes {
+		select {
+		case w.lines <- line:
+			return true
+		default:
+		}
 	}
+	w.queued.Add(-int64(len(line)))
+	return false
 }
 
 func (w *Writer) takeQuota(second int64) bool {
@@ -80,6 +87,7 @@
 func (w *Writer) run(out io.Writer) {
 	defer close(w.done)
 	for l := range w.lines {
+		w.queued.Add(-int64(len(l)))
 		if _, err := out.Write(append(w.takeDroppedNotice(), l...)); err != nil {
 			w.drop()
 		}
