feat: end stalled bodies when requests hold nearly all connections

Cause: connections on which a request runs aren't closed, so requests whose bodies never come could hold all of them until their deadlines, and callers were refused meanwhile. When requests hold seven eighths of the connections and none is idle or unfinished, the slowest unfinished body is ended with 503; its request can't have run.

--- a/verbena/callerguard/bodies.go
+++ b/verbena/callerguard/bodies.go
@@ -40,15 +40,17 @@
 	return body.displaced
 }
 
-// DisplaceSlowest ends the slowest body that holds any bytes, to make room for another one. It ends no further one while one that
-// was ended is still held. ok is false if the other one is the slowest.
+// DisplaceSlowest ends the slowest body. If favored isn't nil, that makes room for its memory: bodies that hold none stay, and ok is
+// false if it is the slowest itself. No further one is ended while one that was is still held.
 func (b *Bodies) DisplaceSlowest(favored *Body, now time.Time) (ok bool) {
 	slowest := favored
 	for body := range b.set {
+		rate := body.rate(now)
 		switch {
 		case body.displaced && body != favored:
 			return true
-		case body.bytes > 0 && body.rate(now) < slowest.rate(now):
+		case math.IsInf(rate, 1), favored != nil && body.bytes == 0:
+		case slowest == nil || rate < slowest.rate(now):
 			slowest = body
 		}
 	}
--- a/verbena/callerguard/bodies_test.go
+++ b/verbena/callerguard/bodies_test.go
@@ -32,4 +32,6 @@
 	c.Assert(b.DisplaceSlowest(all[0], now), qt.IsFalse, qt.Commentf("it is the slowest itself"))
 	c.Assert(ended, qt.DeepEquals, []int{1, 2})
 	c.Assert(b.Remove(young), qt.IsFalse)
+	c.Assert(b.DisplaceSlowest(nil, now), qt.IsTrue, qt.Commentf("one without a byte makes room for connections"))
+	c.Assert(ended, qt.DeepEquals, []int{1, 2, 3})
 }
--- a/verbena/callerguard/pool.go
+++ b/verbena/callerguard/pool.go
@@ -14,6 +14,8 @@
 	// costlyDivisor keeps heads of higher cost to half of the budget: they can't be closed once their requests run, and would
 	// leave nothing for ordinary ones.
 	costlyDivisor = 2
+	// tightDivisor is the part of the connections that is free when room is made before it is needed.
+	tightDivisor = 8
 	// youngHead is the age below which an unfinished head is closed only if nothing else is left to close. The head of an
 	// ordinary request arrives within a round trip.
 	youngHead = 500 * time.Millisecond
@@ -153,6 +155,16 @@
 // Usage returns the number of open connections, and the bytes that are reserved for their heads.
 func (p *Pool) Usage() (open int, bytes int64) { return p.open, p.used }
 
+// Tight reports whether the number of connections is near its limit, and requests are in progress on all of them.
+func (p *Pool) Tight() bool {
+	for _, q := range p.queues {
+		if q.Len() > 0 {
+			return false
+		}
+	}
+	return p.open-p.leaving >= p.budget.Connections-p.budget.Connections/tightDivisor
+}
+
 // Overdue returns by how many the open connections exceed the limit, because those that were told to close haven't yet.
 func (p *Pool) Overdue() int { return p.open - p.budget.Connections }
 
--- a/verbena/callerguard/pool_test.go
+++ b/verbena/callerguard/pool_test.go
@@ -86,5 +86,8 @@
 		c.Assert(p.Overdue(), qt.Equals, 0)
 	}
 	c.Check(p.Open(NewMember(nil), now), qt.IsFalse)
+	c.Check(p.Tight(), qt.IsTrue)
+	p.Idle(all[0], now)
+	c.Check(p.Tight(), qt.IsFalse)
 	c.Check(ends, qt.HasLen, 4)
 }
--- a/verbenad/internal/callerconn/guard.go
+++ b/verbenad/internal/callerconn/guard.go
@@ -38,11 +38,15 @@
 	mu     sync.Mutex
 	pool   *callerguard.Pool
 	limits atomic.Pointer[Limits]
+	// makeRoom ends a request whose body hasn't arrived, if there is one.
+	makeRoom func()
 }
 
 // NewGuard returns a guard for a host with the given memory and number of file descriptors. 0 stands for defaultMemoryMB,
 // and for no limit of descriptors.
-func NewGuard(memoryMB, maxOpenFiles int) *Guard {
+// makeRoom is called when requests are in progress on nearly as many connections as are allowed; it should end one that can't
+// run as its body hasn't arrived.
+func NewGuard(memoryMB, maxOpenFiles int, makeRoom func()) *Guard {
 	if memoryMB <= 0 {
 		memoryMB = defaultMemoryMB
 	}
@@ -51,7 +55,9 @@
 	if maxOpenFiles > 0 {
 		connections = min(connections, (maxOpenFiles-reservedFiles)*callerFilesPercent/100)
 	}
-	return newGuard(callerguard.Budget{Connections: max(minConnections, connections), HeadBytes: memory / headMemoryDivisor})
+	g := newGuard(callerguard.Budget{Connections: max(minConnections, connections), HeadBytes: memory / headMemoryDivisor})
+	g.makeRoom = makeRoom
+	return g
 }
 
 const (
@@ -82,7 +88,14 @@
 
 // open admits a new connection, or reports that there is no room for it. It waits for connections that were told to close.
 func (g *Guard) open(m *callerguard.Member) (ok bool) {
-	g.locked(func(now time.Time) { ok = g.pool.Open(m, now) })
+	tight := false
+	g.locked(func(now time.Time) {
+		tight = g.pool.Tight()
+		ok = g.pool.Open(m, now)
+	})
+	if tight && g.makeRoom != nil {
+		g.makeRoom()
+	}
 	if !ok {
 		countClosed(callerguard.NoConnections)
 		return false
--- a/verbenad/internal/callerconn/guard_test.go
+++ b/verbenad/internal/callerconn/guard_test.go
@@ -256,3 +256,31 @@
 	_, err = r.ReadByte()
 	c.Assert(err, qt.Equals, io.EOF)
 }
+
+// TestRunningRequestsMakeRoom guards against requests that never get their bodies and take all connections: the guard asks for room
+// before the last one is taken, and never closes a connection with a request itself.
+func TestRunningRequestsMakeRoom(t *testing.T) {
+	c := qt.New(t)
+	g := newGuard(callerguard.Budget{Connections: 16, HeadBytes: 1 << 20})
+	asked := make(chan struct{}, 100)
+	g.makeRoom = func() { asked <- struct{}{} }
+	l := serveGuarded(c, g)
+	const head = "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n"
+	conns := make([]net.Conn, 0, 15)
+	for range 15 {
+		conn := dialGuarded(c, l)
+		_, err := io.WriteString(conn, head)
+		c.Assert(err, qt.IsNil)
+		status, _ := readStatus(c, bufio.NewReader(conn)) // the request is in progress
+		c.Assert(status, qt.Equals, http.StatusContinue)
+		conns = append(conns, conn)
+	}
+	c.Assert(asked, qt.HasLen, 1)
+	for _, conn := range conns {
+		_, err := io.WriteString(conn, "b")
+		c.Assert(err, qt.IsNil)
+		status, body := readStatus(c, bufio.NewReader(conn))
+		c.Assert(status, qt.Equals, http.StatusOK)
+		c.Assert(body, qt.Equals, "/ b")
+	}
+}
--- a/verbenad/internal/entry/body_memory_test.go
+++ b/verbenad/internal/entry/body_memory_test.go
@@ -1,12 +1,15 @@
 package entry
 
 import (
+	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -85,3 +88,57 @@
 	c.Check(h.memory.available.Load() >= 0, qt.IsTrue)
 	checkBodyIsRead(c, address)
 }
+
+// TestStalledBodyMakesRoom guards against bodies that stall and keep connections from others until the deadlines of their requests.
+func TestStalledBodyMakesRoom(t *testing.T) {
+	c := qt.New(t)
+	address, h := bodyServer(c)
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	c.Assert(conn.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		c.Check(err, qt.IsNil)
+		if err == nil {
+			c.Check(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+			_ = response.Body.Close() // the connection is closed
+		}
+	}()
+	for ended := false; !ended; {
+		h.EndSlowestBody()
+		select {
+		case <-answered:
+			ended = true
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// TestEndlessFramingEnds guards against chunk extensions and trailers without end, which no limit of the body counts.
+func TestEndlessFramingEnds(t *testing.T) {
+	c := qt.New(t)
+	address, h := bodyServer(c)
+	for _, begin := range []string{"1;", "0\r\nTrailer: "} {
+		conn, err := net.Dial("tcp", address)
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		c.Assert(conn.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+		_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+begin)
+		c.Assert(err, qt.IsNil)
+		go func() {
+			for {
+				if _, err := conn.Write(bytes.Repeat([]byte{'e'}, 4<<10)); err != nil {
+					return // the host has closed the connection
+				}
+			}
+		}()
+		_, err = conn.Read(make([]byte, 1))
+		c.Assert(errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse, qt.Commentf("%q isn't answered", begin))
+	}
+	c.Assert(h.memory.available.Load(), qt.Equals, int64(bodyTestMemoryMB<<20/memoryBudgetDivisor))
+}
--- a/verbenad/internal/entry/unfinished_bodies.go
+++ b/verbenad/internal/entry/unfinished_bodies.go
@@ -9,6 +9,9 @@
 	"verbenaledge.example/verbena/clock"
 )
 
+// EndSlowestBody ends the request whose body arrives most slowly, if one has been read for a while.
+func (h *Handler) EndSlowestBody() { h.bodies.displaceSlowest(nil) }
+
 // unfinishedBodies are the bodies that are being read.
 type unfinishedBodies struct {
 	clock clock.Clock
--- a/verbenad/internal/host/front.go
+++ b/verbenad/internal/host/front.go
@@ -55,7 +55,7 @@
 	go slotClient.Run(workCtx)
 	go serveMetrics(workCtx, env.Settings.MetricsAddress())
 	go closeUnusedConnections(workCtx, client, &listed)
-	guard := callerconn.NewGuard(env.Settings.MemoryMB, env.Settings.MaxOpenFiles)
+	guard := callerconn.NewGuard(env.Settings.MemoryMB, env.Settings.MaxOpenFiles, handler.EndSlowestBody)
 	follower.followAll(&ownerMap, func(c *catalog.Catalog) {
 		handler.SetCatalog(c)
 		guard.SetLimits(callerLimits(c))
