--- a/verbenad/internal/hostlink/newcomers.go
+++ b/verbenad/internal/hostlink/newcomers.go
@@ -3,10 +3,12 @@
 import (
 	"container/list"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
 )
 
 const (
@@ -17,7 +19,11 @@
 	maxNewcomerBytes = 2*maxFrameSize + 1<<20
 )
 
-var newcomersClosed = metrics.NewCounter("verbenad_host_connections_closed_total")
+// The reasons for which the oldest connection is closed.
+const (
+	tooManyNewcomers = "too_many"
+	noNewcomerMemory = "no_memory"
+)
 
 var errNewcomerClosed = errors.New("closed to make room for other connections")
 
@@ -42,7 +48,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.queue.Len() >= maxNewcomers {
-		s.closeOldest()
+		s.closeOldest(tooManyNewcomers)
 	}
 	n := &newcomer{set: s, conn: c}
 	n.element = s.queue.PushBack(n)
@@ -50,14 +56,15 @@
 }
 
 // closeOldest is called with mu held and a queue that isn't empty.
-func (s *newcomers) closeOldest() {
+func (s *newcomers) closeOldest(reason string) {
 	n, ok := s.queue.Front().Value.(*newcomer)
 	if !ok {
 		return
 	}
 	n.leave()
 	_ = n.conn.Close() // nothing was done for it
-	newcomersClosed.Inc()
+	metrics.GetOrCreateCounter(fmt.Sprintf("verbenad_host_connections_closed_total{reason=%q}", reason)).Inc()
+	log.WithField("reason", reason).Info("connection without a first frame closed")
 }
 
 // leave is called with mu held.
@@ -79,7 +86,7 @@
 	n.bytes += bytes
 	n.set.bytes += bytes
 	for n.element != nil && n.set.bytes > maxNewcomerBytes {
-		n.set.closeOldest()
+		n.set.closeOldest(noNewcomerMemory)
 	}
 	if n.element == nil {
 		return errNewcomerClosed
