--- a/verbenad/cmd/cut_responses_test.go
+++ b/verbenad/cmd/cut_responses_test.go
@@ -247,14 +247,18 @@
 	}
 }
 
-// useUpMemory sends the head of a request whose body would take up all memory, and waits until that is reserved.
+// useUpMemory sends bodies, but for their last bytes, that take up all memory, and waits until that is reserved.
 func (f *cutFixture) useUpMemory() {
-	var d net.Dialer
-	conn, err := d.DialContext(f.Context(), "tcp", f.host.Listener.Addr().String())
-	f.Assert(err, qt.IsNil)
-	f.Cleanup(func() { _ = conn.Close() })
-	_, err = fmt.Fprintf(conn, "POST /once/x HTTP/1.1\r\nHost: %s\r\n%s: hog\r\nContent-Length: %d\r\n\r\n", cutHost, standin.HeaderRequestID, memoryMB<<20/4)
-	f.Assert(err, qt.IsNil)
+	const largest, smallest = 1 << 20, 8 << 10
+	for left := memoryMB << 20 / 4; left > 0; {
+		size := largest
+		for size > smallest && size > left/2 {
+			size /= 2
+		}
+		f.sendUnfinished(size)
+		left -= size
+		time.Sleep(20 * time.Millisecond) // a body that grows takes more for a moment
+	}
 	raw, _ := answer(f.shapes[slices.IndexFunc(f.shapes, func(s cutserver.Shape) bool { return s.Name == "chunks" })], okStatus, strings.Repeat("x", probeBytes))
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
 		f.server.SetAnswers(cutserver.Answer{Raw: raw})
@@ -265,6 +269,17 @@
 	f.Fatal("memory isn't used up")
 }
 
+// sendUnfinished sends a request without the last byte of its body.
+func (f *cutFixture) sendUnfinished(size int) {
+	var d net.Dialer
+	conn, err := d.DialContext(f.Context(), "tcp", f.host.Listener.Addr().String())
+	f.Assert(err, qt.IsNil)
+	f.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST /once/x HTTP/1.1\r\nHost: %s\r\n%s: hog\r\nContent-Length: %d\r\n\r\n%s",
+		cutHost, standin.HeaderRequestID, size, strings.Repeat("x", size-1))
+	f.Assert(err, qt.IsNil)
+}
+
 func (tc *cutCase) run(f *cutFixture) {
 	for _, s := range f.shapes {
 		raw, headBytes := answer(s, tc.status, tc.body)
