fix: reserve a server for requests that lack memory for long

Small requests took all memory that became free: on four servers at half load, requests of 70 and 90 percent of a server's memory ended too late after 10 s and their items hadn't run after 58 s.

The oldest request that has lacked room for a quarter of its time until a start in time (an item: a second) gets the server reserved that will have room first. Others use other servers, or wait if they fit on no other; a caller uses a server that is reserved for an item before it makes an item yield. The reservation ends with the request or the server. The estimate for refusals counts on freed memory from the reservation on.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -119,7 +119,7 @@
 	if w.lacksRoom {
 		position-- // a slot is free
 	}
-	room := p.roomWait(now, w.request)
+	room := p.roomWait(now, w)
 	wait := max(room, c.queueTime(position))
 	limit := w.due.Sub(now)
 	if w.isReturning() {
@@ -229,6 +229,7 @@
 
 func (sc *Scheduler) removeWaiting(w *waiter) {
 	delete(sc.waiting, w.key)
+	w.pool.dropReservation(w)
 	if w.request.Class == Batch {
 		w.pool.batchQueue.remove(w)
 	} else {
@@ -241,6 +242,8 @@
 	sc.refuseExpired(now, p)
 	sc.refuseBlocked(now, p)
 	sc.refuseUncertain(now, p)
+	p.reserveRoom(now)
+	sc.serveReserved(now, p)
 	for len(p.onlineQueue) > 0 {
 		if !sc.serveNext(now, p) {
 			break
@@ -261,49 +264,6 @@
 	}
 }
 
-// itemRequest returns the request of a batch item, without its condition on the version once it should begin again at another.
-func (p *pool) itemRequest(now time.Time, w *waiter) SlotRequest {
-	req := w.request
-	if req.Resumption != nil && (now.Sub(w.since) >= otherVersionAfter || !p.hasOther(now, req)) {
-		req.Resumption = nil
-	}
-	return req
-}
-
-// nextItem returns the first batch item that can start now, and its server. An item that waits for a server of the version
-// that began its output doesn't hold up the others.
-func (p *pool) nextItem(now time.Time) (w *waiter, s *server, in Inputs) {
-	var search roomSearch
-	for _, w := range p.batchQueue {
-		req := p.itemRequest(now, w)
-		if search.isHopeless(req) || req.Resumption != nil && w.awaitsList() {
-			continue
-		}
-		sel := p.selectServer(now, w.key.Host, req)
-		if w == p.batchQueue[0] {
-			p.plan.observe(now, max(0, sel.effective-float64(p.onlineRuns+p.batchReserve())), sel.effective)
-		}
-		if sel.free <= p.batchReserve() {
-			return nil, nil, in
-		}
-		s := sel.best
-		if s == nil {
-			s = sel.lastResort
-		}
-		if s != nil {
-			if w.resumption != nil {
-				w.resumption.MayHaveRestarted = s.mayHaveRestarted(now) || w.awaitsList()
-			}
-			return w, s, p.inputs(sel)
-		}
-		if !sel.lacksRoom && req.Resumption == nil {
-			return nil, nil, in
-		}
-		search.add(sel, req)
-	}
-	return nil, nil, in
-}
-
 // serveNext starts the first waiting request, or, if the free slots are on servers that it can't use, the next one that
 // can use them. It reports whether one was started.
 func (sc *Scheduler) serveNext(now time.Time, p *pool) bool {
--- a/verbena/dispatch/memory.go
+++ b/verbena/dispatch/memory.go
@@ -117,10 +117,8 @@
 		return
 	}
 	yielding := p.yieldingTokens()
-	for s, tokens := range yielding {
-		if s.usable(now) && req.mayRunOn(now, s) && p.lackingTokens(s, &req.Footprint, tokens) <= 0 {
-			return
-		}
+	if p.awaitsYielding(now, w.key, req, yielding) {
+		return
 	}
 	var item *run
 	for _, r := range p.batchRuns {
@@ -139,33 +137,25 @@
 	sc.commands = append(sc.commands, Yield{Key: item.key})
 }
 
-// roomWait estimates when a server has room for the request: each gives back what it holds once in the usual time of a request.
-func (p *pool) roomWait(now time.Time, r SlotRequest) (wait time.Duration) {
-	if p.memoryTokens == 0 || r.Footprint.Size == 0 {
-		return 0
-	}
-	yielding, found := p.yieldingTokens(), false
-	for _, s := range p.servers {
-		if !s.usable(now) || !r.mayRunOn(now, s) {
-			continue
-		}
-		lacking := p.lackingTokens(s, &r.Footprint, yielding[s])
-		if lacking <= 0 {
-			return 0
-		}
-		held := max(1, s.held.Tokens())
-		if d := time.Duration(float64(p.holdTime()) * min(1, float64(lacking)/float64(held))); !found || d < wait {
-			wait, found = d, true
+// awaitsYielding reports whether the request has room once items have left that were told to yield.
+func (p *pool) awaitsYielding(now time.Time, k Key, req SlotRequest, yielding map[*server]memory.Tokens) bool {
+	for s, tokens := range yielding {
+		if s.usable(now) && !s.keptFromClass(k, req.Class) && req.mayRunOn(now, s) && p.lackingTokens(s, &req.Footprint, tokens) <= 0 {
+			return true
 		}
 	}
-	return wait
+	return false
 }
 
 // roomSearch spares the search of a server for items that need at least as much room as one that found none.
-type roomSearch struct{ lacking memory.Tokens }
+type roomSearch struct {
+	lacking memory.Tokens
+	// reserved is the request that a server is reserved for, or nil.
+	reserved *waiter
+}
 
-func (rs *roomSearch) isHopeless(r SlotRequest) bool {
-	return rs.lacking > 0 && r.Footprint.Own >= rs.lacking
+func (rs *roomSearch) isHopeless(w *waiter, r SlotRequest) bool {
+	return rs.reserved != w && rs.lacking > 0 && r.Footprint.Own >= rs.lacking
 }
 
 func (rs *roomSearch) add(sel selection, r SlotRequest) {
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -51,6 +52,7 @@
 	// memoryTokens is the memory of a server, 0 if it isn't known. meanTokens is the moving average of what a request holds.
 	memoryTokens memory.Tokens
 	meanTokens   float64
+	reserved     roomReservation
 	// limitedGrants counts the slots granted on servers with a limit, heldBack the requests that waited or were refused
 	// while a limit left slots free.
 	limitedGrants, heldBack int
@@ -170,7 +172,8 @@
 	p.refreshFastest(now)
 	hold := p.slotTime(req)
 	var usable, unsuitableServers int
-	var best [unsuitable + 1]candidate
+	var best [reservedForItem + 1]candidate
+	key := Key{Host: host, Ticket: req.Ticket}
 	for _, s := range p.servers {
 		if !s.usable(now) {
 			continue
@@ -194,13 +197,13 @@
 		if free == 0 || !req.mayRunOn(now, s) {
 			continue
 		}
-		if !p.hasRoom(s, &req.Footprint) {
+		if !p.offersRoom(s, key, &req) {
 			sel.lacksRoom = true
 			continue
 		}
-		best[suits].keepCheaper(candidate{s, p.cost(now, s, req.Zone)})
+		best[s.suitabilityIfReserved(key, suits)].keepCheaper(candidate{s, p.cost(now, s, req.Zone)})
 	}
-	sel.best, sel.lastResort = best[suitable].server, best[lastResort].server
+	sel.best, sel.lastResort = cmp.Or(best[suitable].server, best[reservedForItem].server), best[lastResort].server
 	if sel.lastResort == nil && float64(unsuitableServers) > maxEjectedShare*float64(usable) {
 		sel.lastResort = best[unsuitable].server
 	}
@@ -294,8 +297,8 @@
 
 // accepts reports whether a request may be sent to the server once a batch item yields its slot.
 func (s *server) accepts(now time.Time, host ids.HostID, req SlotRequest) bool {
-	return s.usable(now) && s.trial == nil && s.limit.Ready(now) && s.cold.Ready(now) && req.mayRunOn(now, s) && !now.Before(s.pausedUntil) &&
-		s.failures.suitabilityFor(now, host) == suitable
+	return s.usable(now) && s.trial == nil && !s.keptFromClass(Key{Host: host, Ticket: req.Ticket}, req.Class) && s.limit.Ready(now) &&
+		s.cold.Ready(now) && req.mayRunOn(now, s) && !now.Before(s.pausedUntil) && s.failures.suitabilityFor(now, host) == suitable
 }
 
 // yieldsBefore orders batch items: deferred ones first, then those with the most time left.
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -74,6 +74,8 @@
 	pace     *machinePace
 	received received
 	held     memory.Held
+	// reservedFor is the request that the server's room is reserved for, or nil.
+	reservedFor *waiter
 }
 
 // reset clears what was observed of the server before it restarted. Granted slots are freed when their sends end.
--- a/verbena/dispatch/server_list.go
+++ b/verbena/dispatch/server_list.go
@@ -72,6 +72,9 @@
 
 func (sc *Scheduler) removeFromPool(s *server) {
 	p := sc.pool(s.Service)
+	if p.reserved.server == s {
+		p.dropReservation(p.reserved.waiter)
+	}
 	for i, o := range p.servers {
 		if o == s {
 			p.servers = append(p.servers[:i], p.servers[i+1:]...)
