--- a/verbena/dispatch/memory.go
+++ b/verbena/dispatch/memory.go
@@ -93,60 +93,6 @@
 
 func (p *pool) giveBackMemory(r *run) { r.server.held.Remove(r.request.Footprint) }
 
-// yieldingTokens returns the memory that batch items will give back that were told to yield, by server.
-func (p *pool) yieldingTokens() map[*server]memory.Tokens {
-	var yielding map[*server]memory.Tokens
-	for _, r := range p.batchRuns {
-		if !r.yielding {
-			continue
-		}
-		if yielding == nil {
-			yielding = make(map[*server]memory.Tokens)
-		}
-		yielding[r.server] += r.request.Footprint.Own
-	}
-	return yielding
-}
-
-// makeRoom tells a batch item to yield whose memory lets a caller's request in, unless enough is about to be given back. The request
-// waits until then: the server must not hold both.
-func (sc *Scheduler) makeRoom(now time.Time, w *waiter, req SlotRequest, sel selection) {
-	p := w.pool
-	w.lacksRoom = sel.lacksRoom
-	if p.memoryTokens == 0 || req.Footprint.Size == 0 || p.disabled[BatchYields] || len(p.batchRuns) == 0 {
-		return
-	}
-	yielding := p.yieldingTokens()
-	if p.awaitsYielding(now, w.key, req, yielding) {
-		return
-	}
-	var item *run
-	for _, r := range p.batchRuns {
-		if r.yielding || !r.server.accepts(now, w.key.Host, req) || p.lackingTokens(r.server, &req.Footprint, yielding[r.server]+r.request.Footprint.Own) > 0 {
-			continue
-		}
-		if item == nil || r.yieldsBefore(item) {
-			item = r
-		}
-	}
-	if item == nil {
-		return
-	}
-	item.yielding = true
-	item.server.yieldingSlots++
-	sc.commands = append(sc.commands, Yield{Key: item.key})
-}
-
-// awaitsYielding reports whether the request has room once items have left that were told to yield.
-func (p *pool) awaitsYielding(now time.Time, k Key, req SlotRequest, yielding map[*server]memory.Tokens) bool {
-	for s, tokens := range yielding {
-		if s.usable(now) && !s.keptFromClass(k, req.Class) && req.mayRunOn(now, s) && p.lackingTokens(s, &req.Footprint, tokens) <= 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // roomSearch spares the search of a server for items that need at least as much room as one that found none.
 type roomSearch struct {
 	lacking memory.Tokens
