fix: start batch items while all waiting callers lack memory

One caller that waited for memory stopped all items of its service: with 300 tokens free on each of two servers an item of 50 hadn't run after a second.

Items start now while every waiting caller lacks room, though not on the reserved server. They don't start either on servers where items yield at the moment, as they would take the memory that is made free for the caller: the script memory_items_leave_yielded_room fails without this rule, memory_items_beside_waiting_caller failed before.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -237,7 +237,7 @@
 	}
 }
 
-// servePool gives free slots to waiting requests: to callers' first, and to batch items when no caller waits.
+// servePool gives free slots to waiting requests: to callers' first, and to batch items when no caller waits that could use them.
 func (sc *Scheduler) servePool(now time.Time, p *pool) {
 	sc.refuseExpired(now, p)
 	sc.refuseBlocked(now, p)
@@ -249,9 +249,10 @@
 			break
 		}
 	}
-	if slices.ContainsFunc(p.onlineQueue, func(w *waiter) bool { return w.resumption == nil && !sc.isSuspect(now, w) }) {
-		return // suspects wait for a trial, and resumed streams for certain servers: other slots are left to batch items
+	if slices.ContainsFunc(p.onlineQueue, func(w *waiter) bool { return w.resumption == nil && !w.lacksRoom && !sc.isSuspect(now, w) }) {
+		return // suspects wait for a trial, resumed streams for certain servers, large requests for memory: other slots are left to batch items
 	}
+	p.callersLackRoom = slices.ContainsFunc(p.onlineQueue, func(w *waiter) bool { return w.lacksRoom })
 	p.planBatch(now)
 	for {
 		w, s, in := p.nextItem(now)
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -53,6 +53,8 @@
 	memoryTokens memory.Tokens
 	meanTokens   float64
 	reserved     roomReservation
+	// callersLackRoom is set while callers' requests wait for memory. Items then leave the memory to them that others yield.
+	callersLackRoom bool
 	// limitedGrants counts the slots granted on servers with a limit, heldBack the requests that waited or were refused
 	// while a limit left slots free.
 	limitedGrants, heldBack int
--- a/verbena/dispatch/reserved_room.go
+++ b/verbena/dispatch/reserved_room.go
@@ -74,8 +74,11 @@
 	return s.keptFrom(k) && (class == Batch || s.reservedFor.request.Class != Batch)
 }
 
-// offersRoom reports whether the request fits and the server isn't reserved for another.
+// offersRoom reports whether the request fits and the server's room isn't kept for another.
 func (p *pool) offersRoom(s *server, k Key, r *SlotRequest) bool {
+	if r.Class == Batch && p.callersLackRoom && s.yieldingSlots > 0 {
+		return false
+	}
 	return !s.keptFromClass(k, r.Class) && p.hasRoom(s, &r.Footprint)
 }
 
