fix: search room for items that may use other servers than a failed one

An item that found no room made all later items of its size count as hopeless, also if it excludes a server or needs a software version: one that fits on a free server hadn't run after 10 s behind one that excludes it.

Only failures of items that may use all servers are recorded now, and only from hosts to which no server is unsuitable. The scripts memory_items_exclude_servers and memory_items_of_versions failed before.

--- a/verbena/dispatch/memory.go
+++ b/verbena/dispatch/memory.go
@@ -92,23 +92,3 @@
 }
 
 func (p *pool) giveBackMemory(r *run) { r.server.held.Remove(r.request.Footprint) }
-
-// roomSearch spares the search of a server for items that need at least as much room as one that found none.
-type roomSearch struct {
-	lacking memory.Tokens
-	// reserved is the request that a server is reserved for, or nil.
-	reserved *waiter
-}
-
-func (rs *roomSearch) isHopeless(w *waiter, r SlotRequest) bool {
-	return rs.reserved != w && rs.lacking > 0 && r.Footprint.Own >= rs.lacking
-}
-
-func (rs *roomSearch) add(sel selection, r SlotRequest) {
-	if !sel.lacksRoom {
-		return
-	}
-	if rs.lacking == 0 || r.Footprint.Size < rs.lacking {
-		rs.lacking = r.Footprint.Size
-	}
-}
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -166,6 +166,8 @@
 	limited, heldBack int
 	// lacksRoom is set if a server with a free slot lacks the memory for the request.
 	lacksRoom bool
+	// unsuitable is set if some servers are unsuitable for the host.
+	unsuitable bool
 }
 
 // selectServer chooses the server of lowest cost with a free slot. Servers that are unsuitable for the host are left out
@@ -205,6 +207,7 @@
 		}
 		best[s.suitabilityIfReserved(key, suits)].keepCheaper(candidate{s, p.cost(now, s, req.Zone)})
 	}
+	sel.unsuitable = unsuitableServers > 0
 	sel.best, sel.lastResort = cmp.Or(best[suitable].server, best[reservedForItem].server), best[lastResort].server
 	if sel.lastResort == nil && float64(unsuitableServers) > maxEjectedShare*float64(usable) {
 		sel.lastResort = best[unsuitable].server
