perf: skip requests that need more than the largest free room

A service short of memory with free slots made a pass over all servers for each waiting request at each event, and one over all items besides.

One pass yields the largest free room and what items could add to it; requests that need more are skipped, as are those at least as large as one that found no room since.

TestMemoryHoldsEverything has requests with excluded servers now.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -244,8 +244,9 @@
 	sc.refuseUncertain(now, p)
 	p.reserveRoom(now)
 	sc.serveReserved(now, p)
+	search := roomSearch{class: Online}
 	for len(p.onlineQueue) > 0 {
-		if !sc.serveNext(now, p) {
+		if !sc.serveNext(now, p, &search) {
 			break
 		}
 	}
@@ -254,8 +255,9 @@
 	}
 	p.callersLackRoom = slices.ContainsFunc(p.onlineQueue, func(w *waiter) bool { return w.lacksRoom })
 	p.planBatch(now)
+	search = roomSearch{class: Batch}
 	for {
-		w, s, in := p.nextItem(now)
+		w, s, in := p.nextItem(now, &search)
 		if w == nil {
 			return
 		}
@@ -267,7 +269,7 @@
 
 // serveNext starts the first waiting request, or, if the free slots are on servers that it can't use, the next one that
 // can use them. It reports whether one was started.
-func (sc *Scheduler) serveNext(now time.Time, p *pool) bool {
+func (sc *Scheduler) serveNext(now time.Time, p *pool, search *roomSearch) bool {
 	if sc.resumeNext(now, p) {
 		return true
 	}
@@ -279,16 +281,16 @@
 	if !sc.disabled[LateLast] {
 		first = waiting.firstInTime(now)
 	}
-	placed, sel := sc.place(now, first)
+	placed, anyFree := sc.tryPlace(now, first, search)
 	if placed {
 		sc.removeWaiting(first)
 		return true
 	}
-	if sel.free == 0 {
+	if !anyFree {
 		return false
 	}
 	for _, w := range waiting.inTimeFirst(now) {
-		if placed, _ := sc.place(now, w); placed {
+		if placed, _ := sc.tryPlace(now, w, search); placed {
 			sc.removeWaiting(w)
 			return true
 		}
--- a/verbena/dispatch/make_room.go
+++ b/verbena/dispatch/make_room.go
@@ -25,15 +25,15 @@
 
 // makeRoom tells the fewest batch items of one server to yield whose memory lets a caller's request in, unless enough is about to be
 // given back. The request waits until then: the server must not hold both.
-func (sc *Scheduler) makeRoom(now time.Time, w *waiter, req SlotRequest, sel selection) {
+func (sc *Scheduler) makeRoom(now time.Time, w *waiter, req SlotRequest, sel selection) (awaiting bool) {
 	p := w.pool
 	w.lacksRoom = sel.lacksRoom
 	if p.memoryTokens == 0 || req.Footprint.Size == 0 || p.disabled[BatchYields] || len(p.batchRuns) == 0 {
-		return
+		return false
 	}
 	yielding := p.yieldingTokens()
 	if p.awaitsYielding(now, w.key, req, yielding) {
-		return
+		return true
 	}
 	itemsOf := make(map[*server][]*run)
 	for _, r := range p.batchRuns {
@@ -53,6 +53,7 @@
 		r.server.yieldingSlots++
 		sc.commands = append(sc.commands, Yield{Key: r.key})
 	}
+	return len(fewest) > 0
 }
 
 // yieldingSet returns the fewest items that hold the lacking tokens together, or none. Of equally small sets it returns one that has the
--- a/verbena/dispatch/memory_test.go
+++ b/verbena/dispatch/memory_test.go
@@ -58,6 +58,9 @@
 		r.Parts, r.PartTokens = []ids.PromptPartID{"system", ids.PromptPartID(fmt.Sprint(m.random.IntN(4)))}, []int{1500, 800}
 		r.PromptTokens += 2300
 	}
+	if m.random.IntN(10) == 0 {
+		r.Exclude = []ids.BackendID{ids.BackendID(fmt.Sprintf("s%04d", m.random.IntN(3)))}
+	}
 	if m.random.IntN(4) == 0 {
 		r.Class, r.Objective, r.Remaining = Batch, 10*time.Second, time.Minute
 	}
@@ -143,7 +146,7 @@
 		for _, w := range p.onlineQueue {
 			waited++
 			for _, s := range p.servers {
-				mayRun := s.freeSlots(m.now) > 0 && p.hasRoom(s, &w.request.Footprint) && !s.keptFromClass(w.key, Online)
+				mayRun := s.freeSlots(m.now) > 0 && p.hasRoom(s, &w.request.Footprint) && !s.keptFromClass(w.key, Online) && w.request.mayRunOn(m.now, s)
 				c.Assert(mayRun, qt.IsFalse, qt.Commentf("step %d: %v could run on %s", n, w.key, s.ID))
 			}
 		}
--- a/verbena/dispatch/next_item.go
+++ b/verbena/dispatch/next_item.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // itemRequest returns the request of a batch item, without its condition on the version once it should begin again at another.
 func (p *pool) itemRequest(now time.Time, w *waiter) SlotRequest {
@@ -13,11 +16,10 @@
 
 // nextItem returns the first batch item that can start now, and its server. An item that waits for a server of the version
 // that began its output doesn't hold up the others.
-func (p *pool) nextItem(now time.Time) (w *waiter, s *server, in Inputs) {
-	search := roomSearch{reserved: p.reserved.waiter}
+func (p *pool) nextItem(now time.Time, search *roomSearch) (w *waiter, s *server, in Inputs) {
 	for _, w := range p.batchQueue {
 		req := p.itemRequest(now, w)
-		if search.isHopeless(w, req) || req.Resumption != nil && w.awaitsList() {
+		if w != p.batchQueue[0] && search.isHopeless(now, w, req) || req.Resumption != nil && w.awaitsList() {
 			continue
 		}
 		sel := p.selectServer(now, w.key.Host, req)
@@ -27,11 +29,7 @@
 		if sel.free <= p.batchReserve() {
 			return nil, nil, in
 		}
-		s := sel.best
-		if s == nil {
-			s = sel.lastResort
-		}
-		if s != nil {
+		if s := cmp.Or(sel.best, sel.lastResort); s != nil {
 			if w.resumption != nil {
 				w.resumption.MayHaveRestarted = s.mayHaveRestarted(now) || w.awaitsList()
 			}
@@ -41,7 +39,7 @@
 			return nil, nil, in
 		}
 		w.lacksRoom = sel.lacksRoom
-		search.add(sel, req)
+		search.add(now, p, sel, req)
 	}
 	return nil, nil, in
 }
