--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -97,7 +97,7 @@
 	if w.lacksRoom {
 		position-- // a slot is free
 	}
-	room := p.roomWait(now, w.request)
+	room := p.roomWait(now, w)
 	wait := max(room, c.queueTime(position))
 	limit := p.longestWait(now, w)
 	if wait <= limit {
@@ -197,6 +197,7 @@
 
 func (sc *Scheduler) removeWaiting(w *waiter) {
 	delete(sc.waiting, w.key)
+	w.pool.dropReservation(w)
 	if w.request.Class == Batch {
 		w.pool.batchQueue.remove(w)
 	} else {
@@ -204,7 +205,7 @@
 	}
 }
 
-// servePool gives free slots to waiting requests: to callers' first, and to batch items when no caller waits.
+// servePool gives free slots to waiting requests: to callers' first, and to batch items when no caller waits that could use them.
 func (sc *Scheduler) servePool(now time.Time, p *pool) {
 	sc.refuseExpired(now, p)
 	sc.refuseBlocked(now, p)
@@ -212,19 +213,24 @@
 	if len(p.onlineQueue) > 0 {
 		sc.updateCallerShares(now, p, nil)
 	}
+	p.reserveRoom(now)
+	sc.serveReserved(now, p)
+	search := roomSearch{class: Online}
 	for len(p.onlineQueue) > 0 {
-		if !sc.serveNext(now, p) {
+		if !sc.serveNext(now, p, &search) {
 			break
 		}
 	}
 	sc.refuseDisplaced(now, p)
-	if slices.ContainsFunc(p.onlineQueue, func(w *waiter) bool { return w.resumption == nil && !sc.isSuspect(now, w) }) {
-		return // suspects wait for a trial, and resumed streams for certain servers: other slots are left to batch items
+	if slices.ContainsFunc(p.onlineQueue, func(w *waiter) bool { return w.resumption == nil && !w.lacksRoom && !sc.isSuspect(now, w) }) {
+		return // suspects wait for a trial, resumed streams for certain servers, large requests for memory: other slots are left to batch items
 	}
+	p.callersLackRoom = slices.ContainsFunc(p.onlineQueue, func(w *waiter) bool { return w.lacksRoom })
 	p.planBatch(now)
 	sc.updateBatchShares(now, p, false)
+	search = roomSearch{class: Batch}
 	for {
-		w, s, in := p.nextItem(now)
+		w, s, in := p.nextItem(now, &search)
 		if w == nil {
 			return
 		}
@@ -234,52 +240,9 @@
 	}
 }
 
-// itemRequest returns the request of a batch item, without its condition on the version once it should begin again at another.
-func (p *pool) itemRequest(now time.Time, w *waiter) SlotRequest {
-	req := w.request
-	if req.Resumption != nil && (now.Sub(w.since) >= otherVersionAfter || !p.hasOther(now, req)) {
-		req.Resumption = nil
-	}
-	return req
-}
-
-// nextItem returns the first batch item that can start now, and its server. An item that waits for a server of the version
-// that began its output doesn't hold up the others.
-func (p *pool) nextItem(now time.Time) (w *waiter, s *server, in Inputs) {
-	var search roomSearch
-	for _, w := range p.batchQueue {
-		req := p.itemRequest(now, w)
-		if search.isHopeless(req) || req.Resumption != nil && w.awaitsList() {
-			continue
-		}
-		sel := p.selectServer(now, w.key.Host, req)
-		if w == p.batchQueue[0] {
-			p.plan.observe(now, max(0, sel.effective-float64(p.onlineRuns+p.batchReserve())), sel.effective)
-		}
-		if sel.free <= p.batchReserve() {
-			return nil, nil, in
-		}
-		s := sel.best
-		if s == nil {
-			s = sel.lastResort
-		}
-		if s != nil {
-			if w.resumption != nil {
-				w.resumption.MayHaveRestarted = s.mayHaveRestarted(now) || w.awaitsList()
-			}
-			return w, s, p.inputs(sel)
-		}
-		if !sel.lacksRoom && req.Resumption == nil {
-			return nil, nil, in
-		}
-		search.add(sel, req)
-	}
-	return nil, nil, in
-}
-
 // serveNext starts the first waiting request, or, if the free slots are on servers that it can't use, the next one that
 // can use them. It reports whether one was started.
-func (sc *Scheduler) serveNext(now time.Time, p *pool) bool {
+func (sc *Scheduler) serveNext(now time.Time, p *pool, search *roomSearch) bool {
 	if sc.resumeNext(now, p) {
 		return true
 	}
@@ -291,12 +254,12 @@
 	if !sc.disabled[LateLast] {
 		first = waiting.firstInTime(now)
 	}
-	placed, sel := sc.place(now, first)
+	placed, anyFree := sc.tryPlace(now, first, search)
 	if placed {
 		sc.removeWaiting(first)
 		return true
 	}
-	if sel.free == 0 {
+	if !anyFree {
 		return false
 	}
 	room := p.mostRoom(now)
@@ -308,7 +271,7 @@
 			w.lacksRoom = true
 			continue
 		}
-		if placed, _ := sc.place(now, w); placed {
+		if placed, _ := sc.tryPlace(now, w, search); placed {
 			sc.removeWaiting(w)
 			return true
 		}
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -54,7 +55,10 @@
 	memoryTokens memory.Tokens
 	meanTokens   float64
 	// held is what the running requests would hold if one server ran them all.
-	held memory.Held
+	held     memory.Held
+	reserved roomReservation
+	// callersLackRoom is set while callers' requests wait for memory. Items then leave the memory to them that others yield.
+	callersLackRoom bool
 	// limitedGrants counts the slots granted on servers with a limit, heldBack the requests that waited or were refused
 	// while a limit left slots free.
 	limitedGrants, heldBack int
@@ -169,6 +173,8 @@
 	limited, heldBack int
 	// lacksRoom is set if a server with a free slot lacks the memory for the request.
 	lacksRoom bool
+	// unsuitable is set if some servers are unsuitable for the host.
+	unsuitable bool
 }
 
 // selectServer chooses the server of lowest cost with a free slot. Servers that are unsuitable for the host are left out
@@ -178,7 +184,8 @@
 	hold := p.slotTime(req)
 	reuse := p.reuseFor(now, req, hold)
 	var usable, unsuitableServers int
-	var best [unsuitable + 1]candidate
+	var best [reservedForItem + 1]candidate
+	key := Key{Host: host, Ticket: req.Ticket}
 	for _, s := range p.servers {
 		if !s.usable(now) {
 			continue
@@ -202,13 +209,14 @@
 		if free == 0 || !req.mayRunOn(now, s) {
 			continue
 		}
-		if !p.hasRoom(s, &req.Footprint) {
+		if !p.offersRoom(s, key, &req) {
 			sel.lacksRoom = true
 			continue
 		}
-		best[suits].keepCheaper(candidate{s, p.cost(now, s, req.Zone) + reuse.cost(now, s)})
+		best[s.suitabilityIfReserved(key, suits)].keepCheaper(candidate{s, p.cost(now, s, req.Zone) + reuse.cost(now, s)})
 	}
-	sel.best, sel.lastResort = best[suitable].server, best[lastResort].server
+	sel.unsuitable = unsuitableServers > 0
+	sel.best, sel.lastResort = cmp.Or(best[suitable].server, best[reservedForItem].server), best[lastResort].server
 	if sel.lastResort == nil && float64(unsuitableServers) > maxEjectedShare*float64(usable) {
 		sel.lastResort = best[unsuitable].server
 	}
@@ -302,8 +310,8 @@
 
 // accepts reports whether a request may be sent to the server once a batch item yields its slot.
 func (s *server) accepts(now time.Time, host ids.HostID, req SlotRequest) bool {
-	return s.usable(now) && s.trial == nil && s.limit.Ready(now) && s.cold.Ready(now) && req.mayRunOn(now, s) && !now.Before(s.pausedUntil) &&
-		s.failures.suitabilityFor(now, host) == suitable
+	return s.usable(now) && s.trial == nil && !s.keptFromClass(Key{Host: host, Ticket: req.Ticket}, req.Class) && s.limit.Ready(now) &&
+		s.cold.Ready(now) && req.mayRunOn(now, s) && !now.Before(s.pausedUntil) && s.failures.suitabilityFor(now, host) == suitable
 }
 
 // yieldsBefore orders batch items: deferred ones first, then those of workspaces beyond their share, then those with the most
