fix: hosts return slots on servers that have left by their own list

Hosts used its list for 1.8 s, waited 2 s more before they read the store, and took its grants whatever they knew. They read the servers in time for the drain timeout now, and return slots on servers that their own list shows as draining or gone. With a drain timeout of 2 s the reading still comes 0.1 s late.

--- a/verbena/node/settings.go
+++ b/verbena/node/settings.go
@@ -39,6 +39,8 @@
 	ResultRetention time.Duration
 	// MaxClockSkew is by how much the times of day of two hosts may differ.
 	MaxClockSkew time.Duration
+	// DrainTimeout is how long after a server's entry says that it leaves the last new request may reach it; 0 means unknown.
+	DrainTimeout time.Duration
 	// EvacuationTimeout is how long after the operator's request the last new request may reach a server of an evacuated
 	// availability zone; 0 means that the deployment has no evacuations.
 	EvacuationTimeout time.Duration
--- a/verbenad/internal/host/store_follower.go
+++ b/verbenad/internal/host/store_follower.go
@@ -60,9 +60,10 @@
 	// catalogFeedWait is how long a host waits for updates from another host before it reads the configuration from
 	// the store.
 	catalogFeedWait = 300 * time.Millisecond
-	// serversFeedWait is the same for the servers, which a host needs only while it decides locally. With thousands of
-	// servers a listing takes many calls; a server that is stopping still serves for this long.
-	serversFeedWait = 2 * time.Second
+	// maxServersFeedWait is the same for the servers. With thousands of servers a listing takes many calls.
+	maxServersFeedWait = 2 * time.Second
+	// serversReadTime is left for reading the servers before new requests to one that leaves count as late.
+	serversReadTime = 700 * time.Millisecond
 	// fleetStartFeedWait is the same when the whole fleet starts for the first time and there are no owners yet.
 	fleetStartFeedWait = 4 * time.Second
 	// evacuationFeedShare is the part of the evacuation timeout for which a host waits for updates from another host before it reads
@@ -79,7 +80,7 @@
 	case owners.KindOwners:
 		feedWait = 0
 	case f.env.Decoder.ServerKind():
-		feedWait = serversFeedWait
+		feedWait = serversFeedWait(f.env.Settings.DrainTimeout)
 	case f.env.Decoder.EvacuationKind():
 		feedWait = shareOf(f.env.Settings.EvacuationTimeout, evacuationFeedShare)
 	}
@@ -100,6 +101,16 @@
 	metrics.GetOrCreateGauge(fmt.Sprintf("verbenad_view_age_seconds{kind=%q}", kind), func() float64 { return followed.Age().Seconds() })
 }
 
+// serversFeedWait returns how long a host waits for updates of the servers from another host before it reads them from the store. A
+// dispatcher without the store goes on granting servers that leave, and hosts that know return these slots: they read the servers in time
+// for that.
+func serversFeedWait(drainTimeout time.Duration) time.Duration {
+	if drainTimeout <= 0 {
+		return maxServersFeedWait
+	}
+	return min(maxServersFeedWait, max(catalogFeedWait, drainTimeout-objectfeed.MaxAge-serversReadTime))
+}
+
 // followEvacuations adds the evacuations of availability zones where the deployment has them.
 func (f *storeFollower) followEvacuations(e *evacuations) {
 	if f.env.Settings.EvacuationTimeout <= 0 {
--- a/verbenad/internal/host/store_follower_test.go
+++ b/verbenad/internal/host/store_follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -30,3 +31,14 @@
 	c.Assert(f.serversState(), qt.Equals, directory.ListState{Age: -1})
 	c.Assert(f.followers["servers"], qt.Equals, f.servers.Load())
 }
+
+// TestServersAreReadBeforeDrainTimeout guards against a host that learns too late that a server leaves, when the dispatcher's updates
+// have ended: they are used until MaxAge, and the store's answer takes a while.
+func TestServersAreReadBeforeDrainTimeout(t *testing.T) {
+	c := qt.New(t)
+	for _, timeout := range []time.Duration{3 * time.Second, 4 * time.Second, 10 * time.Second} {
+		c.Check(objectfeed.MaxAge+serversFeedWait(timeout) < timeout, qt.IsTrue, qt.Commentf("%s", timeout))
+	}
+	c.Check(serversFeedWait(2*time.Second), qt.Equals, catalogFeedWait)
+	c.Check(serversFeedWait(0), qt.Equals, maxServersFeedWait)
+}
--- a/verbenad/internal/objectfeed/feed.go
+++ b/verbenad/internal/objectfeed/feed.go
@@ -10,9 +10,9 @@
 	"verbenaledge.example/verbenad/internal/hostlink"
 )
 
-// maxAge is how old another host's objects may be to be used in place of the store's. That host's watch of the store
+// MaxAge is how old another host's objects may be to be used in place of the store's. That host's watch of the store
 // returns after a second at the latest, and it sends the ages several times a second.
-const maxAge = 1800 * time.Millisecond
+const MaxAge = 1800 * time.Millisecond
 
 // Feed holds the store's objects as received from another host.
 type Feed struct {
@@ -101,7 +101,7 @@
 		age := f.clock.Now().Sub(f.confirmedAt[kind])
 		signal := f.changed
 		f.mu.Unlock()
-		if !known || age > maxAge {
+		if !known || age > MaxAge {
 			return nil, 0, false, false
 		}
 		if snapshot.revision > after {
--- a/verbenad/internal/objectfeed/feed_test.go
+++ b/verbenad/internal/objectfeed/feed_test.go
@@ -45,7 +45,7 @@
 	f.Confirm(map[objects.Kind]time.Duration{"k": time.Second})
 	c.Assert(wait(f, 0) == waitResult{2, 5, true, true}, qt.IsTrue)
 	c.Assert(wait(f, 5) == waitResult{0, 0, false, true}, qt.IsTrue)
-	m.now = m.now.Add(maxAge)
+	m.now = m.now.Add(MaxAge)
 	c.Assert(wait(f, 0).fresh, qt.IsFalse, qt.Commentf("the last confirmation is too old"))
 }
 
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -79,8 +79,8 @@
 	drainNotices DrainNotices
 	// isEvacuated reports whether nothing new may be sent to the servers of a zone.
 	isEvacuated func(ids.ZoneID) bool
-	// listed are the servers in the store's list.
-	listed   map[ids.BackendID]directory.Server
+	// listed are the servers in the store's list, as this host knows it.
+	listed   *listedServers
 	limits   *knownLimits
 	limitLog *limitLog
 	// limitsReceived gets the limits that a dispatcher sends its hosts.
@@ -106,7 +106,7 @@
 	o := applyOptions(opts)
 	client := &Client{
 		streams: origin.NewRecords(), listState: o.listState, originsReceived: o.originsReceived,
-		capacity: o.capacity, drainNotices: o.drainNotices, isEvacuated: o.isEvacuated,
+		listed: newListedServers(), capacity: o.capacity, drainNotices: o.drainNotices, isEvacuated: o.isEvacuated,
 		limits: newKnownLimits(), limitLog: newLimitLog(), limitsReceived: o.limitsReceived,
 		relayAddress: relayAddress, host: host, zone: zone, clock: c, feed: feed,
 		hostCount: defaultHostCount, localRates: dispatch.NewLocalRates(),
@@ -122,7 +122,7 @@
 	c.mu.Lock()
 	defer c.unlockAndEnqueue()
 	c.serversKnown = c.serversKnown || len(servers) > 0
-	c.listed = servers
+	c.listed.set(c.clock.Now(), servers)
 	c.limits.removeDeparted(c.clock.Now(), servers)
 	c.streams.ObserveServers(c.clock.Now(), servers, 0)
 	c.localEvents = append(c.localEvents, dispatch.ServersChanged{Servers: servers})
--- a/verbenad/internal/slots/server_limits.go
+++ b/verbenad/internal/slots/server_limits.go
@@ -55,7 +55,7 @@
 func (c *Client) SetListed(listed map[ids.BackendID]directory.Server) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.listed = listed
+	c.listed.set(c.clock.Now(), listed)
 	c.limits.removeDeparted(c.clock.Now(), listed)
 }
 
--- a/verbenad/internal/slots/slot.go
+++ b/verbenad/internal/slots/slot.go
@@ -111,12 +111,12 @@
 	}
 	p.stopTimer()
 	delete(c.pending, t)
-	if c.drainNotices.IsDraining(r.server) {
+	if c.drainNotices.IsDraining(r.server) || c.listed.hasLeft(r.server) {
 		c.returnSlot(p, t, r, []ids.BackendID{r.server.ID})
 		return
 	}
 	if c.isEvacuated(r.server.Zone) {
-		c.returnSlot(p, t, r, c.serversOfZone(r.server))
+		c.returnSlot(p, t, r, c.listed.ofZone(r.server))
 		return
 	}
 	if !p.mayResumeAt(r) {
@@ -159,17 +159,6 @@
 	c.submit(p)
 }
 
-// serversOfZone returns the listed servers of the server's service in its zone, the server first. The caller holds mu.
-func (c *Client) serversOfZone(s directory.Server) []ids.BackendID {
-	same := []ids.BackendID{s.ID}
-	for id, o := range c.listed {
-		if id != s.ID && o.Service == s.Service && o.Zone == s.Zone {
-			same = append(same, id)
-		}
-	}
-	return same
-}
-
 func (c *Client) handleRefusal(t dispatch.Ticket, r RefusedError) {
 	p, ok := c.pending[t]
 	if !ok {
