fix: bodies of refused requests don't keep connections

After a handler had refused a request, net/http read the rest of its body without a deadline before it wrote the answer. A POST to an unknown route whose body is never sent kept its connection for good, and neither the guard nor EndSlowestBody knew of it.

A refusal before the body was read is now sent at once, announces that the connection closes, and the rest of the body is read for 2 s at most, as one of the unfinished bodies that make room. A call on a job reads its body first, in the same time. From the end of the head a read deadline holds, for requests that net/http answers without a handler (OPTIONS *, an unknown Expect).

Setting Connection: close alone was ruled out: net/http still reads the body after such an answer without a deadline.

--- a/verbenad/internal/callerconn/conn.go
+++ b/verbenad/internal/callerconn/conn.go
@@ -125,6 +125,9 @@
 	c.requests++
 	c.mu.Unlock()
 	c.enter(active)
+	if c.reader != nil {
+		c.limitAnswer()
+	}
 }
 
 // becomeIdle is called when a response is complete.
--- a/verbenad/internal/callerconn/waiting.go
+++ b/verbenad/internal/callerconn/waiting.go
@@ -6,6 +6,10 @@
 	"verbenaledge.example/verbena/callerguard"
 )
 
+// unhandledTime is how long a request may read and write until its handler sets deadlines of its own. net/http answers some requests
+// without a handler, and reads their bodies.
+const unhandledTime = 2 * time.Second
+
 // awaitUntil sets until when something has to arrive; a zero time means that nothing has to. It is called with mu held.
 func (c *Conn) awaitUntil(t time.Time) { c.waitEnd = t }
 
@@ -46,3 +50,11 @@
 	defer c.mu.Unlock()
 	return c.evictionReason
 }
+
+// limitAnswer sets the first deadline of a request. One without a body, or whose body has arrived, gets none for reads: these
+// only detect that the caller leaves.
+func (c *Conn) limitAnswer() {
+	if c.reader.body.phase != bodyEnded {
+		_ = c.SetReadDeadline(time.Now().Add(unhandledTime)) // fails only on a closed connection, as the read then does
+	}
+}
--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -166,21 +166,24 @@
 	req := &request{info: h.protocol.ParseRequest(r.Header), start: h.clock.Now(), httpRequest: r, writer: w}
 	c := h.awaitCatalog(r.Context())
 	if c == nil {
-		h.refuse(req, http.StatusServiceUnavailable, unavailableRetryAfter, "no_configuration")
+		h.refuseUnread(req, func() { h.refuse(req, http.StatusServiceUnavailable, unavailableRetryAfter, "no_configuration") })
 		return
 	}
 	req.configVersion = c.Version
 	if call, ok := h.jobProtocol.ParseJobCall(r); ok && hasBatchRoute(c, r.Host) {
 		defer h.setWriteDeadline(req, req.start.Add(call.Wait+defaultTimeout))()
-		h.serveJobCall(req, c, call)
+		if h.skipBody(req) {
+			h.serveJobCall(req, c, call)
+		}
 		return
 	}
-	if !h.admit(req, c) {
+	if refusal := h.admit(req, c); refusal != nil {
+		h.refuseUnread(req, func() { h.refuse(req, refusal.status, refusal.retryAfter, refusal.reason) })
 		return
 	}
 	defer h.setWriteDeadline(req, req.deadline)()
 	if err := h.readBody(req, c); err != nil {
-		h.refuseBody(req, err)
+		h.refuseUnread(req, func() { h.refuseBody(req, err) })
 		return
 	}
 	defer h.releaseBody(req)
@@ -191,32 +194,28 @@
 	h.forward(req)
 }
 
-// admit finds the route, workspace and service of a request. It refuses a request that the configuration doesn't allow.
-func (h *Handler) admit(req *request, c *catalog.Catalog) bool {
+// admit finds the route, workspace and service of a request. It returns the refusal of one that the configuration doesn't allow.
+func (h *Handler) admit(req *request, c *catalog.Catalog) *refusal {
 	path, _, _ := strings.Cut(req.httpRequest.RequestURI, "?")
 	route, ok := c.Match(req.httpRequest.Host, path)
 	if !ok {
-		h.refuse(req, http.StatusNotFound, 0, "no_route")
-		return false
+		return &refusal{http.StatusNotFound, 0, "no_route"}
 	}
 	req.route = route
 	if c.RequiresKeys() && !route.Public {
 		if req.workspace, ok = c.WorkspaceByKey(req.info.Key); !ok {
-			h.refuse(req, http.StatusUnauthorized, 0, "unknown_key")
-			return false
+			return &refusal{http.StatusUnauthorized, 0, "unknown_key"}
 		}
 	}
 	if req.info.ID == "" {
-		h.refuse(req, http.StatusBadRequest, 0, "no_request_id")
-		return false
+		return &refusal{http.StatusBadRequest, 0, "no_request_id"}
 	}
 	if req.service, ok = route.PickService(rand.Float64()); !ok {
-		h.refuse(req, http.StatusServiceUnavailable, unavailableRetryAfter, "no_service")
-		return false
+		return &refusal{http.StatusServiceUnavailable, unavailableRetryAfter, "no_service"}
 	}
 	req.deadline = req.start.Add(effectiveTimeout(req.info.Remaining, route.Timeout))
 	req.longestTimeout = h.longestTimeout(route.Name, req.info.Remaining)
-	return true
+	return nil
 }
 
 // effectiveTimeout returns the shorter of two timeouts, of which 0 means none, or defaultTimeout if there is none.
@@ -289,10 +288,8 @@
 	case errors.Is(err, errTooLarge):
 		h.refuse(req, http.StatusRequestEntityTooLarge, 0, "body_too_large")
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		req.writer.Header().Set("Connection", "close") // the rest of the body may still arrive
 		h.refuse(req, http.StatusRequestTimeout, 0, "body_too_slow")
 	case errors.Is(err, errDisplaced):
-		req.writer.Header().Set("Connection", "close") // as above
 		h.refuse(req, http.StatusServiceUnavailable, unavailableRetryAfter, "body_displaced")
 	case errors.Is(err, errNoMemory):
 		h.refuse(req, http.StatusServiceUnavailable, unavailableRetryAfter, "no_memory")
