fix: answers that aren't read end their connections

The write deadline was set only once a request was admitted, so pipelined requests that are refused kept their connection active for good when the caller read no answer. It was also cleared when the handler ended, before net/http sent the buffered rest of the answer, which is the whole of a small one.

A write deadline now holds from the begin of each request, and the handler's deadline stays until net/http clears it for the next request.

--- a/verbenad/internal/callerconn/unhandled_test.go
+++ b/verbenad/internal/callerconn/unhandled_test.go
@@ -26,3 +26,16 @@
 		})
 	}
 }
+
+// TestUnreadAnswersEnd guards against connections that stay active for good, since their callers send requests and read no answers.
+func TestUnreadAnswersEnd(t *testing.T) {
+	c := qt.New(t)
+	l := serveGuarded(c, testGuard())
+	conn := dialGuarded(c, l)
+	request := strings.Repeat("GET /"+strings.Repeat("p", 4000)+" HTTP/1.1\r\nHost: h\r\n\r\n", 20)
+	for end := time.Now().Add(3 * unhandledTime); l.Counts().Open() > 0 || time.Until(end) > 5*unhandledTime/2; {
+		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("%+v", l.Counts()))
+		_ = conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)) // fails only on a closed connection
+		_, _ = io.WriteString(conn, request)                              // until the host reads no more
+	}
+}
--- a/verbenad/internal/callerconn/waiting.go
+++ b/verbenad/internal/callerconn/waiting.go
@@ -51,10 +51,12 @@
 	return c.evictionReason
 }
 
-// limitAnswer sets the first deadline of a request. One without a body, or whose body has arrived, gets none for reads: these
+// limitAnswer sets the first deadlines of a request. One without a body, or whose body has arrived, gets none for reads: these
 // only detect that the caller leaves.
 func (c *Conn) limitAnswer() {
+	end := time.Now().Add(unhandledTime)
+	_ = c.SetWriteDeadline(end) // fails only on a closed connection, as the write then does
 	if c.reader.body.phase != bodyEnded {
-		_ = c.SetReadDeadline(time.Now().Add(unhandledTime)) // fails only on a closed connection, as the read then does
+		_ = c.SetReadDeadline(end) // as above
 	}
 }
--- a/verbenad/internal/entry/deadline.go
+++ b/verbenad/internal/entry/deadline.go
@@ -19,11 +19,17 @@
 }
 
 // setWriteDeadline ends writes to a caller that doesn't read; such a caller takes up memory, and maybe a slot.
-// The returned function clears the write deadline for the connection's next request.
-func (h *Handler) setWriteDeadline(req *request, until time.Time) (reset func()) {
+// The returned function is called when the handler ends. A deadline stays for the buffered rest of the response, and net/http clears
+// it for the connection's next request.
+func (h *Handler) setWriteDeadline(req *request, until time.Time) (handlerEnds func()) {
 	control := http.NewResponseController(req.writer)
-	logDeadlineError(req, control.SetWriteDeadline(time.Now().Add(until.Sub(h.clock.Now())+finalResponseTime)))
-	return func() { logDeadlineError(req, control.SetWriteDeadline(time.Time{})) }
+	end := time.Now().Add(until.Sub(h.clock.Now()) + finalResponseTime)
+	logDeadlineError(req, control.SetWriteDeadline(end))
+	return func() {
+		if last := time.Now().Add(finalResponseTime); last.After(end) {
+			logDeadlineError(req, control.SetWriteDeadline(last))
+		}
+	}
 }
 
 func logDeadlineError(req *request, err error) {
