fix: running requests keep only what their parsed heads take

A head was charged the peak of its parsing, twice its bytes and 200 bytes a field, until its response was complete, and counted as costly by that. On a host of 112 MB, requests in progress with 15 heads of 16 KB of tiny fields or 365 heads of 7 KB were enough for ordinary callers to be refused with 503.

The peak is now reserved until net/http has parsed the head, and its bytes and 100 bytes a field while the request runs; only the latter decide whether it is costly.

When the requests that run leave too little room, no unfinished head is closed for others any more, and one that doesn't fit is closed itself.

--- a/verbena/callerguard/member.go
+++ b/verbena/callerguard/member.go
@@ -27,9 +27,10 @@
 	end   func(Reason)
 	state state
 	since time.Time
-	// held are the bytes that are reserved for the connection, costly the part of them that counts as costly.
-	held, costly int64
-	element      *list.Element
+	// held are the bytes that are reserved for the connection, costly the part of them that counts as costly, and parsing the part
+	// until its head is parsed.
+	held, costly, parsing int64
+	element               *list.Element
 	// leaving is set between end and Close.
 	leaving bool
 }
--- a/verbena/callerguard/pool.go
+++ b/verbena/callerguard/pool.go
@@ -34,6 +34,8 @@
 	budget Budget
 	// used and costly are the reserved bytes, and those of costly heads.
 	used, costly int64
+	// unfinished are the reserved bytes of the heads that can still be closed.
+	unfinished int64
 	// open counts the connections until they are closed, leaving those among them that were told to close.
 	open, leaving int
 	// queues hold the connections without a request by state, the oldest first.
@@ -94,26 +96,40 @@
 	}
 }
 
-// Reserve takes bytes for a head that arrives. If the budget is short, the oldest unfinished heads are closed. ok is false if
-// the connection itself was.
+// Reserve takes bytes for a head that arrives. If the budget is short, the oldest unfinished heads are closed, unless that isn't
+// enough; an unfinished head that doesn't fit is then closed itself. ok is false if it was closed, or if there is no room.
 func (p *Pool) Reserve(m *Member, bytes int64) (ok bool) {
-	if m.state == gone {
+	switch {
+	case m.state == gone:
+		return false
+	case p.leastFor(m)+bytes <= p.budget.HeadBytes:
+	case m.state == unfinished:
+		p.evict(m, NoMemory)
+		return false
+	default:
 		return false
 	}
 	m.held += bytes
 	p.used += bytes
+	if m.state == unfinished {
+		p.unfinished += bytes
+	}
 	for p.used > p.budget.HeadBytes && m.state != gone {
-		v := p.oldest(unfinished)
-		if v == nil {
-			return false
-		}
-		p.evict(v, NoMemory)
+		p.evict(p.oldest(unfinished), NoMemory)
 	}
 	return m.state != gone
 }
 
-// Begin is called when a head has arrived whole, and before it is parsed. cost is what it takes once parsed, and replaces what
-// was reserved while it arrived. ok is false if the budget doesn't allow it; the connection must then be closed.
+// leastFor returns the reserved bytes if all unfinished heads but one were closed.
+func (p *Pool) leastFor(m *Member) int64 {
+	if m.state == unfinished {
+		return p.used - p.unfinished + m.held
+	}
+	return p.used - p.unfinished
+}
+
+// Begin is called when a head has arrived whole, and before it is parsed. cost is what it takes while its request runs, and replaces
+// what was reserved while it arrived. ok is false if the budget doesn't allow it; the connection must then be closed.
 func (p *Pool) Begin(m *Member, cost int64, now time.Time) (ok bool) {
 	if m.state == gone {
 		return false
@@ -121,7 +137,6 @@
 	if cost > ordinaryCost && p.costly+cost > p.budget.HeadBytes/costlyDivisor {
 		return false
 	}
-	p.release(m)
 	p.enter(m, running, now)
 	if cost > ordinaryCost {
 		m.costly = cost
@@ -130,12 +145,28 @@
 	return p.Reserve(m, cost)
 }
 
+// Parse takes the bytes that a head takes only while it is parsed. ok is false if the budget doesn't allow it; the connection must
+// then be closed.
+func (p *Pool) Parse(m *Member, bytes int64) (ok bool) {
+	if !p.Reserve(m, bytes) {
+		return false
+	}
+	m.parsing += bytes
+	return true
+}
+
+// Parsed is called when a head has been parsed.
+func (p *Pool) Parsed(m *Member) {
+	p.used -= m.parsing
+	m.held -= m.parsing
+	m.parsing = 0
+}
+
 // Idle is called when a request is complete.
 func (p *Pool) Idle(m *Member, now time.Time) {
 	if m.state == gone {
 		return
 	}
-	p.release(m)
 	p.enter(m, idle, now)
 }
 
@@ -182,9 +213,12 @@
 }
 
 func (p *Pool) release(m *Member) {
+	if m.state == unfinished {
+		p.unfinished -= m.held
+	}
 	p.used -= m.held
 	p.costly -= m.costly
-	m.held, m.costly = 0, 0
+	m.held, m.costly, m.parsing = 0, 0, 0
 }
 
 func (p *Pool) dequeue(m *Member) {
@@ -194,7 +228,9 @@
 	}
 }
 
+// enter puts a connection into another state, in which nothing is reserved yet.
 func (p *Pool) enter(m *Member, s state, now time.Time) {
+	p.release(m)
 	p.dequeue(m)
 	m.state, m.since = s, now
 	if s < running {
--- a/verbenad/internal/callerconn/conn.go
+++ b/verbenad/internal/callerconn/conn.go
@@ -126,6 +126,7 @@
 	c.mu.Unlock()
 	c.enter(active)
 	if c.reader != nil {
+		c.reader.guard.parsed(c.reader.member)
 		c.limitAnswer()
 	}
 }
--- a/verbenad/internal/callerconn/guard.go
+++ b/verbenad/internal/callerconn/guard.go
@@ -120,11 +120,16 @@
 	return ok
 }
 
-func (g *Guard) begin(m *callerguard.Member, cost int) (ok bool) {
-	g.locked(func(now time.Time) { ok = g.pool.Begin(m, int64(cost), now) })
+// begin takes what a head costs while its request runs, and what it costs more while it is parsed.
+func (g *Guard) begin(m *callerguard.Member, cost, parsing int) (ok bool) {
+	g.locked(func(now time.Time) { ok = g.pool.Begin(m, int64(cost), now) && g.pool.Parse(m, int64(parsing)) })
 	return ok
 }
 
+func (g *Guard) parsed(m *callerguard.Member) {
+	g.locked(func(time.Time) { g.pool.Parsed(m) })
+}
+
 func (g *Guard) idle(m *callerguard.Member) {
 	g.locked(func(now time.Time) { g.pool.Idle(m, now) })
 }
--- a/verbenad/internal/callerconn/request_reader.go
+++ b/verbenad/internal/callerconn/request_reader.go
@@ -14,6 +14,9 @@
 	// bytes took 985 KB, 140 bytes a field, with the garbage of their parsing.
 	parsedFactor = 2
 	fieldBytes   = 200
+	// keptFieldBytes is what is kept of each field besides the head's bytes while the request runs: 2,600 fields of 6 bytes kept 86
+	// bytes a field.
+	keptFieldBytes = 100
 )
 
 // requestReader reads the requests of a connection for net/http. It hands a head over once it is whole, and nothing that follows a
@@ -151,7 +154,8 @@
 
 // begin makes the whole head ready, with what has arrived of its body.
 func (r *requestReader) begin() error {
-	if !r.guard.begin(r.member, parsedFactor*r.headBytes+fieldBytes*r.head.lines) {
+	cost := r.headBytes + keptFieldBytes*r.head.lines
+	if !r.guard.begin(r.member, cost, parsedFactor*r.headBytes+fieldBytes*r.head.lines-cost) {
 		if r.conn.evictedFor() != "" {
 			return r.evicted()
 		}
