--- a/verbenad/internal/callerconn/conn.go
+++ b/verbenad/internal/callerconn/conn.go
@@ -125,6 +125,10 @@
 	c.requests++
 	c.mu.Unlock()
 	c.enter(active)
+	if c.reader != nil {
+		c.reader.guard.parsed(c.reader.member)
+		c.limitAnswer()
+	}
 }
 
 // becomeIdle is called when a response is complete.
