--- a/verbenad/cmd/evacuation_test.go
+++ b/verbenad/cmd/evacuation_test.go
@@ -44,6 +44,7 @@
 // TestFleetEvacuatesZone guards against requests and items that reach an evacuated zone, also while the store is away
 // afterwards, and against a zone that stays unused when its evacuation has ended.
 func TestFleetEvacuatesZone(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newEvacuableFleet(t)
 	f.setEventPause(20 * time.Millisecond)
@@ -67,6 +68,7 @@
 // TestFleetEvacuatesZoneWithoutDispatcher guards against hosts that place requests in an evacuated zone by themselves: all storage
 // hosts stop in the moment of the evacuation.
 func TestFleetEvacuatesZoneWithoutDispatcher(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	f := newEvacuableFleet(t)
 	f.evacuate("y")
