fix: whole heads are served when their connections were to end

When the time for a head was over, or a connection without a request was to make room for another one, a request was dropped although its whole head waited in the socket: a read whose deadline has passed returns nothing.

What has arrived is now read without waiting, up to 24 KiB, and the request goes on if its head is whole. A connection that was told to close is taken back within the limit of connections: another one without a request makes room in its place, and if there is none it closes as before.

Before, TestLateHeadIsServed failed in the four cases with a whole head; those with a part of one passed, and guard against connections that stay.

--- a/verbena/callerguard/member.go
+++ b/verbena/callerguard/member.go
@@ -23,7 +23,7 @@
 
 // Member is a connection in a pool.
 type Member struct {
-	// end makes the connection close. It is called at most once, and must neither block nor call the pool.
+	// end makes the connection close. It is called at most once until Resume, and must neither block nor call the pool.
 	end   func(Reason)
 	state state
 	since time.Time
--- a/verbena/callerguard/pool.go
+++ b/verbena/callerguard/pool.go
@@ -65,6 +65,25 @@
 	return true
 }
 
+// Resume takes back a connection that was told to close, as a whole head has arrived on it. At the limit another one without a request
+// makes room; ok is false if there is none, or if the connection is closed.
+func (p *Pool) Resume(m *Member, now time.Time) (ok bool) {
+	if !m.leaving {
+		return m.state != gone
+	}
+	if p.open-p.leaving >= p.budget.Connections {
+		v := p.victim(now)
+		if v == nil {
+			return false
+		}
+		p.evict(v, NoConnections)
+	}
+	m.leaving = false
+	p.leaving--
+	p.enter(m, unfinished, now)
+	return true
+}
+
 // victim returns the connection that makes room for a new one: a head that takes long, a connection that was never used, one that is
 // idle, or the oldest head.
 func (p *Pool) victim(now time.Time) *Member {
--- a/verbenad/internal/callerconn/guard.go
+++ b/verbenad/internal/callerconn/guard.go
@@ -126,6 +126,16 @@
 	return ok
 }
 
+// resume takes back a connection that was told to close.
+func (g *Guard) resume(c *Conn) (ok bool) {
+	g.locked(func(now time.Time) {
+		if ok = g.pool.Resume(c.reader.member, now); ok {
+			c.resumed()
+		}
+	})
+	return ok
+}
+
 func (g *Guard) parsed(m *callerguard.Member) {
 	g.locked(func(time.Time) { g.pool.Parsed(m) })
 }
--- a/verbenad/internal/callerconn/last_read.go
+++ b/verbenad/internal/callerconn/last_read.go
@@ -4,6 +4,7 @@
 	"io"
 	"os"
 	"syscall"
+	"time"
 )
 
 // readArrived reads what has arrived, without waiting.
@@ -31,3 +32,17 @@
 	}
 	return n, nil
 }
+
+// readLate reads what has arrived although the time for it is over, without waiting. A deadline that has passed keeps a read from
+// returning it.
+func (c *Conn) readLate(p []byte) (n int) {
+	if c.Conn.SetReadDeadline(time.Time{}) != nil {
+		return 0
+	}
+	n, err := c.readArrived(p)
+	if err != nil || n == 0 {
+		return 0
+	}
+	c.headBegins()
+	return n
+}
--- a/verbenad/internal/callerconn/request_reader.go
+++ b/verbenad/internal/callerconn/request_reader.go
@@ -17,6 +17,9 @@
 	// keptFieldBytes is what is kept of each field besides the head's bytes while the request runs: 2,600 fields of 6 bytes kept 86
 	// bytes a field.
 	keptFieldBytes = 100
+	// maxLateReads bounds the reads of a head when the connection was to end. With the buffers of net/http, of 4 KiB, they bring a head
+	// of the size that is allowed without a configuration.
+	maxLateReads = 6
 )
 
 // requestReader reads the requests of a connection for net/http. It hands a head over once it is whole, and nothing that follows a
@@ -107,7 +110,7 @@
 	if len(r.pending) > 0 {
 		r.conn.headBegins()
 		if !r.reserve(len(r.pending)) {
-			return r.evicted()
+			return r.lateHead(buffer)
 		}
 	}
 	for {
@@ -121,11 +124,11 @@
 		r.pending = append(r.pending, buffer[:n]...)
 		switch {
 		case n > 0 && !r.reserve(n):
-			return r.evicted()
+			return r.lateHead(buffer)
 		case n > 0:
 			r.conn.limitHead()
 		case err != nil:
-			return r.failed(err)
+			return r.failed(err, buffer)
 		}
 	}
 }
@@ -155,6 +158,9 @@
 // begin makes the whole head ready, with what has arrived of its body.
 func (r *requestReader) begin() error {
 	cost := r.headBytes + keptFieldBytes*r.head.lines
+	if r.conn.evictedFor() != "" && !r.guard.resume(r.conn) {
+		return r.evicted()
+	}
 	if !r.guard.begin(r.member, cost, parsedFactor*r.headBytes+fieldBytes*r.head.lines-cost) {
 		if r.conn.evictedFor() != "" {
 			return r.evicted()
@@ -169,18 +175,33 @@
 }
 
 // failed returns the error of a read between requests, and counts it if this host's limits caused it.
-func (r *requestReader) failed(err error) error {
+func (r *requestReader) failed(err error, buffer []byte) error {
 	if !errors.Is(err, os.ErrDeadlineExceeded) || !r.conn.overtime() {
 		return err
 	}
-	if reason := r.conn.evictedFor(); reason != "" {
-		return r.evicted()
+	return r.lateHead(buffer)
+}
+
+// lateHead makes a head ready that has arrived whole although the connection was to end. If it isn't whole, the connection ends.
+func (r *requestReader) lateHead(buffer []byte) error {
+	for range maxLateReads {
+		if whole, err := r.scan(); whole || err != nil {
+			return err
+		}
+		n := r.conn.readLate(buffer)
+		if n == 0 {
+			break
+		}
+		r.pending = append(r.pending, buffer[:n]...) // not reserved: the connection goes on, or ends, at once
 	}
-	if r.headBytes > 0 {
+	switch {
+	case r.conn.evictedFor() != "":
+		return r.evicted()
+	case r.headBytes > 0:
 		return r.refuse("408 Request Timeout", callerguard.HeadTooSlow)
 	}
 	countClosed(callerguard.IdleTooLong)
-	return err
+	return os.ErrDeadlineExceeded
 }
 
 func (r *requestReader) evicted() error {
--- a/verbenad/internal/callerconn/waiting.go
+++ b/verbenad/internal/callerconn/waiting.go
@@ -44,6 +44,13 @@
 	c.applyReadDeadline()
 }
 
+// resumed is called when the guard takes the connection back.
+func (c *Conn) resumed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evictionReason = ""
+}
+
 // evictedFor returns why the connection was evicted, or nothing.
 func (c *Conn) evictedFor() callerguard.Reason {
 	c.mu.Lock()
