fix: complete bodies that were displaced are refused

A body could be displaced between its last byte and its removal. Its request went on, and the read that detects that the caller leaves failed at once, so its context was canceled. It is now refused as any displaced body; it hasn't run. Marking the body complete under the lock was ruled out: net/http begins that read before the last bytes are returned.

Before, TestCompleteBodyIsNotDisplacedUnnoticed failed.

--- a/verbenad/internal/entry/read_body.go
+++ b/verbenad/internal/entry/read_body.go
@@ -26,8 +26,8 @@
 	}
 	entry := h.bodies.add(req.writer)
 	defer func() {
-		if h.bodies.remove(entry) && err != nil {
-			err = errDisplaced
+		if h.bodies.remove(entry) {
+			err = errDisplaced // also if the body is complete: its context ends with the read that detects that the caller leaves
 		}
 	}()
 	for {
