fix: the growth of frames that arrive is reserved

Frames arrived in a buffer that doubles, and only their bytes were reserved: neither the free part of the buffer nor the former one during its copy. Both are now reserved before they are used, and returned after the copy.

The bound of 33 MiB stays. The largest frame takes 24 MiB of it as it grows, or 32 MiB and a byte after a compressed one of 8 MiB. A first frame of 16 MiB that compresses to more than 9 MiB no longer fits; a Hello is some KB.

--- a/verbenad/internal/hostlink/newcomers.go
+++ b/verbenad/internal/hostlink/newcomers.go
@@ -15,7 +15,8 @@
 	// maxNewcomers bounds the connections that haven't sent their first frame. Hosts send it at once; in a restart of all hosts many
 	// connect at the same moment.
 	maxNewcomers = 256
-	// maxNewcomerBytes bounds the memory of all first frames that arrive. The largest frame, compressed or not, fits.
+	// maxNewcomerBytes bounds the memory of all first frames that arrive. The largest frame fits with the copies of its growth, also
+	// when it was compressed to half its size.
 	maxNewcomerBytes = 2*maxFrameSize + 1<<20
 )
 
@@ -76,7 +77,7 @@
 	}
 }
 
-// reserve takes memory for a frame that arrives.
+// reserve takes memory for a frame that arrives, or returns some of it.
 func (n *newcomer) reserve(bytes int) error {
 	n.set.mu.Lock()
 	defer n.set.mu.Unlock()
