--- a/verbenalab/internal/soak/run.go
+++ b/verbenalab/internal/soak/run.go
@@ -115,7 +115,9 @@
 	ev.Containment = e.measureContainment(ctx, c)
 	ev.DrainedServer, ev.DrainedAt = e.servers[0].server.ID, time.Now()
 	e.registerServer(0, "draining")
-	e.evacuate(ev)
+	if e.options.FormerProgramsDir == "" { // a former build may not know evacuations
+		e.evacuate(ev)
+	}
 	time.Sleep(max(drainingGrace, evacuationTimeout))
 	for range requestsAfterDrain {
 		ca.request(RouteStream, keyWithinRate)
