perf: spare the count of shared parts where a request fits anyway

A request that fits whatever it shares is found without looking up its parts, and the fields that each search reads are next to each other. The benchmark's noise is too large to show the gain.

--- a/verbena/dispatch/memory.go
+++ b/verbena/dispatch/memory.go
@@ -58,7 +58,10 @@
 // hasRoom reports whether the request fits in the server's memory beside those that it holds, items that yield included: a server whose
 // memory runs out stops its newest request and reads it again, or crashes. Requests without sizes always fit.
 func (p *pool) hasRoom(s *server, f *memory.Footprint) bool {
-	return p.memoryTokens == 0 || p.lackingTokens(s, f, 0) <= 0
+	if p.memoryTokens == 0 || s.slotShare >= 1 && s.held.Tokens()+f.Size <= p.memoryTokens {
+		return true // whatever it shares
+	}
+	return p.lackingTokens(s, f, 0) <= 0
 }
 
 // lackingTokens returns how many tokens the server has too few for the request once some are given back. Hosts that decide by
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -32,21 +32,39 @@
 // server is the state of a backend server.
 type server struct {
 	directory.Server
-	gone bool
+	// The fields that each search of a server reads are next to each other: with thousands of servers the reads of memory cost most.
+
 	// usedSlots counts the granted slots, yieldingSlots those of them that batch items were told to yield.
 	usedSlots     int
 	yieldingSlots int
 	// consecutiveFailures counts the sends that failed since the last success, over all hosts.
 	consecutiveFailures int
-	ejectedUntil        time.Time
-	pausedUntil         time.Time
-	// stalledUntil is set while the server sends nothing, onProbation until it answers again.
-	stalledUntil time.Time
+	// slotShare is this scheduler's share of the slots.
+	slotShare float64
+	gone      bool
+	// onProbation is set from a stall until the server answers again, stalledUntil while it sends nothing.
 	onProbation  bool
-	aliveAt      time.Time
-	failures     failures
-	// trial is the run on trial for which the server is reserved, or nil. lastGrant is when a slot was last granted.
-	trial     *run
+	ejectedUntil time.Time
+	stalledUntil time.Time
+	pausedUntil  time.Time
+	// trial is the run on trial for which the server is reserved, or nil.
+	trial *run
+	// reservedFor is the request that the server's room is reserved for, or nil.
+	reservedFor *waiter
+	// pace is nil until hosts have read one.
+	pace *machinePace
+	// speed is the server's time per event as a multiple of that of the fastest servers.
+	speed     float64
+	coldUntil time.Time
+	cold      cold.Budget
+	failures  failures
+	received  received
+	held      memory.Held
+	limit     limit.Regulator
+
+	prompts serverPrompts
+	aliveAt time.Time
+	// lastGrant is when a slot was last granted.
 	lastGrant time.Time
 	// lastFailure is when a send last failed or broke off.
 	lastFailure time.Time
@@ -58,25 +76,11 @@
 	// eventSecondsAt is when it last changed, speedSamples how many answers it is made of.
 	eventSecondsAt time.Time
 	speedSamples   int
-	// speed is the server's time per event as a multiple of that of the fastest servers.
-	speed float64
 	// firstByteSeconds is the moving average of the time to the first byte.
 	firstByteSeconds float64
-	coldUntil        time.Time
-	cold             cold.Budget
-	// slotShare is this scheduler's share of the slots.
-	slotShare float64
 	// tieBreak orders servers that are equal otherwise.
 	tieBreak uint64
 	disabled disabledMechanisms
-	limit    limit.Regulator
-	// pace is nil until hosts have read one.
-	pace     *machinePace
-	received received
-	held     memory.Held
-	prompts  serverPrompts
-	// reservedFor is the request that the server's room is reserved for, or nil.
-	reservedFor *waiter
 }
 
 // reset clears what was observed of the server before it restarted. Granted slots are freed when their sends end.
