--- a/verbena/callerguard/bodies_test.go
+++ b/verbena/callerguard/bodies_test.go
@@ -7,7 +7,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestSlowestBodyMakesRoom replays a crowd of bodies that stall: the slowest one is ended, one at a time, and neither the body that
+// TestSlowestBodyMakesRoom replays many bodies that stall: the slowest one is ended, one at a time, and neither the body that
 // needs the memory nor one that has just begun.
 func TestSlowestBodyMakesRoom(t *testing.T) {
 	c := qt.New(t)
--- a/verbena/callerguard/member.go
+++ b/verbena/callerguard/member.go
@@ -17,7 +17,7 @@
 	unfinished
 	// running means that a whole head has arrived, and the request is in progress.
 	running
-	// gone means that the connection was told to close, or is closed.
+	// gone means that the connection was asked to close, or is closed.
 	gone
 )
 
--- a/verbena/callerguard/parsing_test.go
+++ b/verbena/callerguard/parsing_test.go
@@ -10,7 +10,7 @@
 func TestParsedHeadsLeaveRoom(t *testing.T) {
 	c := qt.New(t)
 	p := NewPool(Budget{Connections: 1000, HeadBytes: 1 << 20})
-	all, ends := crowd(c, p, 100)
+	all, ends := openMany(c, p, 100)
 	for _, m := range all {
 		c.Assert(p.Begin(m, 10<<10, start), qt.IsTrue)
 		c.Assert(p.Parse(m, 20<<10), qt.IsTrue)
@@ -33,7 +33,7 @@
 func TestHeadsAreNotClosedInVain(t *testing.T) {
 	c := qt.New(t)
 	p := NewPool(Budget{Connections: 1000, HeadBytes: 100 << 10})
-	all, ends := crowd(c, p, 12)
+	all, ends := openMany(c, p, 12)
 	for _, m := range all[:9] {
 		c.Assert(p.Begin(m, 10<<10, start), qt.IsTrue)
 	}
--- a/verbena/callerguard/pool.go
+++ b/verbena/callerguard/pool.go
@@ -36,7 +36,7 @@
 	used, costly int64
 	// unfinished are the reserved bytes of the heads that can still be closed.
 	unfinished int64
-	// open counts the connections until they are closed, leaving those among them that were told to close.
+	// open counts the connections until they are closed, leaving those among them that were asked to close.
 	open, leaving int
 	// queues hold the connections without a request by state, the oldest first.
 	queues [running]*list.List
@@ -65,7 +65,7 @@
 	return true
 }
 
-// Resume takes back a connection that was told to close, as a whole head has arrived on it. At the limit another one without a request
+// Resume takes back a connection that was asked to close, as a whole head has arrived on it. At the limit another one without a request
 // makes room; ok is false if there is none, or if the connection is closed.
 func (p *Pool) Resume(m *Member, now time.Time) (ok bool) {
 	if !m.leaving {
@@ -215,7 +215,7 @@
 	return p.open-p.leaving >= p.budget.Connections-p.budget.Connections/tightDivisor
 }
 
-// Overdue returns by how many the open connections exceed the limit, because those that were told to close haven't yet.
+// Overdue returns by how many the open connections exceed the limit, because those that were asked to close haven't yet.
 func (p *Pool) Overdue() int { return p.open - p.budget.Connections }
 
 func (p *Pool) evict(m *Member, r Reason) {
--- a/verbena/callerguard/pool_test.go
+++ b/verbena/callerguard/pool_test.go
@@ -9,8 +9,8 @@
 
 var start = time.Unix(1, 0)
 
-// crowd opens n connections, a millisecond apart, and records why each is closed.
-func crowd(c *qt.C, p *Pool, n int) (all []*Member, ends map[*Member]Reason) {
+// openMany opens n connections, a millisecond apart, and records why each is closed.
+func openMany(c *qt.C, p *Pool, n int) (all []*Member, ends map[*Member]Reason) {
 	ends = make(map[*Member]Reason)
 	for i := range n {
 		var m *Member
@@ -27,7 +27,7 @@
 	c := qt.New(t)
 	const budget = 8 << 20
 	p := NewPool(Budget{Connections: 1000, HeadBytes: budget})
-	all, ends := crowd(c, p, 601)
+	all, ends := openMany(c, p, 601)
 	c.Assert(p.Begin(all[0], 8<<10, start), qt.IsTrue)
 	for _, m := range all[1:] {
 		p.HeadBegins(m, start)
@@ -54,7 +54,7 @@
 func TestCostlyHeadsLeaveRoom(t *testing.T) {
 	c := qt.New(t)
 	p := NewPool(Budget{Connections: 1000, HeadBytes: 8 << 20})
-	all, _ := crowd(c, p, 100)
+	all, _ := openMany(c, p, 100)
 	begun := 0
 	for _, m := range all[:99] {
 		if p.Begin(m, 512<<10, start) {
@@ -69,7 +69,7 @@
 func TestConnectionsMakeRoom(t *testing.T) {
 	c := qt.New(t)
 	p := NewPool(Budget{Connections: 5, HeadBytes: 8 << 20})
-	all, ends := crowd(c, p, 5)
+	all, ends := openMany(c, p, 5)
 	c.Assert(p.Begin(all[0], 1, start), qt.IsTrue)
 	c.Assert(p.Begin(all[1], 1, start), qt.IsTrue)
 	p.Idle(all[1], start)
--- a/verbena/callerguard/resume_test.go
+++ b/verbena/callerguard/resume_test.go
@@ -10,7 +10,7 @@
 func TestResumedConnectionStaysWithinLimit(t *testing.T) {
 	c := qt.New(t)
 	p := NewPool(Budget{Connections: 2, HeadBytes: 1 << 20})
-	all, ends := crowd(c, p, 4) // the first two make room
+	all, ends := openMany(c, p, 4) // the first two make room
 	c.Assert(ends, qt.HasLen, 2)
 	c.Assert(p.Resume(all[0], start), qt.IsTrue)
 	c.Check(ends[all[2]], qt.Equals, NoConnections)
--- a/verbena/dispatch/batch_shares.go
+++ b/verbena/dispatch/batch_shares.go
@@ -36,7 +36,7 @@
 	sc.applyBatchShares(p)
 }
 
-// runningItems counts the items that weren't told to yield.
+// runningItems counts the items that weren't asked to yield.
 func (p *pool) runningItems() (n int) {
 	for _, r := range p.batchRuns {
 		if !r.yielding {
--- a/verbena/dispatch/make_room.go
+++ b/verbena/dispatch/make_room.go
@@ -8,7 +8,7 @@
 	"verbenaledge.example/verbena/memory"
 )
 
-// yieldingTokens returns the memory that batch items will give back that were told to yield, by server.
+// yieldingTokens returns the memory that batch items will give back that were asked to yield, by server.
 func (p *pool) yieldingTokens() map[*server]memory.Tokens {
 	var yielding map[*server]memory.Tokens
 	for _, r := range p.batchRuns {
@@ -91,7 +91,7 @@
 	return set
 }
 
-// awaitsYielding reports whether the request has room once items have left that were told to yield.
+// awaitsYielding reports whether the request has room once items have left that were asked to yield.
 func (p *pool) awaitsYielding(now time.Time, k Key, req SlotRequest, yielding map[*server]memory.Tokens) bool {
 	for s, tokens := range yielding {
 		if s.usable(now) && !s.keptFromClass(k, req.Class) && req.mayRunOn(now, s) && p.lackingTokens(s, &req.Footprint, tokens) <= 0 {
--- a/verbena/dispatch/memory_test.go
+++ b/verbena/dispatch/memory_test.go
@@ -18,7 +18,7 @@
 
 const modelMemory = 10_000
 
-// memoryModel is a service of few servers and what their requests hold, summed anew at each step.
+// memoryModel is a service of few servers and what their requests hold, summed again at each step.
 type memoryModel struct {
 	scheduler *Scheduler
 	random    *rand.Rand
--- a/verbena/dispatch/next_item.go
+++ b/verbena/dispatch/next_item.go
@@ -19,7 +19,7 @@
 func (p *pool) nextItem(now time.Time, search *roomSearch) (w *waiter, s *server, in Inputs) {
 	for _, w := range p.batchQueue {
 		req := p.itemRequest(now, w)
-		if w != p.batchQueue[0] && search.isHopeless(now, w, req) || req.Resumption != nil && w.awaitsList() {
+		if w != p.batchQueue[0] && search.findsNoRoom(now, w, req) || req.Resumption != nil && w.awaitsList() {
 			continue
 		}
 		sel := p.selectServer(now, w.key.Host, req)
--- a/verbena/dispatch/prompt_reuse.go
+++ b/verbena/dispatch/prompt_reuse.go
@@ -27,7 +27,7 @@
 type reuse struct {
 	// most is the number of the prompt's first tokens that a server holds at most, least that all servers hold.
 	most, least int
-	// tokenSeconds is the time to read a token; 0 if only servers of equal cost are told apart.
+	// tokenSeconds is the time to read a token; 0 if only servers of equal cost are distinguished.
 	tokenSeconds float64
 	// answerSeconds is the time that a cost of 1.0 stands for.
 	answerSeconds float64
--- a/verbena/dispatch/prompt_reuse_test.go
+++ b/verbena/dispatch/prompt_reuse_test.go
@@ -198,7 +198,7 @@
 	f.teach()
 	holder := f.serve(f.request(longPart, "p"))
 	for _, other := range []ids.BackendID{"s001", "s002", "s003"} {
-		f.occupy(other, 2) // by their load alone, the holder is best
+		f.occupy(other, 2) // by their load only, the holder is best
 	}
 	long := f.request(0)
 	long.PromptTokens = 10_000 // less than the part
--- a/verbena/dispatch/room_search.go
+++ b/verbena/dispatch/room_search.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// isHopeless reports whether the request finds no room on any server.
-func (rs *roomSearch) isHopeless(now time.Time, w *waiter, r SlotRequest) bool {
+// findsNoRoom reports whether no server has room for the request.
+func (rs *roomSearch) findsNoRoom(now time.Time, w *waiter, r SlotRequest) bool {
 	p := w.pool
 	if p.memoryTokens == 0 || r.Footprint.Size == 0 || p.reserved.waiter == w {
 		return false
@@ -59,7 +59,7 @@
 	return r.Footprint.Own > rs.largest || rs.lacking > 0 && r.Footprint.Own >= rs.lacking
 }
 
-// mayYield reports whether items may make room for a request that is hopeless otherwise.
+// mayYield reports whether items may make room for a request that no server has room for.
 func (rs *roomSearch) mayYield(r SlotRequest) bool {
 	return rs.awaiting < maxAwaiting && r.Footprint.Own <= rs.yieldable
 }
@@ -75,14 +75,14 @@
 	}
 }
 
-// tryPlace is place without the search of a server where that is hopeless.
+// tryPlace is place without the search of a server where none has room.
 func (sc *Scheduler) tryPlace(now time.Time, w *waiter, rs *roomSearch) (placed, anyFree bool) {
 	if sc.isSuspect(now, w) {
 		placed, sel := sc.place(now, w)
 		return placed, sel.free > 0
 	}
 	req := sc.judge(now, w).excludeUnsafe(w.pool, w.request)
-	if !rs.isHopeless(now, w, req) {
+	if !rs.findsNoRoom(now, w, req) {
 		placed, sel := sc.place(now, w)
 		if !placed {
 			rs.add(now, w.pool, sel, req)
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -34,7 +34,7 @@
 	directory.Server
 	// The fields that each search of a server reads are next to each other: with thousands of servers the reads of memory cost most.
 
-	// usedSlots counts the granted slots, yieldingSlots those of them that batch items were told to yield.
+	// usedSlots counts the granted slots, yieldingSlots those of them that batch items were asked to yield.
 	usedSlots     int
 	yieldingSlots int
 	// consecutiveFailures counts the sends that failed since the last success, over all hosts.
--- a/verbena/dispatch/shares.go
+++ b/verbena/dispatch/shares.go
@@ -17,7 +17,7 @@
 const minLeftShare = 0.05
 
 // shares tells which workspaces use more than their share of a service's slots. It handles the load in which one workspace
-// sends several times its part while others send little and there are fewer slots than wanted: in order of due times alone,
+// sends several times its part while others send little and there are fewer slots than wanted: in order of due times only,
 // the requests of all would wait behind, or be refused for, those of that one. A service has one for callers' requests and
 // one for batch items, since items only use what callers leave, and yield it.
 type shares struct {
@@ -36,7 +36,7 @@
 	checkedAt time.Time
 }
 
-// decide decides anew which workspaces are beyond their share of the slots.
+// decide determines again which workspaces are beyond their share of the slots.
 func (s *shares) decide(now time.Time, slots float64, waiting map[ids.WorkspaceID]int, rates map[ids.WorkspaceID]Rate) {
 	s.inForce, s.decidedAt = true, now
 	var left float64
--- a/verbenad/internal/callerconn/guard.go
+++ b/verbenad/internal/callerconn/guard.go
@@ -26,7 +26,7 @@
 )
 
 const (
-	// maxOverdue is by how many connections the limit may be exceeded while others that were told to close haven't yet.
+	// maxOverdue is by how many connections the limit may be exceeded while others that were asked to close haven't yet.
 	maxOverdue = 16
 	// overdueInterval is the time between checks for them, maxOverdueTime the longest wait for them.
 	overdueInterval = time.Millisecond
@@ -86,7 +86,7 @@
 	g.limits.Store(&enforced)
 }
 
-// open admits a new connection, or reports that there is no room for it. It waits for connections that were told to close.
+// open admits a new connection, or reports that there is no room for it. It waits for connections that were asked to close.
 func (g *Guard) open(m *callerguard.Member) (ok bool) {
 	tight := false
 	g.locked(func(now time.Time) {
@@ -126,7 +126,7 @@
 	return ok
 }
 
-// resume takes back a connection that was told to close.
+// resume takes back a connection that was asked to close.
 func (g *Guard) resume(c *Conn) (ok bool) {
 	g.locked(func(now time.Time) {
 		if ok = g.pool.Resume(c.reader.member, now); ok {
