revert: hosts relay for others in proportion to their size

Capacity says nothing of which relay is sound: the lists have to change while all their relays fail.

--- a/verbenad/internal/host/front.go
+++ b/verbenad/internal/host/front.go
@@ -45,7 +45,7 @@
 		env.Settings.Host, env.Settings.Zone, env.Settings.PeerAddress(), systemClock, feed,
 		func() string { return ownerMap.Address(ownership.Dispatch) }, ownerMap.StandbyAddress,
 		slots.WithDrainNotices(notices), slots.WithDisabledMechanisms(env.DisabledMechanisms),
-		slots.WithListState(follower.serversState), slots.WithEvacuations(evacuated.IsEvacuated), slots.WithCapacity(env.Settings.CPUShare),
+		slots.WithListState(follower.serversState), slots.WithEvacuations(evacuated.IsEvacuated),
 	)
 	notices.apply, notices.notifyDispatcher = slotClient.SetServers, slotClient.ReportDrainNotices
 	client := env.newServerClient(systemClock, notices, slotClient)
--- a/verbenad/internal/hostlink/frame.go
+++ b/verbenad/internal/hostlink/frame.go
@@ -121,8 +121,6 @@
 	Limits []dispatch.ServerLimit `cbor:"15,keyasint,omitempty"`
 	// CutOff is set if the host reaches no backend server directly.
 	CutOff bool `cbor:"16,keyasint,omitempty"`
-	// Capacity is the host's share of a processor, 0 if unknown.
-	Capacity float64 `cbor:"17,keyasint,omitempty"`
 }
 
 // Grant assigns a server to a ticket.
--- a/verbenad/internal/slots/client.go
+++ b/verbenad/internal/slots/client.go
@@ -50,11 +50,9 @@
 	zone ids.ZoneID
 	// relayAddress is where this host relays connections between other hosts; empty on a host that accepts no callers.
 	relayAddress string
-	// capacity is this host's share of a processor, 0 if unknown.
-	capacity float64
-	clock    clock.Clock
-	local    *Runner
-	feed     *objectfeed.Feed
+	clock        clock.Clock
+	local        *Runner
+	feed         *objectfeed.Feed
 
 	mu         sync.Mutex
 	dispatcher *placerConn
@@ -106,7 +104,7 @@
 	o := applyOptions(opts)
 	client := &Client{
 		streams: origin.NewRecords(), listState: o.listState, originsReceived: o.originsReceived,
-		listed: newListedServers(), capacity: o.capacity, drainNotices: o.drainNotices, isEvacuated: o.isEvacuated,
+		listed: newListedServers(), drainNotices: o.drainNotices, isEvacuated: o.isEvacuated,
 		limits: newKnownLimits(), limitLog: newLimitLog(), limitsReceived: o.limitsReceived,
 		relayAddress: relayAddress, host: host, zone: zone, clock: c, feed: feed,
 		hostCount: defaultHostCount, localRates: dispatch.NewLocalRates(),
--- a/verbenad/internal/slots/dispatcher.go
+++ b/verbenad/internal/slots/dispatcher.go
@@ -62,8 +62,6 @@
 	// relayAddress is where the host relays connections; empty if it doesn't.
 	relayAddress   string
 	acceptsCallers bool
-	// capacity is the host's share of a processor, 0 if unknown.
-	capacity float64
 	// leaving is set when the host will soon accept no callers, cutOff while it reaches no backend server directly.
 	leaving, cutOff bool
 	zone            ids.ZoneID
@@ -144,7 +142,6 @@
 	old := d.members[h.Host]
 	d.members[h.Host] = &member{
 		link: l, standby: h.ToStandby, relayAddress: h.RelayAddress, acceptsCallers: h.AcceptsCallers, leaving: h.Leaving, cutOff: h.CutOff, zone: h.Zone,
-		capacity: h.Capacity,
 	}
 	d.ranks, d.relayHosts = nil, nil
 	d.mu.Unlock()
--- a/verbenad/internal/slots/links.go
+++ b/verbenad/internal/slots/links.go
@@ -108,7 +108,7 @@
 	c.updateSource = conn.placer
 	hello := hostlink.Hello{
 		Host: c.host, Zone: c.zone, RequestsSlots: true, ToStandby: conn.placer == PlacerStandby, RelayAddress: c.relayAddress,
-		AcceptsCallers: c.relayAddress != "", Leaving: c.leaving, CutOff: c.cutOff, Capacity: c.capacity, EntryHosts: c.entryHosts,
+		AcceptsCallers: c.relayAddress != "", Leaving: c.leaving, CutOff: c.cutOff, EntryHosts: c.entryHosts,
 		AdmittedPerSecond: c.localRates.RecentRates(c.clock.Now()),
 		CrashReports:      c.crashReports.asOf(c.clock.Now()), DrainNotices: c.drainNotices.All(),
 		AdmittedElsewhere: c.admissions.ByOthers(c.clock.Now(), conn.reportedAt, int(conn.placer)), Streams: c.streams.Recent(c.clock.Now()),
--- a/verbenad/internal/slots/options.go
+++ b/verbenad/internal/slots/options.go
@@ -22,7 +22,6 @@
 	saveVersions    func(origin.History)
 	limitsReceived  func([]dispatch.ServerLimit)
 	isEvacuated     func(ids.ZoneID) bool
-	capacity        float64
 }
 
 // WithKnowledgeReceived passes to the dispatcher of a storage host what the present dispatcher sends that host, which may
@@ -57,11 +56,6 @@
 	return func(o *options) { o.drainNotices = notices }
 }
 
-// WithCapacity states the host's share of a processor. Hosts with more of it relay more connections of others.
-func WithCapacity(share float64) Option {
-	return func(o *options) { o.capacity = share }
-}
-
 // WithEvacuations returns slots on servers of the availability zones for which isEvacuated returns true.
 func WithEvacuations(isEvacuated func(ids.ZoneID) bool) Option {
 	return func(o *options) { o.isEvacuated = isEvacuated }
--- a/verbenad/internal/slots/relays.go
+++ b/verbenad/internal/slots/relays.go
@@ -2,12 +2,12 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"math"
 	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 
 	"verbenaledge.example/verbena/ids"
 )
@@ -24,8 +24,6 @@
 	name    ids.HostID
 	zone    ids.ZoneID
 	address string
-	// capacity is the host's share of a processor.
-	capacity float64
 }
 
 // setCutOff records whether a host reaches no backend server directly.
@@ -50,13 +48,13 @@
 }
 
 // relays returns the addresses of hosts that may relay the connections of one host, those of its availability zone first.
-// Hosts are spread over the relays by the relays' capacities. The caller holds mu.
+// Different hosts begin with different relays. The caller holds mu.
 func (d *Dispatcher) relays(host ids.HostID, zone ids.ZoneID) (addresses []string) {
 	if d.relayHosts == nil {
 		d.relayHosts = relayHosts{}
 		for name, m := range d.members {
 			if m.relayAddress != "" && !m.cutOff && !m.leaving {
-				d.relayHosts = append(d.relayHosts, relayHost{name: name, zone: m.zone, address: m.relayAddress, capacity: m.capacity})
+				d.relayHosts = append(d.relayHosts, relayHost{name: name, zone: m.zone, address: m.relayAddress})
 			}
 		}
 		slices.SortFunc(d.relayHosts, func(a, b relayHost) int { return cmp.Compare(a.name, b.name) })
@@ -66,51 +64,28 @@
 
 // choose returns up to maxRelays addresses.
 func (r relayHosts) choose(host ids.HostID, zone ids.ZoneID) []string {
-	var near, far []rankedRelay
+	var near, far []string
 	for _, h := range r {
 		switch {
 		case h.name == host:
 		case h.zone == zone:
-			near = append(near, h.rankFor(host))
+			near = append(near, h.address)
 		default:
-			far = append(far, h.rankFor(host))
+			far = append(far, h.address)
 		}
 	}
-	addresses := firstRelays(near, maxRelays-1)
-	return append(addresses, firstRelays(far, maxRelays-len(addresses))...)
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(host)) // never fails
+	start := int(hash.Sum32() % math.MaxInt32)
+	// Each list is rotated by itself: most places among all hosts lie before the same few hosts of a zone.
+	addresses := rotated(near, start, maxRelays-1)
+	return append(addresses, rotated(far, start, maxRelays-len(addresses))...)
 }
 
-// defaultCapacity is that of a host which doesn't state its own.
-const defaultCapacity = 0.5
-
-// rankedRelay is a relay with its rank for one host; the lowest comes first.
-type rankedRelay struct {
-	address string
-	rank    float64
-}
-
-// rankFor returns the relay's rank for a host, by weighted rendezvous hashing: among all hosts, relays come first in proportion to
-// their capacities, and a change of the relays changes the order of no others.
-func (h relayHost) rankFor(host ids.HostID) rankedRelay {
-	capacity := h.capacity
-	if capacity <= 0 {
-		capacity = defaultCapacity
-	}
-	uniform := (float64(xxhash.Sum64String(string(host)+"\x00"+string(h.name))>>hashShift) + 0.5) / hashRange
-	return rankedRelay{address: h.address, rank: -math.Log(uniform) / capacity}
-}
-
-// A hash is taken as a number between 0 and 1 by its upper bits, as many as a float64 holds exactly.
-const (
-	hashShift = 64 - 53
-	hashRange = 1 << 53
-)
-
-// firstRelays returns the addresses of up to limit relays of the lowest ranks.
-func firstRelays(all []rankedRelay, limit int) (addresses []string) {
-	slices.SortFunc(all, func(a, b rankedRelay) int { return cmp.Compare(a.rank, b.rank) })
-	for _, r := range all[:min(limit, len(all))] {
-		addresses = append(addresses, r.address)
+// rotated returns up to limit elements of a list from a place on, as if the list were a circle.
+func rotated(list []string, start, limit int) (elements []string) {
+	for n := range min(limit, len(list)) {
+		elements = append(elements, list[(start+n)%len(list)])
 	}
-	return addresses
+	return elements
 }
