review: two requests that name other weights take a model service down

Every 421 counts as the answer of another server at a reused address (dispatch.Gone), and the dispatcher uses such a server no more until the list of servers changes. A request with X-Verbenaledge-Expect-Version is refused with 421 by sound servers; it is tried at six of them, and its one retry takes out the other three.

Disruption: one request of one client, and its retry.

--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -15,9 +15,11 @@
 
 // cases are the scripted cases by name. A case returns the breaks of its rule that it saw.
 var cases = map[string]func(record string, trouble bool) (breaks []string, err error){
-	"route-removed": routeRemoved,
-	"many-items":    manyItems,
-	"slow-readers":  slowReaders,
+	"route-removed":  routeRemoved,
+	"large-jobs":     largeJobs,
+	"many-items":     manyItems,
+	"slow-readers":   slowReaders,
+	"expect-version": expectVersion,
 }
 
 func main() {
--- a/review/harness-2/world.go
+++ b/review/harness-2/world.go
@@ -31,6 +31,8 @@
 	fronts  []*host
 	storage []*host
 
+	// running counts what servers with eventBytes have run.
+	running  runs
 	recordMu sync.Mutex
 }
 
@@ -58,7 +60,7 @@
 	}
 	w.store.SetValueLimit(1 << 20)
 	subnet := fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), 1+rand.IntN(250))
-	w.address, err = serve(subnet+".2:0", &standin.Store{Store: w.store})
+	w.address, err = serve(subnet+".2:0", pagedStore{&standin.Store{Store: w.store}})
 	if err != nil {
 		return w, err
 	}
@@ -108,22 +110,55 @@
 	s.SetPause(2 * time.Millisecond)
 	var h http.Handler = s
 	if o.eventBytes > 0 {
-		h = outputServer{id: s.ID, events: o.events, data: strings.Repeat("x", o.eventBytes)}
+		h = outputServer{id: s.ID, events: o.events, data: strings.Repeat("x", o.eventBytes), running: &w.running}
 	}
 	address, err := serve(ip+":0", h)
 	if err != nil {
 		return err
 	}
-	return standin.Register(w.store, s, address, zone(n), "ready")
+	if err := standin.Register(w.store, s, address, zone(n), "ready"); err != nil {
+		return err
+	}
+	go func() {
+		for range time.Tick(heartbeat) { // an entry that stays the same is no change
+			_ = standin.Register(w.store, s, address, zone(n), "ready")
+		}
+	}()
+	return nil
 }
 
 func zone(n int) string { return "z-" + string(rune('a'+n%3)) }
 
+// weightsVersion is the version of the weights that all servers hold.
+const weightsVersion = "1"
+
 // outputServer answers items with events of a given size.
 type outputServer struct {
-	id     string
-	events int
-	data   string
+	id      string
+	events  int
+	data    string
+	running *runs
+}
+
+// runs counts the requests that servers of a world have run.
+type runs struct {
+	mu    sync.Mutex
+	count int
+	last  time.Time
+}
+
+func (r *runs) add() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.count++
+	r.last = time.Now()
+}
+
+// since returns how many requests have run, and the time since the last one began.
+func (r *runs) since() (count int, last time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.count, time.Since(r.last)
 }
 
 func (s outputServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -133,7 +168,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if v := r.Header.Get("X-Verbenaledge-Expect-Version"); v != "" && v != weightsVersion {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	_, _ = io.Copy(io.Discard, r.Body)
+	s.running.add()
+	w.Header().Set("X-Verbenaledge-Weight-Versions", weightsVersion)
 	w.Header().Set(standin.HeaderSignature, "3e1b.07.5a2.600.0.c9f2a4d1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get(standin.HeaderLastEvent)) // absent means the first event
