--- a/review/harness-2/expect_version.go
+++ b/review/harness-2/expect_version.go
@@ -23,15 +23,27 @@
 	calmTime = 5 * time.Second
 )
 
+// quietStream sends a request for a stream without a record, and reports whether it was served.
+func (w *world) quietStream(f *host) bool {
+	status, _, _ := requestStream(f, newID(), "")
+	return status == http.StatusOK
+}
+
 // stream sends a request for a stream with a version of the weights, if any, and returns the status.
 func (w *world) stream(f *host, version string) (status int) {
+	id := newID()
+	status, bytes, err := requestStream(f, id, version)
+	w.note("stream %s at %s, weights %q: %d, %d bytes %v", id, f.settings.name, version, status, bytes, err)
+	return status
+}
+
+func requestStream(f *host, id, version string) (status, bytes int, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	id := newID()
 	url := fmt.Sprintf("http://%s:%d%s%s", f.settings.ip, f.settings.callerPort, streamPrefix, id[:4])
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, http.NoBody)
 	if err != nil {
-		return 0
+		return 0, 0, err
 	}
 	r.Host, r.Close = hostName, true
 	for k, v := range map[string]string{
@@ -44,13 +56,11 @@
 	}
 	response, err := client.Do(r)
 	if err != nil {
-		w.note("stream %s at %s: %v", id, f.settings.name, err)
-		return 0
+		return 0, 0, err
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	w.note("stream %s at %s, weights %q: %d, %d bytes %v", id, f.settings.name, version, response.StatusCode, len(body), err)
-	return response.StatusCode
+	return response.StatusCode, len(body), err
 }
 
 // expectVersion has one client send one request that names a version of the weights. With trouble, no server holds that version: all
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -15,11 +15,12 @@
 
 // cases are the scripted cases by name. A case returns the breaks of its rule that it saw.
 var cases = map[string]func(record string, trouble bool) (breaks []string, err error){
-	"route-removed":  routeRemoved,
-	"large-jobs":     largeJobs,
-	"many-items":     manyItems,
-	"slow-readers":   slowReaders,
-	"expect-version": expectVersion,
+	"route-removed":      routeRemoved,
+	"identical-requests": identicalRequests,
+	"large-jobs":         largeJobs,
+	"many-items":         manyItems,
+	"slow-readers":       slowReaders,
+	"expect-version":     expectVersion,
 }
 
 func main() {
