--- a/review/harness-2/identical_requests.go
+++ b/review/harness-2/identical_requests.go
@@ -45,10 +45,9 @@
 	}
 	s.address, s.stop = ln.Addr().String(), make(chan struct{})
 	s.http = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set(standin.HeaderInstanceID, id)
 		w.Header().Set(standin.HeaderRequestID, r.Header.Get(standin.HeaderRequestID))
 		if e := r.Header.Get("X-Verbenaledge-Expect-Instance"); e != "" && e != id {
-			w.WriteHeader(http.StatusMisdirectedRequest)
+			misdirected(w)
 			return
 		}
 		time.Sleep(lookupTime)
--- a/review/harness-2/world.go
+++ b/review/harness-2/world.go
@@ -129,6 +129,12 @@
 
 func zone(n int) string { return "z-" + string(rune('a'+n%3)) }
 
+// misdirected refuses a request that is meant for another server, or for other weights.
+func misdirected(w http.ResponseWriter) {
+	w.Header().Set("X-Verbenaledge-Not-Executed", "1")
+	w.WriteHeader(http.StatusMisdirectedRequest)
+}
+
 // weightsVersion is the version of the weights that all servers hold.
 const weightsVersion = "1"
 
@@ -162,14 +168,13 @@
 }
 
 func (s outputServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(standin.HeaderInstanceID, s.id)
 	w.Header().Set(standin.HeaderRequestID, r.Header.Get(standin.HeaderRequestID))
 	if e := r.Header.Get("X-Verbenaledge-Expect-Instance"); e != "" && e != s.id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		misdirected(w)
 		return
 	}
 	if v := r.Header.Get("X-Verbenaledge-Expect-Version"); v != "" && v != weightsVersion {
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		misdirected(w)
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
