review: a script that is stopped or times out exits with 2

timeout exited with 124, and a signal to the script didn't reach what it had started. No check changes.

--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // The exit codes of a case.
@@ -28,6 +30,13 @@
 		fmt.Fprintln(os.Stderr, "usage: case NAME RECORD")
 		os.Exit(exitNotRun)
 	}
+	// A case that is stopped hasn't run. The processes that it started end with it, by Pdeathsig.
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		os.Exit(exitNotRun)
+	}()
 	os.Exit(run(os.Args[1], os.Args[2]))
 }
 
