--- a/review/harness-2/identical_requests.go
+++ b/review/harness-2/identical_requests.go
@@ -33,8 +33,12 @@
 	world   *world
 	address string
 	zone    string
+	takes   time.Duration
 	http    *http.Server
 	stop    chan struct{}
+
+	// ran holds the ids of the requests that have reached the server.
+	ran sync.Map
 }
 
 // start starts the server under a new id, with its heartbeats.
@@ -50,7 +54,8 @@
 			misdirected(w)
 			return
 		}
-		time.Sleep(lookupTime)
+		s.ran.Store(r.Header.Get(standin.HeaderRequestID), true)
+		time.Sleep(s.takes)
 		w.Header().Set(standin.HeaderSignature, "3e1b.07.5a2.600.0.c9f2a4d1")
 		fmt.Fprint(w, "valid")
 	})}
@@ -152,7 +157,7 @@
 	}
 	apps := make([]*appServer, 3)
 	for n := range apps {
-		apps[n] = &appServer{world: w, address: "127.0.0.1:0", zone: zone(n)}
+		apps[n] = &appServer{world: w, address: "127.0.0.1:0", zone: zone(n), takes: lookupTime}
 		if err := apps[n].start(fmt.Sprintf("a-%d", n)); err != nil {
 			return nil, err
 		}
