fix: answers with an invalid status line are not forwarded

Callers saw: an answer with status 000 was taken for an interim one. What followed it became the answer (200, or the 422 that ends an item); where nothing followed, callers waited (over 5 s, the test's bound) and an item's server counted as silent. Answers with the status 600 or 999, with a control character in the reason phrase or of HTTP/2.0 were forwarded.

Cause: net/http takes any number of three characters for a status code, and any text for a reason phrase; what is below 200 counted as interim. RFC 9112 demands three digits and characters that can be displayed, RFC 9110 that the code is within 100 to 599.

Ruled out: a check of single codes. http1.HeadCheck reads the status line by its grammar, before anything of the head is used, so that neither its limits, drain notices nor "not run" count. One such answer is as one that was lost: it may have run, is repeated where the route allows that, and is 502 otherwise.

Sound answers beside them stay whole, byte for byte: odd codes, names and values, no reason phrase, several interim answers, answers before the end of an upload.

--- a/verbenad/internal/backend/client.go
+++ b/verbenad/internal/backend/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"verbenaledge.example/verbena/backend"
+	"verbenaledge.example/verbena/http1"
 	"verbenaledge.example/verbena/ids"
 )
 
@@ -48,12 +49,12 @@
 	return &Client{
 		stallTimeout: stallTimeout,
 		http: &http.Client{
-			Transport: &http.Transport{
+			Transport: http1.NewTransport(&http.Transport{
 				DialContext:         dialer.DialContext,
 				MaxIdleConnsPerHost: maxIdlePerServer,
 				IdleConnTimeout:     idleConnTimeout,
 				DisableCompression:  true,
-			},
+			}),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/verbenad/internal/cutserver/server.go
+++ b/verbenad/internal/cutserver/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // Ending is how a server ends its connection after what it has sent.
@@ -19,19 +20,35 @@
 	Reset
 	// CloseThenReset closes the server's direction in order and then resets the connection.
 	CloseThenReset
+	// None leaves the connection to the client to close.
+	None
 )
 
 // String returns the ending's name.
 func (e Ending) String() string {
-	return [...]string{"close", "reset", "close then reset"}[e]
+	return [...]string{"close", "reset", "close then reset", "none"}[e]
 }
 
 // Answer is what a server sends for a request, and how it ends the connection.
 type Answer struct {
 	Raw    string
 	Ending Ending
+	// Early is set if the server answers before it reads the request's body. One that then closes its direction of the connection
+	// reads the body afterwards.
+	Early bool
 }
 
+const (
+	// uploadBufferBytes is the receive buffer of a server that answers early, so that the rest of a long body isn't sent yet. It
+	// exceeds a segment on loopback, or the kernel would send in intervals of seconds.
+	uploadBufferBytes = 128 << 10
+	// uploadPartBytes is how much of a body is read at once after an early answer, uploadPause the pause between two reads.
+	uploadPartBytes = 16 << 10
+	uploadPause     = 10 * time.Millisecond
+	// earlyResetDelay is how long after an early answer its connection is reset.
+	earlyResetDelay = 20 * time.Millisecond
+)
+
 // Server answers each request on a connection of its own. An answer for which none was set is an orderly close.
 type Server struct {
 	listener *net.TCPListener
@@ -90,13 +107,38 @@
 	if err != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body)
 	a := s.nextAnswer()
+	if a.Early {
+		_ = c.SetReadBuffer(uploadBufferBytes)
+	} else {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
 	_, _ = io.WriteString(c, a.Raw)
-	if a.Ending == CloseThenReset {
+	switch {
+	case a.Early && a.Ending == Close:
 		_ = c.CloseWrite()
+		readSlowly(r.Body)
+	case a.Ending == None:
+		readSlowly(c)
+	case a.Early:
+		time.Sleep(earlyResetDelay)
 	}
-	if a.Ending != Close {
+	switch a.Ending {
+	case Close, None:
+	case CloseThenReset:
+		_ = c.CloseWrite()
+		fallthrough
+	case Reset:
 		_ = c.SetLinger(0)
 	}
 }
+
+// readSlowly reads to the end, a part at a time.
+func readSlowly(r io.Reader) {
+	for {
+		if _, err := io.CopyN(io.Discard, r, uploadPartBytes); err != nil {
+			return
+		}
+		time.Sleep(uploadPause)
+	}
+}
--- a/verbenad/internal/upstream/head.go
+++ b/verbenad/internal/upstream/head.go
@@ -43,7 +43,7 @@
 	c.headLimit.remaining, c.headLimit.active = maxHeadBytes, true
 	defer func() { c.headLimit.active = false }()
 	for {
-		if err = c.checkFraming(); err == nil {
+		if err = c.checkHead(); err == nil {
 			response, err = http.ReadResponse(c.reader, &http.Request{Method: method})
 		}
 		if err != nil {
--- a/verbenad/internal/upstream/faulty_framing_test.go
+++ b/verbenad/internal/upstream/head_check_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"verbenaledge.example/verbena/clock"
+	"verbenaledge.example/verbena/http1"
 )
 
 // TestFaultyFraming checks which responses with HTTP/1.0 are accepted, however their heads arrive.
@@ -22,9 +23,9 @@
 		// stays is set if the connection stays open.
 		stays bool
 	}{
-		{head: "HTTP/1.0 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", err: ErrFaultyFraming},
-		{head: "HTTP/1.0 200 OK\r\nId: a\r\ntransfer-encoding: x\r\nContent-Length: 4\r\n\r\n", err: ErrFaultyFraming},
-		{head: "HTTP/1.1 100 X\r\n\r\nHTTP/1.0 200 OK\nId: a\nTRANSFER-ENCODING:chunked\n\n", err: ErrFaultyFraming},
+		{head: "HTTP/1.0 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", err: http1.ErrFaultyFraming},
+		{head: "HTTP/1.0 200 OK\r\nId: a\r\ntransfer-encoding: x\r\nContent-Length: 4\r\n\r\n", err: http1.ErrFaultyFraming},
+		{head: "HTTP/1.1 100 X\r\n\r\nHTTP/1.0 200 OK\nId: a\nTRANSFER-ENCODING:chunked\n\n", err: http1.ErrFaultyFraming},
 		{head: "HTTP/1.0 200 OK\r\nId: a\r\nA: Transfer-Encoding: chunked\r\n\r\n"},
 		{head: "HTTP/1.0 200 OK\r\nId: a\r\nContent-Length: 4\r\n\r\n"},
 		{head: "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\n\r\n"},
