fix: the older daemon took a reset answer for a complete one

Callers of the daemon with settings of its own saw: a server that answered an upload at once, without a length, closed its direction of the connection in order and then reset it, in the middle of the upload; the part that had arrived came as a complete answer.

Fix: the connection itself asks the kernel before it reports an orderly end. The answer counts as broken off, what ran as unknown.

--- a/verbenad/internal/backend/client.go
+++ b/verbenad/internal/backend/client.go
@@ -18,6 +18,7 @@
 	"verbenaledge.example/verbena/backend"
 	"verbenaledge.example/verbena/http1"
 	"verbenaledge.example/verbena/ids"
+	"verbenaledge.example/verbenad/internal/tcpstate"
 )
 
 // The headers that daemons and backend servers exchange.
@@ -50,7 +51,13 @@
 		stallTimeout: stallTimeout,
 		http: &http.Client{
 			Transport: http1.NewTransport(&http.Transport{
-				DialContext:         dialer.DialContext,
+				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+					c, err := dialer.DialContext(ctx, network, address)
+					if err != nil {
+						return nil, err
+					}
+					return &tcpstate.Conn{Conn: c, Stalled: sentTimeout}, nil
+				},
 				MaxIdleConnsPerHost: maxIdlePerServer,
 				IdleConnTimeout:     idleConnTimeout,
 				DisableCompression:  true,
