fix: answers before the end of an upload are broken off

Callers saw: a server answers a long upload at once, without a length, closes its direction of the connection in order and reads the rest of the request; the caller got 502, or another server's answer, if that rest took longer than 300 ms. Over a relay it depended on how far the upload had come; the older daemon gave up at once.

Cause: the end of such an answer counts once the server has received the request, since a reset during the upload shows that the answer was broken off. That was waited for 300 ms in all. A relay doesn't know how long a request is: it took a pause of the upload for its end and closed the connection.

Fix: 300 ms now count from when the server last received a part of the request, which the kernel knows (tcpstate.Receipt); the request's deadline bounds it all. A relay that has reported the server's orderly end goes on relaying the request, and reports once more, when the host has closed its direction, whether the server received the rest. Hosts and relays of the former release get what they got before (by reading; not run).

Answers that are reset, close in order and then reset, or stop reading, stay broken off.

--- a/verbenad/internal/serverrelay/chunk.go
+++ b/verbenad/internal/serverrelay/chunk.go
@@ -14,7 +14,8 @@
 const (
 	// dataChunk carries bytes of the server.
 	dataChunk chunkKind = iota + 1
-	// closedChunk says that the server closed its connection in order.
+	// closedChunk says that the server closed its direction of the connection in order, after it had received what the host had sent
+	// so far. Once the host has closed its own, a second one says that the server has received the rest.
 	closedChunk
 	// resetChunk says that the server's connection ended in any other way.
 	resetChunk
--- a/verbenad/internal/serverrelay/conn.go
+++ b/verbenad/internal/serverrelay/conn.go
@@ -24,7 +24,7 @@
 	stopping atomic.Bool
 }
 
-// Read reads what the server sent. It returns io.EOF only if the server closed its connection in order.
+// Read reads what the server sent. It returns io.EOF only if the server closed its direction of the connection in order.
 func (c *Conn) Read(p []byte) (n int, err error) {
 	for c.remaining == 0 && c.ended == nil {
 		c.readHeader()
@@ -56,6 +56,24 @@
 	}
 }
 
+// ConfirmEnd reports whether the server has received all of a request of which a part was sent after Read had returned io.EOF. No
+// other request can be sent. It waits as long as the relay does; Close ends it.
+func (c *Conn) ConfirmEnd() bool {
+	closer, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || closer.CloseWrite() != nil {
+		return false
+	}
+	for {
+		switch kind, _, err := readChunkHeader(c.reader); {
+		case err != nil:
+			return false // a former release closes the connection
+		case kind == stoppingChunk:
+		default:
+			return kind == closedChunk
+		}
+	}
+}
+
 // lost returns the error for the end of the relay's own connection. An end of file must not look like the server's.
 func lost(err error) error {
 	if errors.Is(err, net.ErrClosed) {
--- a/verbenad/internal/serverrelay/pipe.go
+++ b/verbenad/internal/serverrelay/pipe.go
@@ -17,9 +17,11 @@
 const (
 	// pipeWriteTimeout is how long a write may take before the connection counts as lost: longer than callers pause.
 	pipeWriteTimeout = 10 * time.Second
-	// requestWriteWait is how long the end of a server's connection waits for a write to it to return: the kernel may have
-	// reported a reset to that write only.
+	// requestWriteWait is how long the end of a server's connection waits for a write to it to return, after the server has last
+	// received something: the kernel may have reported a reset to that write only.
 	requestWriteWait = 300 * time.Millisecond
+	// requestPoll is the time between checks whether the server has received more.
+	requestPoll = 20 * time.Millisecond
 	// requestBufferSize is in bytes.
 	requestBufferSize = 4 << 10
 )
@@ -35,6 +37,8 @@
 	writeFailed bool
 	// gaveUp is set if that took too long.
 	gaveUp atomic.Bool
+	// closedByServer is set before the host is told that the server closed its direction in order.
+	closedByServer atomic.Bool
 }
 
 func (p *pipe) close() {
@@ -49,7 +53,9 @@
 		defer close(requestsEnded)
 		p.copyRequests(reader)
 	}()
-	p.copyResponses()
+	if p.copyResponses() && p.awaitRequests(requestsEnded) {
+		p.confirmEnd()
+	}
 	p.close()
 	<-requestsEnded
 }
@@ -64,12 +70,29 @@
 			return
 		}
 		if err != nil {
-			_ = p.server.Close() // the server stops working for a host that has gone
+			if !p.closedByServer.Load() {
+				_ = p.server.Close() // the server stops working for a host that has gone
+			}
 			return
 		}
 	}
 }
 
+// awaitRequests waits until the host has closed its direction, while the server goes on receiving what the host sends: a server
+// may close its own direction before it has read a request. It returns false if the host sends nothing more and stays connected.
+func (p *pipe) awaitRequests(requestsEnded <-chan struct{}) bool {
+	poll := time.NewTicker(requestPoll)
+	defer poll.Stop()
+	for receipt := tcpstate.NewReceipt(p.server); receipt.StalledFor() < requestWriteWait; {
+		select {
+		case <-requestsEnded:
+			return true
+		case <-poll.C:
+		}
+	}
+	return false
+}
+
 func (p *pipe) writeToServer(b []byte) (err error) {
 	p.serverMu.Lock()
 	defer p.serverMu.Unlock()
@@ -86,44 +109,63 @@
 	return err
 }
 
-// copyResponses copies what the server sends, and at last how its connection ended.
-func (p *pipe) copyResponses() {
+// copyResponses copies what the server sends, and at last how its connection ended. It returns true if that was in order.
+func (p *pipe) copyResponses() (closedInOrder bool) {
 	buffer := make([]byte, chunkHeaderSize+maxChunkSize)
 	for {
 		n, err := p.server.Read(buffer[chunkHeaderSize:])
 		if n > 0 {
 			putChunkHeader(buffer, dataChunk, n)
 			if p.writeToHost(buffer[:chunkHeaderSize+n]) != nil {
-				return // the host has gone
+				return false // the host has gone
 			}
 		}
 		if err != nil {
-			p.writeEnd(err)
-			return
+			return p.writeEnd(err)
 		}
 	}
 }
 
-// writeEnd tells the host how the server's connection ended.
-func (p *pipe) writeEnd(err error) {
+// writeEnd tells the host how the server's connection ended. It returns true if that was in order, as far as the host has sent
+// its requests.
+func (p *pipe) writeEnd(err error) (closedInOrder bool) {
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) && p.gaveUp.Load() {
-		return // ended by this host; the other one takes the end of its connection for the relay's
+		return false // ended by this host; the other one takes the end of its connection for the relay's
+	}
+	closedInOrder = errors.Is(err, io.EOF) && p.requestsReceived()
+	p.closedByServer.Store(closedInOrder)
+	if err := p.writeToHost(endChunk(closedInOrder)); err != nil {
+		log.WithError(err).Info("end of a relayed connection not sent")
 	}
+	return closedInOrder
+}
+
+// confirmEnd tells the host whether the server, which had closed its direction in order, has received the rest of the request.
+func (p *pipe) confirmEnd() {
+	_ = p.writeToHost(endChunk(p.requestsReceived())) // most hosts have all that they need, and are gone
+}
+
+// endChunk returns the chunk for the end of a server's connection.
+func endChunk(closedInOrder bool) []byte {
 	kind := resetChunk
-	if errors.Is(err, io.EOF) && p.requestsWritten() && tcpstate.ClosedInOrder(p.server, requestWriteWait) {
+	if closedInOrder {
 		kind = closedChunk
 	}
 	var chunk [chunkHeaderSize]byte
 	putChunkHeader(chunk[:], kind, 0)
-	if err := p.writeToHost(chunk[:]); err != nil {
-		log.WithError(err).Info("end of a relayed connection not sent")
-	}
+	return chunk[:]
+}
+
+// requestsReceived reports whether the server, which has closed its direction, did so in order and received all that the host has
+// sent.
+func (p *pipe) requestsReceived() bool {
+	return p.requestsWritten() && tcpstate.ClosedInOrder(p.server, requestWriteWait)
 }
 
 // requestsWritten reports whether all writes to the server have succeeded.
 func (p *pipe) requestsWritten() bool {
-	for end := time.Now().Add(requestWriteWait); !p.serverMu.TryLock(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
+	for receipt := tcpstate.NewReceipt(p.server); !p.serverMu.TryLock(); time.Sleep(time.Millisecond) {
+		if receipt.StalledFor() > requestWriteWait {
 			return false
 		}
 	}
--- a/verbenad/internal/tcpstate/closed_in_order.go
+++ b/verbenad/internal/tcpstate/closed_in_order.go
@@ -2,6 +2,7 @@
 package tcpstate
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -18,19 +19,21 @@
 // reset since. A read can't tell: once the end of a direction has arrived, it reports that end and no reset.
 const tcpCloseWait = 8
 
-// ClosedInOrder reports whether the peer has closed its direction of a connection in order after it had received all that was
-// written, and has not reset the connection at once. It waits for the receipt as long as given. Other connections than those of
-// the kernel report no end but an orderly one.
-func ClosedInOrder(c net.Conn, wait time.Duration) bool {
+// ClosedInOrder reports whether the peer has closed its direction of a connection in order, received all that was written, and has
+// not reset the connection at once. It waits for the receipt while the peer goes on receiving, and stalled longer. Other connections
+// than those of the kernel report no end but an orderly one.
+func ClosedInOrder(c net.Conn, stalled time.Duration) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
 	}
 	received := false
-	for end := time.Now().Add(wait); ; time.Sleep(acknowledgementPoll) {
+	for receipt := (&Receipt{changedAt: time.Now()}); ; time.Sleep(acknowledgementPoll) {
 		info, err := tcpInfo(sc)
 		if err != nil {
-			log.WithError(err).WithField("peer", c.RemoteAddr().String()).Warn("cannot read the state of a connection")
+			if !errors.Is(err, net.ErrClosed) {
+				log.WithError(err).WithField("peer", c.RemoteAddr().String()).Warn("cannot read the state of a connection")
+			}
 			return false
 		}
 		if info.State != tcpCloseWait {
@@ -40,7 +43,8 @@
 			return true
 		}
 		received = info.Unacked == 0 && info.Notsent_bytes == 0
-		if !received && time.Now().After(end) {
+		receipt.update(info.Bytes_acked)
+		if !received && time.Since(receipt.changedAt) > stalled {
 			return false
 		}
 	}
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -17,6 +17,7 @@
 	"verbenaledge.example/verbena/ids"
 	"verbenaledge.example/verbena/limit"
 	"verbenaledge.example/verbena/reachability"
+	"verbenaledge.example/verbenad/internal/serverrelay"
 	"verbenaledge.example/verbenad/internal/tcpstate"
 )
 
@@ -233,9 +234,13 @@
 
 var framingHeaders = map[string]bool{"Content-Length": true, "Host": true, "Transfer-Encoding": true}
 
-// bodyResultTimeout is how long the end of a connection waits for the result of writing the request's body, which may come
-// later than the end although all of the body has been sent.
-const bodyResultTimeout = 300 * time.Millisecond
+const (
+	// bodyResultTimeout is how long the end of a connection waits for the result of writing the request's body, which may come
+	// later than the end although all of the body has been sent, after the server has last received a part of it.
+	bodyResultTimeout = 300 * time.Millisecond
+	// bodyResultPoll is the time between checks whether the server has received more.
+	bodyResultPoll = 20 * time.Millisecond
+)
 
 // ReadBody reads the body. The end is nil until all of the body has arrived or it can't be read further.
 func (r *Response) ReadBody(p []byte) (n int, end completion.End) {
@@ -253,8 +258,7 @@
 		r.complete = true
 		return n, completion.Whole{}
 	}
-	r.awaitBodyResult()
-	if !r.bodySent() || !r.conn.relayed && !tcpstate.ClosedInOrder(r.conn.Conn, bodyResultTimeout) { // a relay has asked itself
+	if !r.closedInOrder() {
 		// The kernel reports a reset only once: the write of the request's body got it.
 		return n, completion.BrokenOff{Err: io.ErrUnexpectedEOF}
 	}
@@ -262,6 +266,20 @@
 	return n, completion.Claimed{}
 }
 
+// closedInOrder reports whether a server that has closed its direction of the connection did so in order, and received the request.
+func (r *Response) closedInOrder() bool {
+	sentBefore := r.bodySent()
+	r.awaitBodyResult()
+	relayed, isRelayed := r.conn.Conn.(*serverrelay.Conn)
+	switch {
+	case !r.bodySent():
+		return false
+	case !isRelayed:
+		return tcpstate.ClosedInOrder(r.conn.Conn, bodyResultTimeout)
+	}
+	return sentBefore || relayed.ConfirmEnd() // the relay knows of what was sent before
+}
+
 // Close ends the response. A connection whose response was read completely is kept for reuse; any other is closed,
 // which stops the server's work.
 func (r *Response) Close() {
@@ -275,17 +293,21 @@
 	r.client.putIdle(r.server.ID, r.conn, r.Info.KeepAlive)
 }
 
-// awaitBodyResult waits for the result of writing the request's body, unless it is known.
+// awaitBodyResult waits for the result of writing the request's body, unless it is known, while the server goes on receiving: one
+// may answer before it reads the request, and end its direction of the connection with the answer.
 func (r *Response) awaitBodyResult() {
 	if r.bodyWritten == nil {
 		return
 	}
-	timer := time.NewTimer(bodyResultTimeout)
-	defer timer.Stop()
-	select {
-	case err := <-r.bodyWritten:
-		r.setBodyResult(err)
-	case <-timer.C:
+	poll := time.NewTicker(bodyResultPoll)
+	defer poll.Stop()
+	for receipt := tcpstate.NewReceipt(r.conn.Conn); receipt.StalledFor() < bodyResultTimeout; {
+		select {
+		case err := <-r.bodyWritten:
+			r.setBodyResult(err)
+			return
+		case <-poll.C:
+		}
 	}
 }
 
