--- a/verbena/http1/transport.go
+++ b/verbena/http1/transport.go
@@ -39,6 +39,9 @@
 	return response, nil
 }
 
+// CloseIdleConnections closes the connections that carry no call.
+func (t *transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
 // checkedBody is a body whose end is an error if the fields after it are malformed.
 type checkedBody struct {
 	io.ReadCloser
@@ -54,6 +57,3 @@
 	}
 	return n, err
 }
-
-// CloseIdleConnections closes the connections that carry no call.
-func (t *transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
