fix: the older daemon took a pause of an upload for its end

Callers of the daemon with settings of its own saw: a sound answer without a length, sent before the end of an upload, as one that was broken off; by chance, if the server had just received all that had been written.

Cause: a fault of: the connection knew what had been written, not whether all of the request had been. Fix: the call tells its connection when the request begins and when it has been written, and an end of the server's direction waits for that, as long as the server goes on receiving.

--- a/verbena/http1/checked_conn.go
+++ b/verbena/http1/checked_conn.go
@@ -23,6 +23,9 @@
 	check     HeadCheck
 }
 
+// NetConn returns the connection that is checked.
+func (c *checkedConn) NetConn() net.Conn { return c.Conn }
+
 // expectResponse says that the next bytes begin a response.
 func (c *checkedConn) expectResponse() {
 	c.mu.Lock()
--- a/verbenad/internal/backend/sent_request.go
+++ b/verbenad/internal/backend/sent_request.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptrace"
+	"sync/atomic"
 	"time"
+
+	"verbenaledge.example/verbenad/internal/tcpstate"
 )
 
 // sentTimeout is how long the end of a connection waits for the result of the request's write, which may come later than
@@ -16,19 +20,38 @@
 	written chan error
 	known   bool
 	err     error
+	conn    atomic.Pointer[tcpstate.Conn]
 }
 
 func newSentRequest() *sentRequest { return &sentRequest{written: make(chan error, 1)} }
 
 // trace returns a context in which the request is to be sent.
 func (s *sentRequest) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
-		select {
-		case <-s.written: // that of an idle connection which was closed
-		default:
-		}
-		s.written <- info.Err
-	}})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(interface{ NetConn() net.Conn }); ok {
+				s.begin(c.NetConn())
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if c := s.conn.Load(); c != nil {
+				c.EndRequest()
+			}
+			select {
+			case <-s.written: // that of an idle connection which was closed
+			default:
+			}
+			s.written <- info.Err
+		},
+	})
+}
+
+// begin records the connection to which the request is written.
+func (s *sentRequest) begin(c net.Conn) {
+	if c, ok := c.(*tcpstate.Conn); ok {
+		c.BeginRequest()
+		s.conn.Store(c)
+	}
 }
 
 // completely reports whether all of the request was sent. It waits for the result of the write.
