fix: requests that name other weights took servers out of service

Cause: a server answers 421 if it isn't the one that is meant, and also if the request names other weights than it has. Each 421 counted as evidence of another server at the address (Gone), which kept the server from all requests until the list of servers was applied again. Nothing bounded how many servers were kept so.

Why this works: a refusal for what the request says of itself (421 for one that names weights, other 4xx with "not executed") is the result Rejected, which says nothing of the server. Any other 421 counts as a failure of the server, whose ejection ends by its time or with an answer and holds for half of a service's servers at most. A rejected item pauses for longer each time, 3 s at most, and prefers servers that haven't rejected it.

--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -130,7 +130,7 @@
 	return int(reserveFactor * math.Sqrt(float64(p.onlineRuns)))
 }
 
-// presentServers counts the servers that are neither gone nor draining nor evacuated, ejected ones included.
+// presentServers counts the servers that are neither delisted nor draining nor evacuated, ejected ones included.
 func (p *pool) presentServers() (n int) {
 	for _, s := range p.servers {
 		if s.present() {
--- a/verbena/dispatch/prompt_run.go
+++ b/verbena/dispatch/prompt_run.go
@@ -104,7 +104,7 @@
 		if o.NotSent || now.Before(r.prompt.readAt) {
 			p.forgetUnread(r)
 		}
-	case Full, NoPath:
+	case Full, NoPath, Rejected:
 		p.forgetUnread(r)
 	case Failed, Silent:
 	}
--- a/verbena/dispatch/restart_evidence.go
+++ b/verbena/dispatch/restart_evidence.go
@@ -18,6 +18,6 @@
 		if r.start.Before(s.versionUncertainSince) {
 			s.versionUncertainUntil = time.Time{} // no restart: the stream began before the suspicion
 		}
-	case Cancelled, Full, Gone, Failed, Broken, NoPath, Silent: // no evidence: healthy servers break answers off, too
+	case Cancelled, Full, Gone, Failed, Broken, NoPath, Silent, Rejected: // no evidence: healthy servers break answers off, too
 	}
 }
--- a/verbena/dispatch/resumption.go
+++ b/verbena/dispatch/resumption.go
@@ -58,7 +58,7 @@
 	Origin origin.Origin `cbor:"2,keyasint,omitempty"`
 	// Age is the time since the stream was last known to run, if it was recorded.
 	Age time.Duration `cbor:"3,keyasint,omitempty"`
-	// Versions are those of the service's servers that are neither gone nor draining.
+	// Versions are those of the service's servers that are neither delisted nor draining.
 	Versions []directory.SoftwareVersion `cbor:"4,keyasint,omitempty"`
 	// MayHaveRestarted is set for a batch item if the granted server may run as another version than its entry says.
 	MayHaveRestarted bool `cbor:"5,keyasint,omitempty"`
@@ -254,7 +254,7 @@
 	}
 }
 
-// presentServersFor counts the servers that are neither gone nor draining and of the version that the request needs.
+// presentServersFor counts the servers that are neither delisted nor draining and of the version that the request needs.
 func (p *pool) presentServersFor(r SlotRequest) (n int) {
 	for _, s := range p.servers {
 		if s.present() && (r.Resumption == nil || r.Resumption.Origin == s.origin()) {
@@ -267,7 +267,7 @@
 // hasVersion reports whether a server of a version is listed, draining or not.
 func (p *pool) hasVersion(v directory.SoftwareVersion) bool {
 	for _, s := range p.servers {
-		if !s.gone && s.SoftwareVersion == v {
+		if !s.delisted && s.SoftwareVersion == v {
 			return true
 		}
 	}
--- a/verbena/dispatch/scheduler.go
+++ b/verbena/dispatch/scheduler.go
@@ -276,7 +276,7 @@
 	} else {
 		p.onlineRuns--
 	}
-	if r.server.gone && r.server.usedSlots == 0 {
+	if r.server.delisted && r.server.usedSlots == 0 {
 		sc.removeServer(now, r.server)
 	}
 }
--- a/verbena/dispatch/scheduler_test.go
+++ b/verbena/dispatch/scheduler_test.go
@@ -185,6 +185,7 @@
 
 var results = map[string]Result{
 	"served": Served, "cancelled": Cancelled, "full": Full, "gone": Gone, "unreachable": Unreachable, "broken": Broken, "failed": Failed, "silent": Silent,
+	"rejected": Rejected,
 }
 
 func describe(c Command) string {
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -41,7 +41,8 @@
 	consecutiveFailures int
 	// slotShare is this scheduler's share of the slots.
 	slotShare float64
-	gone      bool
+	// delisted is set once the server has left the list of servers.
+	delisted bool
 	// onProbation is set from a stall until the server answers again, stalledUntil while it sends nothing.
 	onProbation  bool
 	ejectedUntil time.Time
@@ -104,7 +105,7 @@
 }
 
 // present reports whether the server takes new requests by its entry and the operator's requests.
-func (s *server) present() bool { return !s.gone && !s.Draining && !s.Evacuated }
+func (s *server) present() bool { return !s.delisted && !s.Draining && !s.Evacuated }
 
 func (s *server) usable(now time.Time) bool {
 	return s.present() && !s.ejectedOrStalled(now)
@@ -167,9 +168,7 @@
 		}
 	case Full:
 		s.pausedUntil = now.Add(fullPause)
-	case Gone:
-		s.gone = true
-	case Unreachable, Broken, Failed:
+	case Unreachable, Broken, Failed, Gone:
 		s.lastFailure = now
 		if !s.disabled[Ejection] {
 			s.consecutiveFailures++
@@ -180,14 +179,14 @@
 		}
 	case Silent:
 		s.lastFailure = now // it may have ended
-	case Cancelled, NoPath:
+	case Cancelled, NoPath, Rejected:
 	}
 }
 
 // ejectionTime doubles with each consecutive failure. One lost or failed answer is common on a server that answers others
 // well, so the first failure of a reachable server doesn't eject it.
 func ejectionTime(failures int, result Result) time.Duration {
-	if result != Unreachable {
+	if result != Unreachable && result != Gone {
 		failures--
 	}
 	if failures <= 0 {
--- a/verbena/dispatch/server_list.go
+++ b/verbena/dispatch/server_list.go
@@ -14,7 +14,7 @@
 	sc.origins.ObserveServers(now, e.Servers, sc.list.currentFor)
 	for id, s := range sc.servers {
 		if _, ok := e.Servers[id]; !ok {
-			s.gone = true
+			s.delisted = true
 			if s.usedSlots == 0 {
 				sc.removeServer(now, s)
 			}
@@ -39,7 +39,7 @@
 		sc.observeCold(now, s, listed)
 		s.observePromptsHeld(listed)
 		isNew := !ok || s.Service != listed.Service
-		s.Server, s.gone = listed, false
+		s.Server, s.delisted = listed, false
 		if isNew {
 			p := sc.pool(listed.Service)
 			p.servers = append(p.servers, s)
--- a/verbena/dispatch/suspects.go
+++ b/verbena/dispatch/suspects.go
@@ -36,7 +36,7 @@
 		e.crashes++
 		e.until = now.Add(suspectMemory)
 		return e.crashes
-	case Cancelled, Full, Gone, Unreachable, Failed, NoPath, Silent: // only a server's own end of a send is evidence
+	case Cancelled, Full, Gone, Unreachable, Failed, NoPath, Silent, Rejected: // only a server's own end of a send is evidence
 	}
 	return 0
 }
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -90,7 +90,7 @@
 	Cancelled
 	// Full: the server rejected the request without running it.
 	Full
-	// Gone: another server is at the address.
+	// Gone: another server may be at the address.
 	Gone
 	// Unreachable: no connection.
 	Unreachable
@@ -103,6 +103,8 @@
 	// Silent: the host ended the send because the server had sent nothing for a while. Sound servers are silent for a second or
 	// so, and servers that don't answer at all are found by StallReports.
 	Silent
+	// Rejected: the server refused the request for what it says of itself, as any server in that state would.
+	Rejected
 )
 
 // String returns the result's name in metrics.
@@ -126,6 +128,8 @@
 		return "no_path"
 	case Silent:
 		return "silent"
+	case Rejected:
+		return "rejected"
 	}
 	return "unknown"
 }
--- a/verbena/dispatch/usage.go
+++ b/verbena/dispatch/usage.go
@@ -14,7 +14,7 @@
 	Slots, Used, Batch int
 	// Waiting counts callers' requests that wait for a slot.
 	Waiting int
-	// Servers counts all servers that are neither gone nor draining nor evacuated, Ejected those of them that are ejected or stalled.
+	// Servers counts all servers that are neither delisted nor draining nor evacuated, Ejected those of them that are ejected or stalled.
 	Servers, Ejected int
 	// Limited counts the servers that name a limit, LimitPerSecond is the sum of their limits.
 	Limited        int
--- a/verbena/dispatch/verdicts.go
+++ b/verbena/dispatch/verdicts.go
@@ -38,7 +38,7 @@
 	}
 	v.byVersion = make(map[directory.SoftwareVersion]crash.Judgement)
 	for _, s := range w.pool.servers {
-		if _, ok := v.byVersion[s.SoftwareVersion]; ok || s.gone {
+		if _, ok := v.byVersion[s.SoftwareVersion]; ok || s.delisted {
 			continue
 		}
 		j := sc.crashes.Judge(now, w.request.Service, s.SoftwareVersion, w.request.Parts, sc.maxCrashes())
--- a/verbena/exchange/exchange.go
+++ b/verbena/exchange/exchange.go
@@ -31,6 +31,9 @@
 	Resumes ids.RequestID
 	// Wait is how long a read may be kept waiting for results.
 	Wait time.Duration
+	// NamesWeights means that the request names the weights that a server must have. Others refuse it with the status of another
+	// server at their address.
+	NamesWeights bool
 }
 
 // ForwardInfo is the information sent to a backend server in addition to the caller's headers.
--- a/verbenad/internal/bulk/item.go
+++ b/verbenad/internal/bulk/item.go
@@ -97,8 +97,9 @@
 	// partial is a former owner's partial answer; the next send resumes from it.
 	partial atomic.Pointer[bulk.PartialAnswer]
 	// reason is why the item ends as errored.
-	reason  string
-	exclude []ids.BackendID
+	reason     string
+	exclude    []ids.BackendID
+	rejections rejections
 	// framing is that of the last answer.
 	framing upstream.Framing
 	// brokenBy is what broke off the last send, nil if nothing did; relayed is set if it went over another host, silent if this
@@ -153,7 +154,7 @@
 			itemsUnconfirmed.Inc()
 		case itemRetry:
 			itemsFailed.Inc()
-			clock.Sleep(ctx, itemRetryPause)
+			clock.Sleep(ctx, i.rejections.pause())
 		}
 	}
 	return result, false
@@ -177,8 +178,9 @@
 	info := i.owner.protocol.ParseRequest(header)
 	return dispatch.SlotRequest{
 		Service: service, Workspace: i.record.Job.Workspace, Class: dispatch.Batch, Objective: i.record.DueAt.Sub(elapsed),
-		Remaining: i.record.GiveUpAt.Sub(elapsed), StreamEvents: i.owner.estimator.remaining(i.item.Tokens, i.events), Exclude: i.exclude,
-		Parts: info.SharedParts, PartTokens: info.SharedPartTokens, PromptTokens: info.PromptTokens, OutputTokens: info.OutputTokens,
+		Remaining: i.record.GiveUpAt.Sub(elapsed), StreamEvents: i.owner.estimator.remaining(i.item.Tokens, i.events),
+		Exclude: slices.Concat(i.exclude, i.rejections.servers),
+		Parts:   info.SharedParts, PartTokens: info.SharedPartTokens, PromptTokens: info.PromptTokens, OutputTokens: info.OutputTokens,
 		Resumption: i.resumption(),
 	}
 }
@@ -230,6 +232,7 @@
 		i.logTurnedAway(slot, answer)
 		return result
 	}
+	i.rejections = rejections{}
 	defer slots.ReadPace(i.owner.clock, answer.Info.Load, &o)()
 	progress := func() {
 		stall.Progress()
--- a/verbenad/internal/bulk/item_refusal.go
+++ b/verbenad/internal/bulk/item_refusal.go
@@ -26,14 +26,17 @@
 	runCtx context.Context, slot *slots.Slot, route *catalog.Route, a *upstream.Response,
 ) (dispatch.Result, sendResult) {
 	if a.Info.NotExecuted {
-		if a.Status == http.StatusMisdirectedRequest {
-			return dispatch.Gone, itemRetry
+		_, header := i.owner.protocol.ItemRequest(i.item)
+		result := slots.RefusalResult(a.Status, i.owner.protocol.ParseRequest(header))
+		if result == dispatch.Rejected {
+			i.rejections.add(slot.Server.ID)
 		}
-		return dispatch.Full, itemRetry
+		return result, itemRetry
 	}
 	if !a.Info.Signed {
 		return dispatch.Broken, itemRetry
 	}
+	i.rejections = rejections{}
 	if err := readToEnd(a, maxRefusalBytes); err != nil {
 		result := i.classifyError(runCtx, slot, err)
 		if result == dispatch.Cancelled {
--- a/verbenad/internal/entry/forward.go
+++ b/verbenad/internal/entry/forward.go
@@ -214,10 +214,7 @@
 	case response.Info.NotExecuted:
 		state.refusals++
 		state.reason = "server_refused"
-		outcome.Result = dispatch.Full
-		if response.Status == http.StatusMisdirectedRequest {
-			outcome.Result = dispatch.Gone
-		}
+		outcome.Result = slots.RefusalResult(response.Status, req.info)
 		return h.afterFailure(req, state, true), outcome
 	case !response.Info.Signed:
 		state.sends, state.mayHaveRun, state.reason = state.sends+1, true, "unsigned_answer"
