fix: alike requests were blocked for crashes of all servers

Cause: three broken sends, of any of the requests that are alike and in any crash, blocked all of them. Only an answer ended that, which none could get; the end after a minute was applied by a tick, and a dispatcher without waiting requests has none.

Ruled out: the servers (45 s up, idle; other requests served), the host's path (all hosts).

Why this works: the ends at one start of a server are one crash; from the third time on such requests run on trial, one at a time, apart from others; only a crash of a trial blocks, after three crashes. Times are compared when a request is judged.

--- a/verbena/dispatch/admit.go
+++ b/verbena/dispatch/admit.go
@@ -48,13 +48,6 @@
 		return
 	}
 	w.due = w.due.Add(-p.firstByteTime())
-	if !sc.disabled[CrashSuspects] && sc.suspects.isCrashing(e.Request.Fingerprint) {
-		sc.commands = append(sc.commands, Refuse{
-			Key: w.key, Reason: Crashing, RetryAfter: clampRetryAfter(maxRetryAfter, e.Request.Remaining),
-			Inputs: p.inputs(p.selectServer(now, w.key.Host, w.request)), Resumption: w.resumption,
-		})
-		return
-	}
 	if sc.refuseIfBlocked(now, w) || !sc.takeToken(now, w) {
 		return
 	}
--- a/verbena/dispatch/crashes.go
+++ b/verbena/dispatch/crashes.go
@@ -27,29 +27,33 @@
 	return crash.MaxCrashes
 }
 
-// refuseIfBlocked refuses a request whose prompt has crashed several servers.
+// refuseIfBlocked refuses a request that has crashed several servers, or whose prompt has.
 func (sc *Scheduler) refuseIfBlocked(now time.Time, w *waiter) bool {
-	j := sc.judge(now, w).best
+	v := sc.judge(now, w)
+	j, reason := v.best, CrashingPart
 	if j.Verdict != crash.Blocked {
 		return false
 	}
+	if v.wholeRequest {
+		reason = Crashing
+	}
 	retryAfter := blockedRetryAfter
 	if j.NextTrial > 0 {
 		retryAfter = min(max(j.NextTrial, minBlockedRetryAfter), blockedRetryAfter)
 	}
 	sc.commands = append(sc.commands, Refuse{
-		Key: w.key, Reason: CrashingPart, RetryAfter: retryAfter, Crashes: j.Crashes, Parts: j.Parts,
-		Inputs: w.pool.inputs(w.pool.selectServer(now, w.key.Host, w.request)),
+		Key: w.key, Reason: reason, RetryAfter: retryAfter, Crashes: j.Crashes, Parts: j.Parts,
+		Inputs: w.pool.inputs(w.pool.selectServer(now, w.key.Host, w.request)), Resumption: w.resumption,
 	})
 	return true
 }
 
 // refuseBlocked refuses the waiting requests that have become blocked.
 func (sc *Scheduler) refuseBlocked(now time.Time, p *pool) {
-	if p.crashRevision == sc.crashes.Revision() {
+	if p.crashRevision == sc.crashes.Revision() && p.suspectRevision == sc.suspects.revision {
 		return
 	}
-	p.crashRevision = sc.crashes.Revision()
+	p.crashRevision, p.suspectRevision = sc.crashes.Revision(), sc.suspects.revision
 	for _, w := range slices.Clone(p.onlineQueue) {
 		if sc.refuseIfBlocked(now, w) {
 			sc.removeWaiting(w)
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -45,12 +45,14 @@
 	eventSeconds float64
 	plan         plan
 	returning    returnTimes
-	// trials holds the runs on trial. crashRevision is that of the crash reports for which waiting requests were last checked.
-	trials        map[Key]*run
-	crashRevision uint64
-	disabled      disabledMechanisms
-	callerShares  shares
-	batchShares   shares
+	// trials holds the runs on trial whose answers have not begun. crashRevision and suspectRevision are those of the crash reports
+	// and of the suspects for which waiting requests were last checked.
+	trials          map[Key]*run
+	crashRevision   uint64
+	suspectRevision uint64
+	disabled        disabledMechanisms
+	callerShares    shares
+	batchShares     shares
 	// memoryTokens is the memory of a server, 0 if it isn't known. meanTokens is the moving average of what a request holds.
 	memoryTokens memory.Tokens
 	meanTokens   float64
--- a/verbena/dispatch/reason.go
+++ b/verbena/dispatch/reason.go
@@ -13,7 +13,7 @@
 	NoServer
 	// TooLate: the request waited so long that it can't be answered before its deadline.
 	TooLate
-	// Crashing: the request has had the maximum number of broken sends.
+	// Crashing: the request, or others that are alike, was running in several crashes, one of them on trial.
 	Crashing
 	// CrashingPart: a part of the request's prompt has crashed several servers.
 	CrashingPart
--- a/verbena/dispatch/scheduler.go
+++ b/verbena/dispatch/scheduler.go
@@ -28,9 +28,10 @@
 	deferred bool
 	// standing is that of an item's workspace while room is short.
 	standing fairness.Standing
-	// trialParts are the suspect prompt parts of a run on trial whose answer has not begun. trial is set for any trial.
-	trialParts []ids.PromptPartID
+	// trial is set for a run on trial, also once its answer has begun. trialParts are its suspect prompt parts; there are none if the
+	// request as a whole is suspect.
 	trial      bool
+	trialParts []ids.PromptPartID
 	// takenOver is set if another scheduler granted the slot.
 	takenOver bool
 	prompt    promptRun
@@ -92,7 +93,6 @@
 		heldByDisconnected: make(map[ids.HostID]time.Time),
 		reservations:       newReservations(),
 		slotShare:          1,
-		suspects:           make(suspects),
 		list:               listView{outdated: true},
 		origins:            origin.NewRecords(),
 		versions:           origin.NewVersions(),
@@ -245,7 +245,7 @@
 	p.limitEjections(now, r.server)
 	sc.recordCrash(now, r, o)
 	sc.recordSurvival(now, r, o)
-	if n := sc.suspects.record(now, r.request.Fingerprint, o.Result); n > 0 {
+	if n := sc.suspects.record(now, r, o.Result); n > 0 {
 		sc.commands = append(sc.commands, BrokenSendCounted{Key: k, Server: r.server.ID, Fingerprint: r.request.Fingerprint, Count: n})
 	}
 	if o.Result == Served {
@@ -296,7 +296,6 @@
 			sc.releaseSlotsOf(now, host)
 		}
 	}
-	sc.suspects.removeExpired(now)
 	sc.servePools(now)
 }
 
--- a/verbena/dispatch/trial.go
+++ b/verbena/dispatch/trial.go
@@ -32,7 +32,7 @@
 func (sc *Scheduler) placeSuspect(now time.Time, w *waiter) bool {
 	p := w.pool
 	parts := sc.judge(now, w).best.Parts
-	if len(p.trials) >= max(1, int(trialShare*float64(p.presentServers()))) || p.onTrial(now, parts) {
+	if len(p.trials) >= max(1, int(trialShare*float64(p.presentServers()))) || p.onTrial(now, w.request, parts) {
 		return false
 	}
 	s := sc.selectForTrial(now, w)
@@ -56,10 +56,14 @@
 	return true
 }
 
-// onTrial reports whether one of the parts is on trial.
-func (p *pool) onTrial(now time.Time, parts []ids.PromptPartID) bool {
+// onTrial reports whether a request that is alike, or one of the parts, is on trial.
+func (p *pool) onTrial(now time.Time, req SlotRequest, parts []ids.PromptPartID) bool {
 	for _, r := range p.trials {
-		if now.Sub(r.start) < trialTimeout && slices.ContainsFunc(r.trialParts, func(id ids.PromptPartID) bool { return slices.Contains(parts, id) }) {
+		if now.Sub(r.start) >= trialTimeout {
+			continue
+		}
+		alike := req.Fingerprint != 0 && r.request.Fingerprint == req.Fingerprint
+		if alike || slices.ContainsFunc(r.trialParts, func(id ids.PromptPartID) bool { return slices.Contains(parts, id) }) {
 			return true
 		}
 	}
@@ -78,7 +82,7 @@
 		if !p.offersRoom(s, w.key, &req) {
 			continue
 		}
-		if v.on(s) == crash.Blocked || sc.crashes.TrialFailed(now, s.ID, s.Incarnation) {
+		if v.on(s) == crash.Blocked || sc.crashes.TrialFailed(now, s.ID, s.Incarnation) || sc.suspects.crashedJustNow(now, req.Fingerprint, s) {
 			continue // a further crash would prove nothing
 		}
 		cost := p.cost(now, s, req.Zone) + trialLoadCost*float64(s.usedSlots)
@@ -98,11 +102,11 @@
 
 // endTrial opens the server of a trial to other requests.
 func (sc *Scheduler) endTrial(r *run) {
-	if r.trialParts == nil {
+	p := sc.pool(r.request.Service)
+	if p.trials[r.key] != r {
 		return
 	}
-	r.trialParts = nil
-	delete(sc.pool(r.request.Service).trials, r.key)
+	delete(p.trials, r.key)
 	if r.server.trial == r {
 		r.server.trial = nil
 	}
--- a/verbena/dispatch/types.go
+++ b/verbena/dispatch/types.go
@@ -332,11 +332,11 @@
 	Resumption *ResumptionInputs
 }
 
-// BrokenSendCounted reports, for logs, that a broken send was counted against a request.
+// BrokenSendCounted reports, for logs, that a crash was counted against a request.
 type BrokenSendCounted struct {
 	Key    Key
 	Server ids.BackendID
-	// Count is how many broken sends have been counted against requests with this Fingerprint.
+	// Count is how many crashes have been counted against requests with this Fingerprint.
 	Fingerprint uint64
 	Count       int
 }
--- a/verbena/dispatch/verdicts.go
+++ b/verbena/dispatch/verdicts.go
@@ -11,8 +11,9 @@
 // verdicts are the verdicts on a request for each software version of the servers.
 type verdicts struct {
 	byVersion map[directory.SoftwareVersion]crash.Judgement
-	// best is that of the version on which the request may run soonest.
-	best crash.Judgement
+	// best is that of the version on which the request may run soonest, or that on the request as a whole if wholeRequest is set.
+	best         crash.Judgement
+	wholeRequest bool
 }
 
 // on returns the verdict for a server.
@@ -28,8 +29,20 @@
 // verdictLifetime is how long cached verdicts may delay a trial.
 const verdictLifetime = 100 * time.Millisecond
 
-// judge returns the verdicts on a request. Batch items are never the cause of crashes.
+// judge returns the verdicts on a request: on the parts of its prompt, unless that on the request as a whole is stricter.
 func (sc *Scheduler) judge(now time.Time, w *waiter) (v verdicts) {
+	v = sc.judgeParts(now, w)
+	if sc.disabled[CrashSuspects] || w.request.Class == Batch {
+		return v
+	}
+	if j := sc.suspects.judge(now, w.request.Fingerprint); j.Verdict > v.best.Verdict {
+		v.best, v.wholeRequest = j, true
+	}
+	return v
+}
+
+// judgeParts returns the verdicts on the parts of a request's prompt. Batch items are never the cause of crashes.
+func (sc *Scheduler) judgeParts(now time.Time, w *waiter) (v verdicts) {
 	if sc.crashes.Len() == 0 || len(w.request.Parts) == 0 || w.request.Class == Batch || sc.disabled[CrashingParts] {
 		return v
 	}
