fix: idle servers kept one slot for good after a failure or a stall

Callers saw: requests that come together after a quiet time wait for the first answer of each server that had failed or stalled before it, however long ago.

Cause: consecutiveFailures and onProbation leave a server one slot, and only an answer ended them. Requests whose callers leave bring none.

Why this works: both marks count for a minute, compared when slots are counted, so that nothing else has to happen.

--- a/verbena/dispatch/failures.go
+++ b/verbena/dispatch/failures.go
@@ -86,7 +86,7 @@
 // failing reports whether the server fails so often that callers are better served elsewhere, or has not answered since
 // it stalled.
 func (s *server) failing(now time.Time) bool {
-	return s.onProbation || s.failures.rate(now) >= failingRate
+	return s.onProbation(now) || s.failures.rate(now) >= failingRate
 }
 
 // suitability is how well a server suits a host.
--- a/verbena/dispatch/pool.go
+++ b/verbena/dispatch/pool.go
@@ -247,7 +247,7 @@
 	if s.Zone != zone && !s.disabled[ZoneFirst] {
 		c += crossZoneCost
 	}
-	if s.onProbation {
+	if s.onProbation(now) {
 		c += stallCost
 	}
 	if now.Before(s.coldUntil) {
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -37,17 +37,17 @@
 	// usedSlots counts the granted slots, yieldingSlots those of them that batch items were asked to yield.
 	usedSlots     int
 	yieldingSlots int
-	// consecutiveFailures counts the sends that failed since the last success, over all hosts.
+	// consecutiveFailures counts the sends that failed since the last success, over all hosts. They count for failureExpiry.
 	consecutiveFailures int
 	// slotShare is this scheduler's share of the slots.
 	slotShare float64
 	// delisted is set once the server has left the list of servers.
-	delisted bool
-	// onProbation is set from a stall until the server answers again, stalledUntil while it sends nothing.
-	onProbation  bool
+	delisted     bool
 	ejectedUntil time.Time
-	stalledUntil time.Time
-	pausedUntil  time.Time
+	// stalledUntil is in the future while the server sends nothing, probationUntil from a stall until it answers again.
+	stalledUntil   time.Time
+	probationUntil time.Time
+	pausedUntil    time.Time
 	// trial is the run on trial for which the server is reserved, or nil.
 	trial *run
 	// reservedFor is the request that the server's room is reserved for, or nil.
@@ -141,7 +141,7 @@
 		return 0
 	}
 	slots := s.capacity()
-	if s.consecutiveFailures > 0 || s.onProbation {
+	if s.failedRecently(now) || s.onProbation(now) {
 		slots = 1 // a server that failed or stalled gets one request until it serves one
 	}
 	return slots - s.usedSlots + s.yieldingSlots
@@ -169,6 +169,9 @@
 	case Full:
 		s.pausedUntil = now.Add(fullPause)
 	case Unreachable, Broken, Failed, Gone:
+		if !s.failedRecently(now) {
+			s.consecutiveFailures = 0
+		}
 		s.lastFailure = now
 		if !s.disabled[Ejection] {
 			s.consecutiveFailures++
@@ -183,6 +186,11 @@
 	}
 }
 
+// failedRecently reports whether the server has failed since its last success, so recently that it counts.
+func (s *server) failedRecently(now time.Time) bool {
+	return s.consecutiveFailures > 0 && now.Sub(s.lastFailure) < failureExpiry
+}
+
 // ejectionTime doubles with each consecutive failure. One lost or failed answer is common on a server that answers others
 // well, so the first failure of a reachable server doesn't eject it.
 func ejectionTime(failures int, result Result) time.Duration {
--- a/verbena/dispatch/stall.go
+++ b/verbena/dispatch/stall.go
@@ -10,6 +10,9 @@
 	// stallPause is how long a stalled server gets no new requests after the last report; hosts repeat their reports
 	// while a server sends nothing.
 	stallPause = time.Second
+	// probationTime is how long a server that stalled gets one request at a time, unless it answers. Requests end sooner, one way or
+	// the other.
+	probationTime = time.Minute
 	// stallCost ranks a server that has not answered since it stalled behind the others.
 	stallCost = 1.0
 )
@@ -49,10 +52,13 @@
 	if now.Sub(r.server.aliveAt) < e.Report.SilentFor || !p.mayEject(now, r.server) {
 		return // the server answers others, or so many have stalled that the cause is elsewhere
 	}
-	r.server.stalledUntil, r.server.onProbation = now.Add(stallPause), true
+	r.server.stalledUntil, r.server.probationUntil = now.Add(stallPause), now.Add(probationTime)
 }
 
+// onProbation reports whether the server has not answered since it stalled.
+func (s *server) onProbation(now time.Time) bool { return now.Before(s.probationUntil) }
+
 // markAlive records that the server has sent something.
 func (s *server) markAlive(now time.Time) {
-	s.aliveAt, s.stalledUntil, s.onProbation = now, time.Time{}, false
+	s.aliveAt, s.stalledUntil, s.probationUntil = now, time.Time{}, time.Time{}
 }
