fix: expired crash reports made requests run on trial

Callers saw: requests with a prompt part that was in one crash more than ten minutes before ran one at a time, until one was answered.

Cause: expired reports were removed only when another crash was reported.

Evidence: the check "parts that block nothing are sound" of TestMarksEndByTheirTime failed after 96 drawn cases, and the script crashing_part_report_expires failed.

Why this works: reports are searched for expired ones before a request is judged, at most once a second. Both tests pass, the check in 20,000 drawn cases.

--- a/verbena/crash/reports.go
+++ b/verbena/crash/reports.go
@@ -27,6 +27,8 @@
 	// maxReports and maxCandidates limit the memory of reports and the messages that carry them.
 	maxReports    = 128
 	maxCandidates = 64
+	// expiryInterval is how often reports are searched for expired ones.
+	expiryInterval = time.Second
 )
 
 // trialPauses are the times after the last crash until blocked requests are tried again, by the number of failed
@@ -38,6 +40,8 @@
 	list []*Report
 	// revision counts the changes.
 	revision uint64
+	// expiredAt is when expired reports were last removed.
+	expiredAt time.Time
 }
 
 // Revision changes whenever the reports do.
@@ -282,9 +286,10 @@
 
 // RemoveExpired removes reports that are older than their retention and block nothing.
 func (rs *Reports) RemoveExpired(now time.Time) {
-	if len(rs.list) == 0 || now.Sub(rs.list[0].at) < retention {
+	if len(rs.list) == 0 || now.Sub(rs.list[0].at) < retention || now.Sub(rs.expiredAt) < expiryInterval {
 		return // they are in the order of their times, but for a few received from other hosts
 	}
+	rs.expiredAt = now
 	kept := slices.DeleteFunc(slices.Clone(rs.list), func(r *Report) bool { return now.Sub(r.at) >= retention && !rs.blocks(r) })
 	if len(kept) < len(rs.list) {
 		rs.revision++
--- a/verbena/dispatch/marks_test.go
+++ b/verbena/dispatch/marks_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"verbenaledge.example/verbena/crash"
 	"verbenaledge.example/verbena/directory"
 	"verbenaledge.example/verbena/ids"
 )
@@ -175,6 +176,16 @@
 				f.t.Fatalf("%d of %d slots granted", granted, slots)
 			}
 		},
+		"parts that block nothing are sound": func(f *markedFleet) {
+			f.now = f.now.Add(longestMark)
+			reports, _ := f.scheduler.crashes.Snapshot(f.now, 0)
+			if len(crash.Blocking(reports)) > 0 {
+				return
+			}
+			if granted, trials := f.request(SlotRequest{Parts: []ids.PromptPartID{"x", "y"}}); granted != 1 || trials != 0 {
+				f.t.Fatalf("%d granted, %d of them on trial", granted, trials)
+			}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
--- a/verbena/dispatch/verdicts.go
+++ b/verbena/dispatch/verdicts.go
@@ -46,6 +46,7 @@
 	if sc.crashes.Len() == 0 || len(w.request.Parts) == 0 || w.request.Class == Batch || sc.disabled[CrashingParts] {
 		return v
 	}
+	sc.crashes.RemoveExpired(now)
 	if w.judged.revision == sc.crashes.Revision() && now.Before(w.judged.until) {
 		return w.judged.verdicts
 	}
