--- a/verbena/dispatch/scheduler.go
+++ b/verbena/dispatch/scheduler.go
@@ -239,15 +239,18 @@
 	}
 	p.observePrompt(now, r, o)
 	sc.releaseSlot(now, r)
-	r.server.recordOutcome(now, r.key.Host, o)
-	p.recordSpeed(now, r.server, o)
-	r.server.recordRestartEvidence(now, r, o)
+	r.server.recordPace(now, r.key.Host, o)
+	switch o.Result.subject().(type) {
+	case ofServer:
+		p.recordOfServer(now, r, o)
+	case ofServerAndRequest:
+		p.recordOfServer(now, r, o)
+		sc.recordOfRequest(now, r, o)
+	case ofRequest, ofPath, ofNobody:
+	}
 	p.limitEjections(now, r.server)
-	sc.recordCrash(now, r, o)
+	sc.recordCrash(now, r, o) // the beginning of an answer clears prompt parts, however it ends
 	sc.recordSurvival(now, r, o)
-	if n := sc.suspects.record(now, r, o.Result); n > 0 {
-		sc.commands = append(sc.commands, BrokenSendCounted{Key: k, Server: r.server.ID, Fingerprint: r.request.Fingerprint, Count: n})
-	}
 	if o.Result == Served {
 		p.recordAnswer(r.request, now.Sub(r.start), o)
 	}
--- a/verbena/dispatch/server.go
+++ b/verbena/dispatch/server.go
@@ -155,8 +155,8 @@
 	return min(s.Slots, max(1, int(math.Ceil(independentOvercommit*float64(s.Slots)*s.slotShare))))
 }
 
+// recordOutcome records an outcome that speaks of the server.
 func (s *server) recordOutcome(now time.Time, host ids.HostID, o Outcome) {
-	s.recordPace(now, host, o)
 	switch o.Result {
 	case Served:
 		s.markAlive(now)
