fix: submissions of empty items took a host beyond its memory

Cause: the list was decoded before its length was compared with the limit of 200 items, and the budget of the memory counted the body only. 613 MB were allocated for one body of 4 MB.

--- a/verbena/bulk/job.go
+++ b/verbena/bulk/job.go
@@ -3,6 +3,7 @@
 package bulk
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -31,6 +32,9 @@
 	return fmt.Sprintf("jobs-%02d", int(s))
 }
 
+// ErrNoMemory means that there is no memory left to read a submission.
+var ErrNoMemory = errors.New("no memory left to read the batch job")
+
 // ItemID identifies an item within its job.
 type ItemID string
 
--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -41,8 +41,9 @@
 type JobProtocol interface {
 	// ParseJobCall parses a call on an existing job; ok is false if the request is not one.
 	ParseJobCall(r *http.Request) (call bulk.Call, ok bool)
-	// ParseJob parses a submission.
-	ParseJob(id ids.RequestID, body []byte) (*bulk.Job, error)
+	// ParseJob parses a submission. Before it takes memory beyond the size of the body, it asks reserve for the most that it may take,
+	// in bytes; if that returns false, the error is bulk.ErrNoMemory.
+	ParseJob(id ids.RequestID, body []byte, reserve func(bytes int64) bool) (*bulk.Job, error)
 	// WriteJobReply writes the response to a call.
 	WriteJobReply(w http.ResponseWriter, id ids.RequestID, call bulk.Call, reply bulk.Reply)
 }
--- a/verbenad/internal/entry/job_configuration_test.go
+++ b/verbenad/internal/entry/job_configuration_test.go
@@ -27,7 +27,7 @@
 
 func (submissions) ParseJobCall(*http.Request) (call bulk.Call, ok bool) { return call, false }
 
-func (submissions) ParseJob(id ids.RequestID, _ []byte) (*bulk.Job, error) {
+func (submissions) ParseJob(id ids.RequestID, _ []byte, _ func(int64) bool) (*bulk.Job, error) {
 	return &bulk.Job{ID: ids.JobID(id)}, nil
 }
 
--- a/verbenad/internal/entry/jobs.go
+++ b/verbenad/internal/entry/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -60,7 +61,19 @@
 		h.refuse(req, http.StatusMethodNotAllowed, 0, "method")
 		return
 	}
-	job, err := h.jobProtocol.ParseJob(req.info.ID, req.body)
+	decoded := int64(0)
+	defer func() { h.memory.release(decoded) }()
+	job, err := h.jobProtocol.ParseJob(req.info.ID, req.body, func(bytes int64) bool {
+		if !h.memory.reserve(bytes) {
+			return false
+		}
+		decoded = bytes
+		return true
+	})
+	if errors.Is(err, bulk.ErrNoMemory) {
+		h.refuse(req, http.StatusServiceUnavailable, unavailableRetryAfter, "no_memory")
+		return
+	}
 	if err != nil {
 		log.WithError(err).WithField("request_id", req.info.ID).Warn("cannot parse the batch job")
 		h.refuseInvalid(req, "bad_job", err)
