fix: slow readers of results took a host beyond its memory

Cause: up to 900 KB a read, as the owner sent it and encoded, stayed in memory until the caller had read it, and nothing counted that.

Why this works: what replies hold until they are read comes out of an eighth of the host's memory; a page is smaller while there are many readers, 64 KB at least. A reply that doesn't fit is 503 (no_memory) with Retry-After; calls that have taken effect never are.

--- a/verbena/bulk/call.go
+++ b/verbena/bulk/call.go
@@ -55,6 +55,8 @@
 	Remaining time.Duration `cbor:"9,keyasint,omitempty"`
 	// Progress is the former owner's report of a HandOverProgress call.
 	Progress *Progress `cbor:"10,keyasint,omitempty"`
+	// MaxBytes bounds the results of a read, in bytes once they are encoded, beyond the first one; 0 means the owner's own bound.
+	MaxBytes int `cbor:"11,keyasint,omitempty"`
 }
 
 // NamesStorable reports whether a job and an item with the call's ids can exist: ids that are no UTF-8 are refused on
--- a/verbenad/internal/bulk/answer.go
+++ b/verbenad/internal/bulk/answer.go
@@ -120,6 +120,14 @@
 	return v.reply
 }
 
+// pageBytes returns the size of a page of results.
+func pageBytes(c bulk.Call) int {
+	if c.MaxBytes > 0 {
+		return min(c.MaxBytes, maxReadBytes)
+	}
+	return maxReadBytes
+}
+
 func (o *Owner) readResults(ctx context.Context, q hostlink.JobsCall) bulk.Reply {
 	wait := time.NewTimer(q.Call.Wait)
 	defer wait.Stop()
@@ -129,7 +137,7 @@
 			v.lookup = o.find(q)
 			if r := v.record; r != nil {
 				v.reply = bulk.Reply{Code: bulk.Done, Total: len(r.Job.Items)}
-				v.reply.Results, v.reply.Next = r.Page(q.Call.After, maxReadBytes)
+				v.reply.Results, v.reply.Next = r.Page(q.Call.After, pageBytes(q.Call))
 				v.changed, v.open, v.owned = r.Changed(), r.Open(), o.ownsShard(q.Shard)
 			}
 			return v
--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -63,6 +63,7 @@
 	clock       clock.Clock
 	catalog     atomic.Pointer[catalog.Catalog]
 	memory      *memoryBudget
+	replies     *replyMemory
 	// bodies are those that are being read.
 	bodies      *unfinishedBodies
 	retryBudget *retryBudget
@@ -96,6 +97,7 @@
 		durations:    newDurations(),
 		bodies:       newUnfinishedBodies(c),
 		memory:       newMemoryBudget(int64(max(16, memoryMB)) << 20 / memoryBudgetDivisor),
+		replies:      newReplyMemory(int64(max(16, memoryMB)) << 20 / replyMemoryDivisor),
 		firstCatalog: make(chan struct{}), startupEnd: c.Now().Add(startupTime),
 	}
 }
--- a/verbenad/internal/entry/jobs.go
+++ b/verbenad/internal/entry/jobs.go
@@ -51,6 +51,8 @@
 	call.Remaining = jobCallTimeout
 	if call.Op == bulk.ReadResults {
 		call.Remaining = call.Wait + readMargin
+		call.MaxBytes = h.replies.beginRead()
+		defer h.replies.endRead()
 	}
 	h.callJobOwner(req, call)
 }
@@ -111,5 +113,12 @@
 			"shard": bulk.ShardOf(call.Workspace), "took_ms": h.clock.Now().Sub(req.start).Milliseconds(),
 		}).Info("batch call answered")
 	}
+	if held := replyBytes(reply); held > 0 { // only reads have one; others have taken effect
+		if !h.replies.budget.reserve(held) {
+			h.refuse(req, http.StatusServiceUnavailable, unavailableRetryAfter, "no_memory")
+			return
+		}
+		defer h.replies.budget.release(held)
+	}
 	h.jobProtocol.WriteJobReply(req.writer, req.info.ID, call, reply)
 }
