fix: done items filled their owner's memory

Their owner was killed for its memory, and again each time it had loaded its shards.

Cause: a job's record kept the input of its items until it expired, though each item's own record dropped it; an owner that loads a shard read all input before it read the results.

Ruled out: open items (none waited), results (2 KB a job).

Why this works: a job's record holds ids and tokens only, and an item's input goes with its visible result or the job's end. Results are read first, and input of items that have one isn't kept.

The input of open items is still without a bound.

--- a/verbena/bulk/job.go
+++ b/verbena/bulk/job.go
@@ -48,6 +48,18 @@
 	Tokens int64 `json:"tokens" cbor:"5,keyasint"`
 }
 
+// withoutInput returns what remains of an item once its result is visible.
+func (i Item) withoutInput() Item { return Item{ID: i.ID, Tokens: i.Tokens} }
+
+// DropInput removes the input of the items that won't run any more.
+func DropInput(items []Item, isDone func(ItemID) bool) {
+	for n := range items {
+		if isDone(items[n].ID) {
+			items[n] = items[n].withoutInput()
+		}
+	}
+}
+
 // Job is a batch job as submitted.
 type Job struct {
 	ID        ids.JobID       `json:"id" cbor:"1,keyasint"`
--- a/verbena/bulk/ledger.go
+++ b/verbena/bulk/ledger.go
@@ -20,6 +20,7 @@
 
 // Record is one job with its progress.
 type Record struct {
+	// Job has its items' ids and tokens only.
 	Job   Job
 	Shard Shard
 	// Results are the visible results in their final order; Segments counts the writes that made them visible.
@@ -105,7 +106,9 @@
 		return r
 	}
 	r := &Record{Job: j, Shard: s, items: make(map[ItemID]*itemRecord, len(j.Items)), changed: make(chan struct{}), stopped: make(chan struct{})}
+	r.Job.Items = make([]Item, 0, len(j.Items))
 	for _, i := range j.Items {
+		r.Job.Items = append(r.Job.Items, i.withoutInput())
 		r.items[i.ID] = &itemRecord{item: i, countedWaiting: true}
 		if !reserved {
 			l.waiting[capKey{j.Workspace, j.Route}] += i.Tokens
@@ -124,7 +127,7 @@
 		}
 		l.removeFromWaiting(r, p)
 		p.state = itemDone
-		p.item.Body = nil
+		p.item, p.partial = p.item.withoutInput(), nil
 		r.Results = append(r.Results, rs)
 	}
 	r.Segments++
@@ -208,6 +211,7 @@
 	r.Ended = true
 	for _, p := range r.items {
 		l.removeFromWaiting(r, p)
+		p.item, p.partial = p.item.withoutInput(), nil
 	}
 	r.notifyChanged()
 	r.markStopped()
@@ -242,7 +246,7 @@
 // Changed returns a channel that is closed when results become visible, the job is ended or its shard is dropped.
 func (r *Record) Changed() <-chan struct{} { return r.changed }
 
-// Item returns an item. Once its result is visible it has no body.
+// Item returns an item. Once its result is visible or the job is ended it has no input.
 func (r *Record) Item(id ItemID) (i Item, ok bool) {
 	p, ok := r.items[id]
 	if !ok {
--- a/verbenad/internal/bulk/load.go
+++ b/verbenad/internal/bulk/load.go
@@ -69,8 +69,14 @@
 		return l, nil
 	}
 	l.unreadable = make(map[ids.JobID]bool)
-	for _, ob := range heads.Objects {
-		j, err := o.decodeJob(ctx, s, ob)
+	r, err := o.store.List(ctx, kindResults(s), false)
+	if err != nil {
+		return l, err
+	}
+	l.decodeSegments(s, r.Objects)
+	for n, ob := range heads.Objects {
+		heads.Objects[n] = objects.Object{} // the jobs that have been read need no second copy
+		j, err := o.decodeJob(ctx, s, ob, l.done(ids.JobID(ob.Name)))
 		switch {
 		case err == nil:
 			l.jobs = append(l.jobs, j)
@@ -81,17 +87,23 @@
 			return l, err
 		}
 	}
-	r, err := o.store.List(ctx, kindResults(s), false)
-	if err != nil {
-		return l, err
-	}
-	l.decodeSegments(s, r.Objects)
 	return l, nil
 }
 
-// decodeJob decodes a job and reads its parts. A job that is past its retention and lacks parts counts as expired: a former
-// release deleted them first.
-func (o *Owner) decodeJob(ctx context.Context, s bulk.Shard, object objects.Object) (j storedJob, err error) {
+// done returns the items of a job that have a result.
+func (l *storedShard) done(id ids.JobID) (items map[bulk.ItemID]bool) {
+	items = make(map[bulk.ItemID]bool)
+	for _, s := range l.results[id] {
+		for _, r := range s.Results {
+			items[r.Item] = true
+		}
+	}
+	return items
+}
+
+// decodeJob decodes a job and reads its parts, without the input of the items that are done. A job that is past its retention and lacks
+// parts counts as expired: a former release deleted them first.
+func (o *Owner) decodeJob(ctx context.Context, s bulk.Shard, object objects.Object, done map[bulk.ItemID]bool) (j storedJob, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("read job %s: %w", object.Name, err)
@@ -109,6 +121,8 @@
 		}
 		j.ended = status.Ended
 	}
+	isDone := func(id bulk.ItemID) bool { return j.ended || done[id] }
+	bulk.DropInput(j.job.Items, isDone)
 	for n := 1; n <= j.job.Parts; n++ {
 		items, err := o.readPart(ctx, s, j.job.ID, n)
 		if errors.Is(err, errUnreadable) && o.isPastRetention(o.clock.Now(), j.job) {
@@ -119,6 +133,7 @@
 		if err != nil {
 			return j, err
 		}
+		bulk.DropInput(items, isDone)
 		j.job.Items = append(j.job.Items, items...)
 	}
 	return j, nil
--- a/verbenad/internal/bulk/submit.go
+++ b/verbenad/internal/bulk/submit.go
@@ -220,7 +220,7 @@
 func (o *Owner) readBack(ctx context.Context, s bulk.Shard, id ids.JobID) (found storedJob, code bulk.Code, ok bool) {
 	object, err := o.store.Get(ctx, kindJobs(s), string(id))
 	if err == nil {
-		found, err = o.decodeJob(ctx, s, object)
+		found, err = o.decodeJob(ctx, s, object, nil)
 	}
 	switch {
 	case err != nil:
