fix: jobs without a route in force were not found

Cause: a call on a job was one only if its host name, compared with the port, had a batch route in the configuration in force, and only the workspace of the caller's key was asked.

Why this works: wherever no route claims the path, a request of that form is a call on a job; a job's id and its workspace's key decide, at its owner. Jobs without a workspace are found with any key or none. An unknown key is refused before an owner is asked.

--- a/verbena/catalog/catalog.go
+++ b/verbena/catalog/catalog.go
@@ -2,6 +2,7 @@
 package catalog
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -69,10 +70,7 @@
 
 // Match returns the route of the host name with the longest prefix that matches the path. A port in host is ignored.
 func (c *Catalog) Match(host, path string) (route *Route, ok bool) {
-	if i := strings.IndexByte(host, ':'); i >= 0 {
-		host = host[:i]
-	}
-	for _, r := range c.routesByHost[host] {
+	for _, r := range c.routesByHost[withoutPort(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r, true
 		}
@@ -80,6 +78,16 @@
 	return nil, false
 }
 
+// HasBatchRoute reports whether the host name has a route for batch jobs. A port in host is ignored.
+func (c *Catalog) HasBatchRoute(host string) bool {
+	return slices.ContainsFunc(c.routesByHost[withoutPort(host)], func(r *Route) bool { return r.Kind == KindBatch })
+}
+
+func withoutPort(host string) string {
+	name, _, _ := strings.Cut(host, ":")
+	return name
+}
+
 // Route returns the route with a name.
 func (c *Catalog) Route(name string) (route *Route, ok bool) {
 	route, ok = c.routesByName[name]
--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -173,12 +173,14 @@
 		return
 	}
 	req.configVersion = c.Version
-	if call, ok := h.jobProtocol.ParseJobCall(r); ok && hasBatchRoute(c, r.Host) {
-		defer h.setWriteDeadline(req, req.start.Add(call.Wait+defaultTimeout))()
-		if h.skipBody(req) {
-			h.serveJobCall(req, c, call)
+	if call, ok := h.jobProtocol.ParseJobCall(r); ok {
+		is, maybe := isJobCall(r, c)
+		if is || maybe {
+			defer h.setWriteDeadline(req, req.start.Add(call.Wait+defaultTimeout))()
+			if !h.skipBody(req) || h.serveJobCall(req, c, call, maybe) {
+				return
+			}
 		}
-		return
 	}
 	if refusal := h.admit(req, c); refusal != nil {
 		h.refuseUnread(req, func() { h.refuse(req, refusal.status, refusal.retryAfter, refusal.reason) })
--- a/verbenad/internal/entry/jobs.go
+++ b/verbenad/internal/entry/jobs.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
 
 	"verbenaledge.example/verbena/bulk"
 	"verbenaledge.example/verbena/catalog"
+	"verbenaledge.example/verbena/ids"
 )
 
 const (
@@ -22,31 +24,25 @@
 	jobReplyTime = 200 * time.Millisecond
 )
 
-// hasBatchRoute reports whether a host name has a route for batch jobs.
-func hasBatchRoute(c *catalog.Catalog, host string) bool {
-	for i := range c.Routes {
-		if c.Routes[i].Kind == catalog.KindBatch && c.Routes[i].Host == host {
-			return true
-		}
+// isJobCall reports whether a request that has the form of a call on a batch job is one. Jobs outlive their routes, so it is one
+// wherever no route claims its path. maybe is set if only the jobs themselves can tell: a route takes all paths of the host name.
+func isJobCall(r *http.Request, c *catalog.Catalog) (is, maybe bool) {
+	switch {
+	case c.HasBatchRoute(r.Host):
+		return true, false
+	case r.ContentLength != 0:
+		return false, false // its body would be awaited before a refusal
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route, claimed := c.Match(r.Host, path)
+	if !claimed {
+		return true, false
 	}
-	return false
+	return false, route.Prefix == "/"
 }
 
-// serveJobCall answers a call on an existing job.
-func (h *Handler) serveJobCall(req *request, c *catalog.Catalog, call bulk.Call) {
-	if c.RequiresKeys() {
-		w, ok := c.WorkspaceByKey(req.info.Key)
-		if !ok {
-			h.refuse(req, http.StatusUnauthorized, 0, "unknown_key")
-			return
-		}
-		req.workspace = w
-	}
-	if !call.NamesStorable() {
-		h.refuse(req, http.StatusNotFound, 0, "not_found")
-		return
-	}
-	call.Workspace = req.workspaceID()
+// serveJobCall answers a call on an existing job. It returns false, and answers nothing, if maybe is set and there is no such job.
+func (h *Handler) serveJobCall(req *request, c *catalog.Catalog, call bulk.Call, maybe bool) (served bool) {
 	call.Wait = req.info.Wait
 	call.Remaining = jobCallTimeout
 	if call.Op == bulk.ReadResults {
@@ -54,7 +50,44 @@
 		call.MaxBytes = h.replies.beginRead()
 		defer h.replies.endRead()
 	}
-	h.callJobOwner(req, call)
+	reply, answered := bulk.Reply{Code: bulk.NotFound}, true
+	workspaces, known := jobWorkspaces(req, c)
+	if !call.NamesStorable() {
+		workspaces = nil
+	}
+	for n := 0; n < len(workspaces) && answered && reply.Code == bulk.NotFound; n++ {
+		call.Workspace = workspaces[n]
+		reply, answered = h.askJobOwner(req, call)
+	}
+	switch {
+	case !answered:
+	case reply.Code == bulk.NotFound && maybe:
+		return false
+	case reply.Code == bulk.NotFound && !known:
+		h.refuse(req, http.StatusUnauthorized, 0, "unknown_key")
+	case reply.Code == bulk.NotFound:
+		h.refuse(req, http.StatusNotFound, 0, "not_found")
+	default:
+		h.writeJobReply(req, call, reply)
+	}
+	return true
+}
+
+// jobWorkspaces returns the workspaces whose jobs the caller may name: that of its key, and none for jobs that were submitted without
+// one. known is set if the caller has a key or needs none.
+func jobWorkspaces(req *request, c *catalog.Catalog) (workspaces []ids.WorkspaceID, known bool) {
+	if !c.RequiresKeys() {
+		return []ids.WorkspaceID{""}, true
+	}
+	w, known := c.WorkspaceByKey(req.info.Key)
+	if known {
+		req.workspace = w
+		workspaces = append(workspaces, w.ID)
+	}
+	if known || req.info.Key == "" {
+		workspaces = append(workspaces, "")
+	}
+	return workspaces, known
 }
 
 // submitJob sends a new job to the owner of its shard.
@@ -85,34 +118,42 @@
 	job.Workspace, job.Route, job.Host = req.workspaceID(), req.route.Name, req.httpRequest.Host
 	job.Configuration, job.MaxAttempts = req.configVersion, req.route.MaxAttempts
 	job.Submitted, job.Due, job.GiveUpAt = now, now.Add(req.route.ResultsDueAfter), now.Add(req.route.GiveUpAfter)
-	h.callJobOwner(req, bulk.Call{
+	call := bulk.Call{
 		Op: bulk.Submit, Job: job.ID, Workspace: job.Workspace, New: job, TokenCap: req.route.TokenCap,
 		Remaining: min(jobCallTimeout, effectiveTimeout(req.info.Remaining, jobCallTimeout)-responseMargin),
-	})
+	}
+	if reply, answered := h.askJobOwner(req, call); answered {
+		h.writeJobReply(req, call, reply)
+	}
 }
 
 // responseMargin is the part of a caller's timeout that is left for the response to reach it.
 const responseMargin = 100 * time.Millisecond
 
-// callJobOwner sends a call to the owner of its job and writes the owner's reply to the caller.
-func (h *Handler) callJobOwner(req *request, call bulk.Call) {
+// askJobOwner sends a call to the owner of its job. If this host stops too soon for that, it refuses the request, and answered is false.
+func (h *Handler) askJobOwner(req *request, call bulk.Call) (reply bulk.Reply, answered bool) {
 	if left, stops := h.timeLeft(); stops {
 		if left < jobReplyTime {
 			h.refuse(req, http.StatusServiceUnavailable, 0, reasonStopping)
-			return
+			return reply, false
 		}
 		call.Wait, call.Remaining = min(call.Wait, left-jobReplyTime), min(call.Remaining, left)
 	}
 	ctx, cancel := context.WithTimeout(req.httpRequest.Context(), call.Remaining)
 	defer cancel()
 	defer context.AfterFunc(h.runCtx, cancel)()
-	reply := h.jobOwners.Call(ctx, call)
+	reply = h.jobOwners.Call(ctx, call)
 	if call.Op != bulk.ReadResults || reply.Code != bulk.Done {
 		log.WithFields(log.Fields{
 			"job": call.Job, "item": call.Item, "op": call.Op.String(), "workspace": call.Workspace, "outcome": reply.Code.String(),
 			"shard": bulk.ShardOf(call.Workspace), "took_ms": h.clock.Now().Sub(req.start).Milliseconds(),
 		}).Info("batch call answered")
 	}
+	return reply, true
+}
+
+// writeJobReply writes an owner's reply to the caller, and holds its memory until then.
+func (h *Handler) writeJobReply(req *request, call bulk.Call, reply bulk.Reply) {
 	if held := replyBytes(reply); held > 0 { // only reads have one; others have taken effect
 		if !h.replies.budget.reserve(held) {
 			h.refuse(req, http.StatusServiceUnavailable, unavailableRetryAfter, "no_memory")
