test: fleets of two processes never share an address

Ports followed from the process ID, so the ranges of two processes may overlap, and a port is given back between the check and the start of the program that listens on it.

Each process claims a loopback network of its own, as the tests of verbenad/cmd do. No check changes.

--- a/verbenalab/internal/fleet/address.go
+++ b/verbenalab/internal/fleet/address.go
@@ -5,26 +5,50 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 )
 
-// The ports of fleets are below the range that the operating system assigns to outgoing connections. Each process
-// starts at a port that follows from its process ID, so that parallel processes rarely try the same ports, and uses
-// each port of the range once before it starts over.
+// The ports of fleets are below the range that the operating system assigns to outgoing connections. Each process uses a loopback
+// network of its own: others could take a port between the check that it is free and the start of the program that listens on it.
 const (
+	firstNetwork = 70
+	networks     = 50
 	firstPort    = 20000
 	portCount    = 12000
-	portStride   = 331
 	portAttempts = 500
 )
 
+// network is the part of the loopback addresses that the fleets of one process use.
+type network struct {
+	number int
+	// claim is open until the process ends, so that no other process takes the network.
+	claim net.Listener
+}
+
+// claimedNetwork is claimed once in a process.
+var claimedNetwork = sync.OnceValues(claimNetwork)
+
+func claimNetwork() (claimed network, err error) {
+	for n := range networks {
+		claimed.number = firstNetwork + (os.Getpid()+n)%networks
+		if claimed.claim, err = net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", claimed.number, firstPort)); err == nil {
+			return claimed, nil
+		}
+	}
+	return claimed, fmt.Errorf("all loopback networks are taken by other processes: %w", err)
+}
+
 var nextPort atomic.Int64
 
 // freeAddress returns a loopback address whose port is free for TCP and UDP.
 func freeAddress() (address string, err error) {
+	claimed, err := claimedNetwork()
+	if err != nil {
+		return "", err
+	}
 	for range portAttempts {
-		n := int64(os.Getpid())*portStride + nextPort.Add(1)
-		address = fmt.Sprintf("127.0.0.1:%d", firstPort+n%portCount)
+		address = fmt.Sprintf("127.%d.0.1:%d", claimed.number, firstPort+nextPort.Add(1)%portCount)
 		if err = checkPortFree(address); err == nil {
 			return address, nil
 		}
