fix: sums of tokens overflowed and passed any cap

Cause: the sum of the items' tokens overflowed to a negative number, which was added to the workspace's waiting tokens.

--- a/verbena/bulk/job.go
+++ b/verbena/bulk/job.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -80,10 +81,10 @@
 	MaxAttempts int `json:"max_attempts,omitempty" cbor:"11,keyasint,omitempty"`
 }
 
-// Tokens returns the sum of all items' tokens.
+// Tokens returns the sum of all items' tokens, or the largest number if that is less.
 func (j *Job) Tokens() (n int64) {
 	for _, i := range j.Items {
-		n += i.Tokens
+		n += min(i.Tokens, math.MaxInt64-n)
 	}
 	return n
 }
--- a/verbena/bulk/ledger.go
+++ b/verbena/bulk/ledger.go
@@ -84,7 +84,7 @@
 // ReserveTokens counts a job's tokens as waiting, unless they would exceed the limit. Limit 0 means none.
 func (l *Ledger) ReserveTokens(j *Job, limit int64) bool {
 	key := capKey{j.Workspace, j.Route}
-	if limit > 0 && l.waiting[key]+j.Tokens() > limit {
+	if limit > 0 && j.Tokens() > limit-l.waiting[key] {
 		return false
 	}
 	l.waiting[key] += j.Tokens()
