fix: requests with an absolute target found no route

Cause: routes and calls on jobs were looked up by the target as it stands in the request line, which RFC 9112 (3.2.2) has a server accept in absolute form, too.

Why this works: net/http has parsed the target; its origin form, with path and query as sent, replaces it before anything reads it, so that servers get the origin form.

Before: TestFleetServesAbsoluteTargets, 404 in place of 200 three times; it passes now.

--- a/verbenad/internal/entry/handler.go
+++ b/verbenad/internal/entry/handler.go
@@ -166,6 +166,9 @@
 
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.IsAbs() {
+		r.RequestURI = r.URL.RequestURI() // servers and routes know targets in origin form
+	}
 	req := &request{info: h.protocol.ParseRequest(r.Header), start: h.clock.Now(), httpRequest: r, writer: w}
 	c := h.awaitCatalog(r.Context())
 	if c == nil {
