fix: kinds were read seconds after an outage of the store

Requests reached servers that had left (DRAIN).

Cause: the kinds that a process follows share a gate. A kind that waited for its turn wasn't woken by another's answer; a call sent during the silence waited up to 3 s for an answer that is lost; the pause counted from the end of such a call.

Why this works: the first answer wakes all kinds and ends the calls that were sent before the answered one, if a call got no answer at all. While calls fail a watch waits for 50 ms only, and the pause counts from the begin of a call: an answer comes within a second.

--- a/verbenad/internal/view/follower.go
+++ b/verbenad/internal/view/follower.go
@@ -35,6 +35,8 @@
 	// minReturnWatchTimeout is the minimum timeout of a watch while entries are missing. Such a watch otherwise ends
 	// with the returnPeriod.
 	minReturnWatchTimeout = 50 * time.Millisecond
+	// probeWatchTimeout is how long a watch waits for changes while the store doesn't answer.
+	probeWatchTimeout = 50 * time.Millisecond
 	// minOutage is how long calls must have failed before missing entries count as lapsed in the outage.
 	minOutage = 1500 * time.Millisecond
 )
@@ -143,24 +145,36 @@
 			clock.Sleep(ctx, feedTimeout/10)
 			continue
 		}
-		if !f.gate.Enter(ctx) {
+		turn, ok := f.gate.Enter(ctx)
+		if !ok {
 			return
 		}
-		feedNewer, err := f.readUnlessFeedNewer(ctx)
-		switch {
-		case feedNewer:
-		case err == nil:
-			f.gate.Succeeded()
-			f.recordAnswer()
-		case ctx.Err() != nil:
+		feedNewer, err := f.readUnlessFeedNewer(turn.Context)
+		if ctx.Err() != nil {
+			turn.Withdrawn()
 			return
-		case errors.Is(err, objects.ErrCompacted):
-			f.gate.Succeeded()
-			f.listed = false
-		default:
-			f.gate.Failed()
-			f.recordFailure(err)
 		}
+		f.endTurn(turn, feedNewer, err)
+	}
+}
+
+// endTurn records the end of a call to the store.
+func (f *Follower) endTurn(turn *Turn, feedNewer bool, err error) {
+	lostSince, lost := turn.Lost()
+	switch {
+	case err == nil:
+		turn.Succeeded()
+		f.recordAnswer()
+	case errors.Is(err, objects.ErrCompacted):
+		turn.Succeeded()
+		f.listed = false
+	case feedNewer:
+		turn.Withdrawn()
+	case lost:
+		f.recordFailureSince(lostSince, err)
+	default:
+		turn.Failed(err)
+		f.recordFailureSince(f.clock.Now(), err)
 	}
 }
 
@@ -238,11 +252,11 @@
 	f.failingSince = time.Time{}
 }
 
-func (f *Follower) recordFailure(err error) {
+func (f *Follower) recordFailureSince(since time.Time, err error) {
 	if !f.failingSince.IsZero() {
 		return
 	}
-	f.failingSince = f.clock.Now()
+	f.failingSince = since
 	log.WithError(err).WithField("kind", f.kind).Warn("store does not answer")
 }
 
@@ -262,6 +276,9 @@
 	}
 	clock.Sleep(ctx, interval-f.clock.Now().Sub(f.lastWatch))
 	f.lastWatch = f.clock.Now()
+	if f.gate.Failing() {
+		timeout = probeWatchTimeout // the answer shows that the store is back, and the next watch waits
+	}
 	if len(f.missing) > 0 {
 		timeout = max(minReturnWatchTimeout, returnPeriod-f.clock.Now().Sub(f.recoveredAt))
 	}
