--- a/verbenad/internal/entry/job_routes_test.go
+++ b/verbenad/internal/entry/job_routes_test.go
@@ -29,7 +29,7 @@
 }
 
 func (p lotsProtocol) ParseJobCall(r *http.Request) (call bulk.Call, ok bool) {
-	return bulk.Call{Op: p.op, Job: ids.JobID(r.URL.Path[len("/lots/"):])}, true
+	return bulk.Call{Op: p.op, Job: ids.JobID(r.URL.Path[len("/jobs/"):])}, true
 }
 
 // storedJobs answers calls by the jobs of each workspace.
@@ -73,7 +73,7 @@
 		{"route of another host name", []catalog.Route{jobRoute("other", false)}, keys, 200, 404, 401, 200, 200, 404},
 		{"other routes only", []catalog.Route{plainRoute("/p/")}, keys, 200, 404, 401, 200, 200, 404},
 		{"a route for all paths", []catalog.Route{plainRoute("/")}, keys, 200, 503, 401, 200, 200, 503},
-		{"a route for these paths", []catalog.Route{plainRoute("/lots/")}, keys, 503, 503, 401, 503, 401, 503},
+		{"a route for these paths", []catalog.Route{plainRoute("/jobs/")}, keys, 503, 503, 401, 503, 401, 503},
 		{"key withdrawn", []catalog.Route{jobRoute("h", false)}, withoutKey, 401, 404, 401, 401, 200, 401},
 		{"no keys", []catalog.Route{jobRoute("h", false)}, nil, 404, 404, 404, 200, 200, 404},
 	} {
@@ -83,7 +83,7 @@
 					h := New(keyProtocol{}, lotsProtocol{op: op}, owners, nil, nil, clock.System{}, 64)
 					h.SetCatalog(catalog.New(1, tc.routes, nil, tc.workspaces, catalog.Limits{}))
 					call := func(job, key string) int {
-						r := httptest.NewRequest(http.MethodGet, "/lots/"+job, http.NoBody)
+						r := httptest.NewRequest(http.MethodGet, "/jobs/"+job, http.NoBody)
 						r.Host = host
 						r.Header.Set("Authorization", key)
 						w := httptest.NewRecorder()
@@ -107,7 +107,7 @@
 	owners := &countingOwners{}
 	h := New(keyProtocol{}, lotsProtocol{op: bulk.ReadResults}, owners, nil, nil, clock.System{}, 64)
 	h.SetCatalog(catalog.New(1, []catalog.Route{jobRoute("h", false)}, nil, []catalog.Workspace{{ID: "w", Keys: []string{"key-w"}}}, catalog.Limits{}))
-	r := httptest.NewRequest(http.MethodGet, "/lots/a", http.NoBody)
+	r := httptest.NewRequest(http.MethodGet, "/jobs/a", http.NoBody)
 	r.Host = "h"
 	r.Header.Set("Authorization", "key-of-nobody")
 	w := httptest.NewRecorder()
