fix: a pause during an upload lost sound early answers

Callers saw 502 or another server's answer, and items ran again, when a server answered early without a length and then paused for a second before it read the rest of the request.

Cause: the end of such an answer counts once the server has received the request. A server that received nothing for 300 ms counted as one that never would, though a sound server may be silent for a second or so. Fix: one bound of 2 s for all connections to servers. Resets don't wait for it: the write or the state of the connection reports them.

--- a/verbenad/internal/backend/client.go
+++ b/verbenad/internal/backend/client.go
@@ -56,7 +56,7 @@
 					if err != nil {
 						return nil, err
 					}
-					return &tcpstate.Conn{Conn: c, StallTimeout: sentTimeout}, nil
+					return &tcpstate.Conn{Conn: c}, nil
 				},
 				MaxIdleConnsPerHost: maxIdlePerServer,
 				IdleConnTimeout:     idleConnTimeout,
--- a/verbenad/internal/cutserver/answers.go
+++ b/verbenad/internal/cutserver/answers.go
@@ -9,6 +9,7 @@
 	"path"
 	"strconv"
 	"strings"
+	"time"
 )
 
 //go:embed answers
@@ -28,6 +29,7 @@
 	raw, want string
 	ending    Ending
 	early     bool
+	pause     time.Duration
 }
 
 // Cases returns all cases, in the order of their names.
@@ -72,6 +74,8 @@
 			c.UploadBytes, err = strconv.Atoi(value)
 		case "early":
 			c.early = true
+		case "pause":
+			c.pause, err = time.ParseDuration(value)
 		case "late":
 			c.Late = true
 		case "ending":
@@ -100,7 +104,7 @@
 
 // Answer returns the answer with header lines and a body. notRun is the header line that says that the request was not run.
 func (c *Case) Answer(header []string, notRun, body string) Answer {
-	return Answer{Raw: fill(c.raw, header, notRun, body), Ending: c.ending, Early: c.early}
+	return Answer{Raw: fill(c.raw, header, notRun, body), Ending: c.ending, Early: c.early, Pause: c.pause}
 }
 
 // Want returns what a caller gets for a sound answer.
--- a/verbenad/internal/cutserver/server.go
+++ b/verbenad/internal/cutserver/server.go
@@ -36,6 +36,8 @@
 	// Early is set if the server answers before it reads the request's body. One that then closes its direction of the connection
 	// reads the body afterwards.
 	Early bool
+	// Pause is how long that server pauses before it reads the body.
+	Pause time.Duration
 }
 
 const (
@@ -117,6 +119,7 @@
 	switch {
 	case a.Early && a.Ending == Close:
 		_ = c.CloseWrite()
+		time.Sleep(a.Pause)
 		readSlowly(r.Body)
 	case a.Ending == None:
 		readSlowly(c)
@@ -127,6 +130,7 @@
 	case Close, None:
 	case CloseThenReset:
 		_ = c.CloseWrite()
+		time.Sleep(a.Pause)
 		fallthrough
 	case Reset:
 		_ = c.SetLinger(0)
--- a/verbenad/internal/serverrelay/pipe.go
+++ b/verbenad/internal/serverrelay/pipe.go
@@ -17,9 +17,8 @@
 const (
 	// pipeWriteTimeout is how long a write may take before the connection counts as lost: longer than callers pause.
 	pipeWriteTimeout = 10 * time.Second
-	// requestWriteWait is how long the end of a server's connection waits for a write to it to return, after the server has last
-	// received something: the kernel may have reported a reset to that write only.
-	requestWriteWait = 300 * time.Millisecond
+	// readRestTimeout is how long what a server has sent is still read after a write to it has failed.
+	readRestTimeout = 300 * time.Millisecond
 	// requestPoll is the time between checks whether the server has received more.
 	requestPoll = 20 * time.Millisecond
 	// requestBufferSize is in bytes.
@@ -66,7 +65,7 @@
 	for {
 		n, err := reader.Read(buffer)
 		if n > 0 && p.writeToServer(buffer[:n]) != nil {
-			_ = p.server.SetReadDeadline(time.Now().Add(requestWriteWait)) // what has arrived is still read
+			_ = p.server.SetReadDeadline(time.Now().Add(readRestTimeout)) // what has arrived is still read
 			return
 		}
 		if err != nil {
@@ -83,7 +82,7 @@
 func (p *pipe) awaitRequests(requestsEnded <-chan struct{}) bool {
 	poll := time.NewTicker(requestPoll)
 	defer poll.Stop()
-	for receipt := tcpstate.NewReceipt(p.server); receipt.StalledFor() < requestWriteWait; {
+	for receipt := tcpstate.NewReceipt(p.server); !receipt.Stalled(); {
 		select {
 		case <-requestsEnded:
 			return true
@@ -159,13 +158,13 @@
 // requestsReceived reports whether the server, which has closed its direction, did so in order and received all that the host has
 // sent.
 func (p *pipe) requestsReceived() bool {
-	return p.requestsWritten() && tcpstate.ClosedInOrder(p.server, requestWriteWait)
+	return p.requestsWritten() && tcpstate.ClosedInOrder(p.server)
 }
 
 // requestsWritten reports whether all writes to the server have succeeded.
 func (p *pipe) requestsWritten() bool {
 	for receipt := tcpstate.NewReceipt(p.server); !p.serverMu.TryLock(); time.Sleep(time.Millisecond) {
-		if receipt.StalledFor() > requestWriteWait {
+		if receipt.Stalled() {
 			return false
 		}
 	}
--- a/verbenad/internal/serverrelay/write_timeout_test.go
+++ b/verbenad/internal/serverrelay/write_timeout_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"verbenaledge.example/verbenad/internal/tcpstate"
 )
 
 // stalledConn is a connection to a server that reads nothing: writes end at their deadlines.
@@ -31,7 +33,7 @@
 	conn := newConn(host, bufio.NewReader(host))
 	_, err := io.WriteString(conn, "request")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, conn.SetReadDeadline(time.Now().Add(10*requestWriteWait)), qt.IsNil)
+	qt.Assert(t, conn.SetReadDeadline(time.Now().Add(10*tcpstate.StallTimeout)), qt.IsNil)
 	_, err = conn.Read(make([]byte, 9))
 	qt.Check(t, err, qt.ErrorIs, ErrRelayLost)
 	qt.Assert(t, conn.Close(), qt.IsNil)
--- a/verbenad/internal/tcpstate/closed_in_order.go
+++ b/verbenad/internal/tcpstate/closed_in_order.go
@@ -20,9 +20,9 @@
 const tcpCloseWait = 8
 
 // ClosedInOrder reports whether the peer has closed its direction of a connection in order, received all that was written, and has
-// not reset the connection at once. It waits for the receipt until the peer has received nothing further for stallTimeout. Other
+// not reset the connection at once. It waits for the receipt until the peer has received nothing further for StallTimeout. Other
 // connections than those of the kernel report no end but an orderly one.
-func ClosedInOrder(c net.Conn, stallTimeout time.Duration) bool {
+func ClosedInOrder(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
@@ -44,7 +44,7 @@
 		}
 		received = info.Unacked == 0 && info.Notsent_bytes == 0
 		receipt.update(info.Bytes_acked)
-		if !received && time.Since(receipt.changedAt) > stallTimeout {
+		if !received && time.Since(receipt.changedAt) > StallTimeout {
 			return false
 		}
 	}
--- a/verbenad/internal/tcpstate/closed_in_order_test.go
+++ b/verbenad/internal/tcpstate/closed_in_order_test.go
@@ -10,7 +10,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// receiptWait is longer than a peer on the same machine takes to receive what was written.
+// receiptWait is longer than a reset takes to arrive on the same machine.
 const receiptWait = 10 * time.Second
 
 // watchedConn calls onLook before each look at the state of the connection, with the number of looks before.
@@ -71,7 +71,7 @@
 		}
 		c.Fatal("the reset has not arrived")
 	}
-	c.Assert(ClosedInOrder(&watchedConn{TCPConn: conn, onLook: reset}, receiptWait), qt.IsFalse)
+	c.Assert(ClosedInOrder(&watchedConn{TCPConn: conn, onLook: reset}), qt.IsFalse)
 }
 
 // TestOrderlyEndIsOrderly checks an end without a reset, after the peer has received all that was written.
@@ -84,5 +84,5 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(peer.CloseWrite(), qt.IsNil)
 	readEnd(c, conn)
-	c.Assert(ClosedInOrder(conn, receiptWait), qt.IsTrue)
+	c.Assert(ClosedInOrder(conn), qt.IsTrue)
 }
--- a/verbenad/internal/tcpstate/conn.go
+++ b/verbenad/internal/tcpstate/conn.go
@@ -12,8 +12,6 @@
 // any other end of its peer's direction.
 type Conn struct {
 	net.Conn
-	// StallTimeout is how long an end waits for the receipt of what was written, after the peer has last received a part of it.
-	StallTimeout time.Duration
 
 	// request is closed once the present request has been written, and nil if none is being written.
 	request atomic.Pointer[chan struct{}]
@@ -35,7 +33,7 @@
 // Read reads from the connection.
 func (c *Conn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
-	if errors.Is(err, io.EOF) && (!c.awaitRequest() || !ClosedInOrder(c.Conn, c.StallTimeout)) {
+	if errors.Is(err, io.EOF) && (!c.awaitRequest() || !ClosedInOrder(c.Conn)) {
 		err = io.ErrUnexpectedEOF
 	}
 	return n, err
@@ -49,7 +47,7 @@
 	}
 	poll := time.NewTicker(acknowledgementPoll)
 	defer poll.Stop()
-	for receipt := NewReceipt(c.Conn); receipt.StalledFor() < c.StallTimeout; {
+	for receipt := NewReceipt(c.Conn); !receipt.Stalled(); {
 		select {
 		case <-*request:
 			return true
--- a/verbenad/internal/tcpstate/receipt.go
+++ b/verbenad/internal/tcpstate/receipt.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// StallTimeout is how long a peer may receive nothing before the rest of what was written to it counts as not received. A sound server
+// may pause for a second or so.
+const StallTimeout = 2 * time.Second
+
 // Receipt tells whether the peer of a connection goes on receiving what is written to it.
 type Receipt struct {
 	conn         net.Conn
@@ -16,18 +20,18 @@
 // NewReceipt begins to follow what the peer of a connection receives.
 func NewReceipt(c net.Conn) *Receipt {
 	r := &Receipt{conn: c, changedAt: time.Now()}
-	r.StalledFor()
+	r.Stalled()
 	return r
 }
 
-// StalledFor returns how long the peer has received nothing further, as far as calls of this method have seen.
-func (r *Receipt) StalledFor() time.Duration {
+// Stalled reports whether the peer has received nothing further for StallTimeout, as far as calls of this method have seen.
+func (r *Receipt) Stalled() bool {
 	if sc, ok := r.conn.(syscall.Conn); ok {
 		if info, err := tcpInfo(sc); err == nil {
 			r.update(info.Bytes_acked)
 		}
 	}
-	return time.Since(r.changedAt)
+	return time.Since(r.changedAt) > StallTimeout
 }
 
 func (r *Receipt) update(acknowledged uint64) {
--- a/verbenad/internal/upstream/close_then_reset_test.go
+++ b/verbenad/internal/upstream/close_then_reset_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"verbenaledge.example/verbena/clock"
+	"verbenaledge.example/verbenad/internal/tcpstate"
 )
 
 // TestResetAfterCloseLooksComplete guards against a response without length and chunks that looks complete although its
@@ -63,7 +64,7 @@
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf")
 		time.Sleep(20 * time.Millisecond)
 		_ = c.CloseWrite()
-		time.Sleep(2 * bodyResultTimeout)
+		time.Sleep(2 * tcpstate.StallTimeout)
 		_ = c.Close()
 	}()
 	s := request(server(t, nil), "a", make([]byte, bodyBytes))
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -234,13 +234,8 @@
 
 var framingHeaders = map[string]bool{"Content-Length": true, "Host": true, "Transfer-Encoding": true}
 
-const (
-	// bodyResultTimeout is how long the end of a connection waits for the result of writing the request's body, which may come
-	// later than the end although all of the body has been sent, after the server has last received a part of it.
-	bodyResultTimeout = 300 * time.Millisecond
-	// bodyResultPoll is the time between checks whether the server has received more.
-	bodyResultPoll = 20 * time.Millisecond
-)
+// bodyResultPoll is the time between checks whether the server has received more of the request's body.
+const bodyResultPoll = 20 * time.Millisecond
 
 // ReadBody reads the body. The end is nil until all of the body has arrived or it can't be read further.
 func (r *Response) ReadBody(p []byte) (n int, end completion.End) {
@@ -275,7 +270,7 @@
 	case !r.bodySent():
 		return false
 	case !isRelayed:
-		return tcpstate.ClosedInOrder(r.conn.Conn, bodyResultTimeout)
+		return tcpstate.ClosedInOrder(r.conn.Conn)
 	}
 	return sentBefore || relayed.ConfirmEnd() // the relay knows of what was sent before
 }
@@ -301,7 +296,7 @@
 	}
 	poll := time.NewTicker(bodyResultPoll)
 	defer poll.Stop()
-	for receipt := tcpstate.NewReceipt(r.conn.Conn); receipt.StalledFor() < bodyResultTimeout; {
+	for receipt := tcpstate.NewReceipt(r.conn.Conn); !receipt.Stalled(); {
 		select {
 		case err := <-r.bodyWritten:
 			r.setBodyResult(err)
