fix: resets during a relayed upload looked complete

Callers of a host that reached a server over another host got a part of an answer as a whole one: the server answered early without a length, closed its direction, and reset the connection as the rest of the upload came.

Cause: the relay vouches for what it has sent by then. The host asked it to confirm the rest only if it was still writing, but bytes that are written may be on their way to the relay. Fix: the end of every such answer to a request with a body is confirmed, after the relay has got all of it. A relay that doesn't answer counts as before.

--- a/verbenad/internal/serverrelay/conn.go
+++ b/verbenad/internal/serverrelay/conn.go
@@ -56,20 +56,28 @@
 	}
 }
 
-// ConfirmEnd reports whether the server has received all of a request of which a part was sent after Read had returned io.EOF. No
-// other request can be sent. It waits as long as the relay does; Close ends it.
-func (c *Conn) ConfirmEnd() bool {
+// ConfirmEnd reports whether the server, whose end Read has returned as io.EOF, has received all of the request. No other request can
+// be sent. It waits as long as the relay does; Close ends it. The error means that the relay doesn't say.
+func (c *Conn) ConfirmEnd() (received bool, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("confirm the end of a relayed connection: %w", err)
+		}
+	}()
 	closer, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || closer.CloseWrite() != nil {
-		return false
+	if !ok {
+		return false, errors.ErrUnsupported
+	}
+	if err := closer.CloseWrite(); err != nil {
+		return false, err
 	}
 	for {
-		switch kind, _, err := readChunkHeader(c.reader); {
-		case err != nil:
-			return false // a former release closes the connection
-		case kind == stoppingChunk:
-		default:
-			return kind == closedChunk
+		kind, _, err := readChunkHeader(c.reader)
+		if err != nil {
+			return false, err
+		}
+		if kind != stoppingChunk {
+			return kind == closedChunk, nil
 		}
 	}
 }
--- a/verbenad/internal/upstream/relayed_test.go
+++ b/verbenad/internal/upstream/relayed_test.go
@@ -71,13 +71,19 @@
 }
 
 func startRelayOf(t *testing.T, servers *relayServers) (*serverrelay.Dialer, *serverrelay.Relay) {
+	address, relay := listenRelay(t, servers)
+	return serverrelay.NewDialer(clock.System{}, func() []string { return []string{address} }), relay
+}
+
+// listenRelay starts such a host, and returns its address.
+func listenRelay(t *testing.T, servers *relayServers) (address string, relay *serverrelay.Relay) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	address := ln.Addr().String()
+	address = ln.Addr().String()
 	qt.Assert(t, ln.Close(), qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	relay := serverrelay.NewRelay(servers)
+	relay = serverrelay.NewRelay(servers)
 	go func() {
 		ended <- hostlink.Listen(ctx, address, noOwners{}, func(l *hostlink.Link, _ hostlink.Frame) { l.Close() }, hostlink.WithServerRelay(relay))
 	}()
@@ -85,7 +91,7 @@
 		cancel()
 		qt.Check(t, <-ended, qt.IsNil)
 	})
-	return serverrelay.NewDialer(clock.System{}, func() []string { return []string{address} }), relay
+	return address, relay
 }
 
 // TestReusedRelayedConnectionsDontHideHealedPath guards against a host that goes on over another one long after its own path
--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -92,6 +92,7 @@
 	// bodyWritten gets the result of writing the request's body; it is nil if the result is known, which is bodyError.
 	bodyWritten   <-chan error
 	bodyError     error
+	bodyBytes     int
 	detachContext func() bool
 	complete      bool
 }
@@ -167,7 +168,7 @@
 		TimeToHeaders: c.clock.Now().Sub(start), Relayed: conn.relayed,
 		Connection: ConnectionUse{Number: conn.number, Requests: conn.requests.count(), Repeated: repeated},
 		client:     c, conn: conn, httpResponse: httpResponse, server: r.Server, protocol: p,
-		bodyWritten: bodyWritten, detachContext: detachContext,
+		bodyWritten: bodyWritten, bodyBytes: len(r.Body), detachContext: detachContext,
 	}, nil
 }
 
@@ -263,7 +264,6 @@
 
 // closedInOrder reports whether a server that has closed its direction of the connection did so in order, and received the request.
 func (r *Response) closedInOrder() bool {
-	sentBefore := r.bodySent()
 	r.awaitBodyResult()
 	relayed, isRelayed := r.conn.Conn.(*serverrelay.Conn)
 	switch {
@@ -271,8 +271,15 @@
 		return false
 	case !isRelayed:
 		return tcpstate.ClosedInOrder(r.conn.Conn)
+	case r.bodyBytes == 0:
+		return true
 	}
-	return sentBefore || relayed.ConfirmEnd() // the relay knows of what was sent before
+	// The relay has told of what it had by then: a part of the body may have been on its way to the relay.
+	received, err := relayed.ConfirmEnd()
+	if err != nil {
+		return r.bodyBytes <= maxInlineBody // relays of former releases don't confirm such an end
+	}
+	return received
 }
 
 // Close ends the response. A connection whose response was read completely is kept for reuse; any other is closed,
