--- a/verbenad/internal/upstream/send.go
+++ b/verbenad/internal/upstream/send.go
@@ -274,7 +274,7 @@
 	case r.bodyBytes == 0:
 		return true
 	}
-	// The relay has told of what it had by then: a part of the body may have been on its way to the relay.
+	// The end that the relay reported covers what it had by then: a part of the body may have been on its way to it.
 	received, err := relayed.ConfirmEnd()
 	if err != nil {
 		return r.bodyBytes <= maxInlineBody // relays of former releases don't confirm such an end
