test: owners of a test listen on an address of the process's own

The test gives a port back twice before it listens on it again, and any connection or listener of another process may take it meanwhile. Who took it isn't known. No check changes.

--- a/verbenad/internal/owners/jobs_client_test.go
+++ b/verbenad/internal/owners/jobs_client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"os"
 	"sync/atomic"
 	"testing"
 
@@ -93,13 +94,21 @@
 	qt.Check(t, callHandedOver(t, bulk.Submit, constantOwner(bulk.OverCap)).Code, qt.Equals, bulk.OutcomeUnknown)
 }
 
+// unusedAddress returns an address that stays free until the test listens on it. Its IP address is this process's own, and not that of
+// the loopback connections that other processes open.
+func unusedAddress(t *testing.T) string {
+	pid := os.Getpid() // at most 22 bits
+	ip := net.IPv4(127, byte(64+pid>>16), byte(pid>>8), byte(pid))
+	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: ip})
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { qt.Assert(t, ln.Close(), qt.IsNil) }()
+	return ln.Addr().String()
+}
+
 // callHandedOver returns the reply to a call whose owner hands its units over to another one.
 func callHandedOver(t *testing.T, op bulk.Op, next constantOwner) bulk.Reply {
 	call := bulk.Call{Op: op, Workspace: "w", Job: "j"}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	address := ln.Addr().String()
-	qt.Assert(t, ln.Close(), qt.IsNil)
+	address := unusedAddress(t)
 	v := viewOf(t, bulk.ShardOf(call.Workspace), address)
 	listenCtx, stop := context.WithCancel(t.Context())
 	ended := listenAsOwner(listenCtx, address, v, handedOverOwner{asked: &atomic.Bool{}, next: next})
@@ -114,10 +123,7 @@
 // callCutByStop returns the reply to a call whose owner stops once it has executed it; the next owner has the same address.
 func callCutByStop(t *testing.T, op bulk.Op, next hostlink.JobsOwner) bulk.Reply {
 	call := bulk.Call{Op: op, Workspace: "w", Job: "j"}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	address := ln.Addr().String()
-	qt.Assert(t, ln.Close(), qt.IsNil)
+	address := unusedAddress(t)
 	v := viewOf(t, bulk.ShardOf(call.Workspace), address)
 	stopping := stoppingOwner{executed: make(chan bulk.Op, 1), stopped: make(chan struct{})}
 	defer close(stopping.stopped)
