--- a/verbenad/internal/serverrelay/write_timeout_test.go
+++ b/verbenad/internal/serverrelay/write_timeout_test.go
@@ -9,8 +9,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-
-	"verbenaledge.example/verbenad/internal/tcpstate"
 )
 
 // stalledConn is a connection to a server that reads nothing: writes end at their deadlines.
@@ -33,7 +31,7 @@
 	conn := newConn(host, bufio.NewReader(host))
 	_, err := io.WriteString(conn, "request")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, conn.SetReadDeadline(time.Now().Add(10*tcpstate.StallTimeout)), qt.IsNil)
+	qt.Assert(t, conn.SetReadDeadline(time.Now().Add(10*readRestTimeout)), qt.IsNil)
 	_, err = conn.Read(make([]byte, 9))
 	qt.Check(t, err, qt.ErrorIs, ErrRelayLost)
 	qt.Assert(t, conn.Close(), qt.IsNil)
